Workspace, core types and interfaces

Cause: an empty repository; every package needs one set of types to meet at. Change: build, formatter, linter, set-up script; the closed list of error kinds with its table, the event catalogue, messages, events and commands of the cores, and the interfaces of network, platform and telemetry.

--- /dev/null
+++ b/packages/core/types/eventcode.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace mulberrysail::core {
+
+/** Numbers of what processes log and put on the time line. A number is never
+ * used again for something else. docs/EVENTS.md is the catalogue. */
+enum class EventCode : std::uint16_t
+{
+  ProcessStarted = 100,
+  ProcessDraining = 101,
+  ProcessStopped = 102,
+  SettingsRejected = 103,
+
+  SubmissionAdmitted = 200,
+  SubmissionRefused = 201,
+  SubmissionAnswered = 202,
+  SubmissionCancelled = 203,
+  CallerGone = 204,
+
+  AttemptOffered = 300,
+  AttemptRefused = 301,
+  AttemptQueued = 302,
+  AttemptStarted = 303,
+  AttemptFinished = 304,
+  AttemptRevoked = 305,
+  AttemptLost = 306,
+  AttemptReplyDropped = 307,
+  AttemptRetried = 308,
+
+  AgentJoined = 400,
+  AgentLeaving = 401,
+  AgentForgotten = 402,
+  EntryJoined = 403,
+  EntryForgotten = 404,
+  EndpointAnnounced = 410,
+  EndpointLeaving = 411,
+  EndpointLapsed = 412,
+  WorkerAnnounced = 420,
+  WorkerLapsed = 421,
+  WorkerQuarantined = 422,
+  WorkerRestored = 423,
+
+  KeyFenced = 500,
+  KeyHeld = 501,
+  KeyUncertain = 502,
+
+  ConfigInForce = 600,
+  ConfigPatchAccepted = 601,
+  ConfigPatchRejected = 602,
+  ConfigPatchUncertain = 603,
+  StoreUnavailable = 610,
+  StoreRecovered = 611,
+
+  MessageRejected = 700,
+  MessageDropped = 701,
+};
+
+/** One row of the catalogue. */
+struct EventRow
+{
+  EventCode m_code;
+  std::string_view m_name;
+  std::string_view m_meaning;
+};
+
+/** @return the catalogue, by rising number. */
+std::span<const EventRow>
+EventTable();
+
+/** @return the name of @p aCode. */
+std::string_view
+EventName(EventCode aCode);
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/types/ids.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace mulberrysail::core {
+
+/** An integer that can't be mistaken for another kind of identifier. */
+template<typename Tag>
+struct StrongId
+{
+  std::uint64_t m_value = 0;
+
+  auto operator<=>(const StrongId&) const = default;
+};
+
+/** One life of one process; a restarted process has another. */
+using Incarnation = StrongId<struct IncarnationTag>;
+/** One placement of a request or task; unique within an entry incarnation. */
+using AttemptId = StrongId<struct AttemptTag>;
+/** A request or job as admitted by one entry. */
+using SubmissionId = StrongId<struct SubmissionTag>;
+/** The connection that waits for an answer; chosen by the daemon. */
+using CallerToken = StrongId<struct CallerTag>;
+/** One start of work at an endpoint or worker; chosen by the agent core. */
+using RunId = StrongId<struct RunTag>;
+/** One question about a caller key, asked by an entry. */
+using FenceId = StrongId<struct FenceTag>;
+/** Number of an accepted configuration; rises by one with each patch. */
+using ConfigVersion = StrongId<struct ConfigTag>;
+
+/** One process in one of its lives. */
+struct ProcessId
+{
+  std::string m_name;
+  Incarnation m_incarnation;
+
+  auto operator<=>(const ProcessId&) const = default;
+};
+
+} // namespace mulberrysail::core
+
+template<typename Tag>
+struct std::hash<mulberrysail::core::StrongId<Tag>>
+{
+  std::size_t operator()(
+    const mulberrysail::core::StrongId<Tag>& aId) const noexcept
+  {
+    return std::hash<std::uint64_t>{}(aId.m_value);
+  }
+};
+
+template<>
+struct std::hash<mulberrysail::core::ProcessId>
+{
+  std::size_t operator()(
+    const mulberrysail::core::ProcessId& aId) const noexcept
+  {
+    return std::hash<std::string>{}(aId.m_name) ^
+           (aId.m_incarnation.m_value * 0x9E3779B97F4A7C15ULL);
+  }
+};
--- /dev/null
+++ b/packages/core/types/messages.h
@@ -0,0 +1,252 @@
+#pragma once
+
+#include "core/types/errorkind.h"
+#include "core/types/ids.h"
+#include "core/types/resources.h"
+#include "core/types/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** The messages between entries and agents. */
+namespace mulberrysail::core {
+
+/** Whether the work runs in a slot of the endpoint or on a worker. */
+enum class WorkKind : std::uint8_t
+{
+  Request,
+  Task,
+};
+
+/** The caller's name for one piece of work, and which submission of it. */
+struct CallerKey
+{
+  std::string m_key;
+  /** 1 for the first submission; 0 if the caller doesn't number them. */
+  std::uint32_t m_submission = 0;
+
+  bool operator==(const CallerKey&) const = default;
+};
+
+/** One attempt to place a request or a task. */
+struct Offer
+{
+  AttemptId m_attempt;
+  WorkKind m_kind = WorkKind::Request;
+  std::string m_service;
+  std::string m_team;
+  /** In the agent's clock; refused if it comes later. */
+  Instant m_startBy;
+  /** In the agent's clock; the caller wants nothing after it. */
+  Instant m_deadline;
+  /** What the entry expects, from declarations and what it learned. */
+  Duration m_expectedRun{};
+  /** Tasks only. */
+  Resources m_need;
+  /** Groups the tasks of one job; zero for a request. */
+  SubmissionId m_job;
+  std::optional<CallerKey> m_key;
+  std::string m_payload;
+};
+
+/** Offers to one agent; the agent refuses those for another incarnation. */
+struct OfferBatch
+{
+  Incarnation m_agentIncarnation;
+  std::vector<Offer> m_offers;
+};
+
+/** Takes back what is queued and, if asked, stops what runs. */
+struct RevokeBatch
+{
+  std::vector<AttemptId> m_attempts;
+  bool m_stopRunning = false;
+};
+
+/** Asks what became of attempts; the agent refuses those that it doesn't
+ * know, for good. */
+struct Reconcile
+{
+  std::vector<AttemptId> m_attempts;
+};
+
+/** Asks whether an earlier submission of a key is held here. An agent that
+ * has not seen it refuses earlier submissions from then on. */
+struct FenceQuery
+{
+  FenceId m_fence;
+  std::string m_service;
+  CallerKey m_key;
+  /** How long the agent must remember the fence. */
+  Duration m_rememberFor{};
+};
+
+/** Sent by an entry when a link is opened and as a heartbeat. */
+struct EntryHello
+{
+  ConfigVersion m_config;
+  bool m_draining = false;
+  /** Load reports are wanted for this long; zero if not. */
+  Duration m_subscribeFor{};
+};
+
+/** A whole accepted configuration. */
+struct ConfigUpdate
+{
+  ConfigVersion m_version;
+  std::string m_document;
+};
+
+/** Asks the peer for its configuration, as it has announced a newer one. */
+struct ConfigRequest
+{
+  ConfigVersion m_known;
+};
+
+/** State of an agent's endpoint and workers, as cheap to send as it is often
+ * sent. */
+struct LoadReport
+{
+  /** Rises with every report of one agent incarnation. */
+  std::uint64_t m_sequence = 0;
+  /** The agent's clock when the report was made. */
+  Instant m_agentNow;
+  /** Offers that the agent had received from the addressed entry. */
+  std::uint64_t m_offersSeen = 0;
+  std::uint32_t m_freeSlots = 0;
+  std::uint32_t m_queuedRequests = 0;
+  /** Expected run time of all queued requests. */
+  Duration m_queuedRequestWork{};
+  /** Room on the workers that it looks after, summed. */
+  Resources m_freeRoom;
+  std::uint32_t m_queuedTasks = 0;
+  /** Expected run time times cores of all queued tasks, in core time. */
+  Duration m_queuedTaskWork{};
+};
+
+/** An endpoint as its agent sees it. */
+struct EndpointInfo
+{
+  std::string m_service;
+  std::uint32_t m_slots = 0;
+  std::uint32_t m_connections = 0;
+  bool m_leaving = false;
+
+  bool operator==(const EndpointInfo&) const = default;
+};
+
+/** A worker as its agent sees it. */
+struct WorkerInfo
+{
+  std::string m_name;
+  std::string m_rack;
+  Resources m_capacity;
+  /** True while failures keep it from getting work. */
+  bool m_quarantined = false;
+
+  bool operator==(const WorkerInfo&) const = default;
+};
+
+/** Sent by an agent when a link is opened, on a change, as a heartbeat. */
+struct Announce
+{
+  std::string m_zone;
+  /** Where workers and operators reach it over HTTP. */
+  std::string m_httpAddress;
+  ConfigVersion m_config;
+  bool m_leaving = false;
+  /** The entry forgets the agent this long after its last message. */
+  Duration m_leaseFor{};
+  std::optional<EndpointInfo> m_endpoint;
+  std::vector<WorkerInfo> m_workers;
+  LoadReport m_load;
+};
+
+/** What became of one attempt. */
+enum class AttemptFate : std::uint8_t
+{
+  /** Never started and never will be. */
+  Refused,
+  /** Taken out of the queue on request; never started. */
+  Revoked,
+  /** Started; the outcome follows. */
+  Running,
+  /** Waiting at the agent. */
+  Queued,
+  /** Ran, and this is its output. */
+  Completed,
+  /** Ran and failed, or was stopped. */
+  Failed,
+  /** May have run; the endpoint or worker was lost. */
+  Lost,
+};
+
+struct AttemptReport
+{
+  AttemptId m_attempt;
+  AttemptFate m_fate = AttemptFate::Refused;
+  ErrorKind m_kind = ErrorKind::None;
+  /** From start to finish, as the agent saw it. */
+  Duration m_ranFor{};
+  /** From receipt to start. */
+  Duration m_waitedFor{};
+  std::string m_output;
+};
+
+/** Outcomes, with the agent's load on top. */
+struct ReportBatch
+{
+  std::vector<AttemptReport> m_reports;
+  LoadReport m_load;
+};
+
+/** Answer to a FenceQuery. */
+struct FenceReply
+{
+  FenceId m_fence;
+  /** Refused: not seen, and fenced from now on. Running, Queued: its outcome
+   * follows in another FenceReply. */
+  AttemptFate m_fate = AttemptFate::Refused;
+  ErrorKind m_kind = ErrorKind::None;
+  std::string m_output;
+  /** How far back the agent's memory of keys reaches. */
+  Duration m_remembersFor{};
+};
+
+/** An agent that left or died, as entries remember it. */
+struct DepartedAgent
+{
+  ProcessId m_agent;
+  std::string m_service;
+  /** How long ago. */
+  Duration m_age{};
+  /** How long it had been a member. */
+  Duration m_wasMemberFor{};
+};
+
+/** Between entries: what a newcomer can't know by itself. */
+struct PeerHello
+{
+  ConfigVersion m_config;
+  bool m_draining = false;
+  /** How far back this entry's memory of departures reaches. */
+  Duration m_remembersFor{};
+  std::vector<DepartedAgent> m_departed;
+};
+
+using Message = std::variant<OfferBatch,
+                             RevokeBatch,
+                             Reconcile,
+                             FenceQuery,
+                             EntryHello,
+                             ConfigUpdate,
+                             ConfigRequest,
+                             Announce,
+                             ReportBatch,
+                             FenceReply,
+                             PeerHello>;
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/types/policy.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/types/time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace mulberrysail::core {
+
+/** Places each attempt on any agent with equal chance. A baseline. */
+struct RandomPlacement
+{};
+
+/** Asks two agents for their load and takes the better. A baseline. */
+struct ProbePlacement
+{
+  std::uint32_t m_probes = 2;
+};
+
+/** Places by the last reported load plus the entry's own open offers. */
+struct ReportedLoadPlacement
+{
+  /** Scale run times by what was learned of each agent. */
+  bool m_learnSpeed = true;
+  /** Prefer agents in the entry's own zone by the hop that it saves. */
+  bool m_zoneAffinity = true;
+};
+
+using PlacementPolicy =
+  std::variant<RandomPlacement, ProbePlacement, ReportedLoadPlacement>;
+
+/** How an entry decides. */
+struct EntryPolicy
+{
+  std::string m_zone;
+  PlacementPolicy m_placement = ReportedLoadPlacement{};
+  /** Offers that may wait at an agent beyond its free slots. */
+  std::uint32_t m_agentQueueDepth = 4;
+  /** Retries allowed per hundred first attempts. */
+  std::uint32_t m_retryBudgetPercent = 20;
+  /** One way between zones; what placing in the own zone saves. */
+  Duration m_zoneDelay = std::chrono::microseconds(1000);
+  /** Agents among which the first placement of a caller key is chosen. */
+  std::uint32_t m_keyCandidates = 4;
+  /** How long answers of caller keys, and departed agents, are remembered. */
+  Duration m_keyMemory = std::chrono::minutes(10);
+  Duration m_heartbeat = std::chrono::seconds(2);
+  /** How long one offer asks for load reports. */
+  Duration m_subscription = std::chrono::seconds(2);
+  /** An entry that has heard nothing about an attempt for this long after it
+   * should have ended asks the agent. */
+  Duration m_reconcileAfter = std::chrono::milliseconds(500);
+  /** Finished jobs stay readable by status for this long. */
+  Duration m_statusMemory = std::chrono::minutes(1);
+};
+
+/** How an agent decides. */
+struct AgentPolicy
+{
+  std::string m_zone;
+  std::string m_httpAddress;
+  /** Attempts that may wait in the queue of requests; more are refused. */
+  std::uint32_t m_maxQueuedRequests = 64;
+  /** Attempts that may wait in the queue of tasks; more are refused. */
+  std::uint32_t m_maxQueuedTasks = 4096;
+  Duration m_heartbeat = std::chrono::seconds(2);
+  /** Entries forget the agent after this much silence. */
+  Duration m_lease = std::chrono::seconds(6);
+  /** An endpoint or worker that is silent for this long gets no work. */
+  Duration m_endpointLease = std::chrono::milliseconds(2500);
+  Duration m_workerLease = std::chrono::seconds(6);
+  /** Least time between two load reports to one entry. */
+  Duration m_reportInterval = std::chrono::milliseconds(50);
+  /** Answers are kept this long for a reconcile. */
+  Duration m_answerMemory = std::chrono::seconds(30);
+  /** Answers and fences of caller keys are kept this long. */
+  Duration m_keyMemory = std::chrono::minutes(10);
+  /** Bytes of kept outputs; the oldest go first. */
+  std::uint64_t m_memoryLimit = 8ULL << 20U;
+  /** Failures in a row that quarantine a worker. */
+  std::uint32_t m_breakerFailures = 3;
+  Duration m_breakerPause = std::chrono::seconds(5);
+  /** Waiting work is promoted by its age: this share of the time waited is
+   * taken off its expected run time in the order of the queue. */
+  double m_ageing = 0.5;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/network/ihttpclient.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mulberrysail::network {
+
+struct HttpCall
+{
+  std::string m_method = "POST";
+  std::string m_url;
+  std::map<std::string, std::string, std::less<>> m_headers;
+  std::string m_body;
+  /** Of the whole call. */
+  std::chrono::milliseconds m_timeout{ 10000 };
+  std::chrono::milliseconds m_connectTimeout{ 1000 };
+};
+
+/** How far a call came. */
+enum class HttpFate : std::uint8_t
+{
+  /** An answer was read whole; its status may still be an error's. */
+  Answered,
+  /** No byte of the request was sent: the server can't have acted on it. */
+  NeverSent,
+  /** The server may have acted on it. */
+  Lost,
+};
+
+struct HttpOutcome
+{
+  HttpFate m_fate = HttpFate::Lost;
+  int m_status = 0;
+  std::string m_body;
+  /** What went wrong, in words. */
+  std::string m_detail;
+};
+
+/** Called on the client's thread; must not block. */
+using HttpCallback = std::function<void(HttpOutcome)>;
+
+/** Gets parts of a body as they come. @return false to end the call. */
+using HttpChunkHandler = std::function<bool(std::string_view)>;
+
+/**
+ * HTTP calls on one thread of its own, with connections kept for reuse.
+ * A call is sent at most once: nothing is tried again inside.
+ */
+class IHttpClient
+{
+public:
+  virtual ~IHttpClient() = default;
+
+  /** Starts a call; @p aCallback gets its outcome once. Thread-safe. */
+  virtual void Call(HttpCall aCall, HttpCallback aCallback) = 0;
+
+  /** Starts a call whose answer is read in parts, as for a watch.
+   * @p aCallback comes when it ends. A timeout of zero means none. */
+  virtual void Stream(HttpCall aCall,
+                      HttpChunkHandler aOnChunk,
+                      HttpCallback aCallback) = 0;
+
+  /** Ends the thread; calls still open get Lost. */
+  virtual void Stop() = 0;
+};
+
+struct HttpClientOptions
+{
+  /** Connections kept open and unused, in all. */
+  std::uint32_t m_maxIdleConnections = 64;
+  /** Connections to one server; further calls wait. 0 for no limit. */
+  std::uint32_t m_maxConnectionsPerHost = 0;
+};
+
+std::unique_ptr<IHttpClient>
+StartHttpClient(const HttpClientOptions& aOptions);
+
+} // namespace mulberrysail::network
