--- a/packages/network/ihttpclient.h
+++ b/packages/network/ihttpclient.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace mulberrysail::network {
 
