Protocol: the messages in protobuf and their codec

Entries and agents exchange the messages of core/types/messages.h; they need one encoding that both can check. An Envelope carries the sender, a hybrid logical stamp, the life of the recipient and one body. Decode() rejects what has no sender or body and numbers outside their enumeration.

Text fields are bytes: with strings, each damaged message made the library write a line to stderr. The recipient's incarnation lets a receiver drop what was meant for an earlier life of its process. The generated code is committed and compared by scripts/check_generated.sh, which make check calls.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 JOBS ?= $(shell nproc)
 SOURCES = git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v '\.pb\.'
 
-.PHONY: all setup build test check format format-check lint demo bench clean
+.PHONY: all setup build test check format format-check generated-check lint
+.PHONY: demo bench clean
 
 all: build
 
@@ -23,10 +24,13 @@
 format-check:
 	@$(SOURCES) | xargs clang-format --dry-run --Werror
 
+generated-check:
+	@scripts/check_generated.sh
+
 lint: build
 	@scripts/lint.sh $(BUILD) $(JOBS)
 
-check: build format-check lint test
+check: build format-check generated-check lint test
 	@scripts/known_red.sh
 
 demo: build
--- /dev/null
+++ b/packages/protocol/internal/decode.cpp
@@ -0,0 +1,337 @@
+#include "protocol/codec.h"
+
+#include <mulberrysail.pb.h>
+
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace mulberrysail::protocol {
+
+namespace {
+
+core::Duration
+DurationFrom(std::int64_t aMicroseconds)
+{
+  return core::Duration(aMicroseconds);
+}
+
+core::Instant
+InstantFrom(std::int64_t aMicroseconds)
+{
+  return core::Instant(core::Duration(aMicroseconds));
+}
+
+/** Reads messages of the wire and remembers whether any was at fault. */
+class BodyReader
+{
+public:
+  /** @return whether all numbers were inside their enumerations. */
+  bool Valid() const { return m_valid; }
+
+  std::optional<core::Message> Read(wire::Envelope& aFrom);
+
+private:
+  template<typename Enum>
+  Enum Checked(std::uint32_t aNumber, Enum aLast)
+  {
+    if (aNumber > static_cast<std::uint32_t>(aLast)) {
+      m_valid = false;
+      return Enum{};
+    }
+    return static_cast<Enum>(aNumber);
+  }
+
+  core::AttemptFate Fate(wire::AttemptFate aFrom)
+  {
+    return Checked(static_cast<std::uint32_t>(aFrom), core::AttemptFate::Lost);
+  }
+
+  core::ErrorKind Kind(std::uint32_t aFrom)
+  {
+    return Checked(aFrom, core::ErrorKind::Internal);
+  }
+
+  core::Offer ReadOffer(wire::Offer& aFrom);
+  core::AttemptReport ReadReport(wire::AttemptReport& aFrom);
+  core::OfferBatch ReadBody(wire::OfferBatch& aFrom);
+  core::ReportBatch ReadBody(wire::ReportBatch& aFrom);
+  core::FenceReply ReadBody(wire::FenceReply& aFrom);
+
+  bool m_valid = true;
+};
+
+core::Resources
+ReadResources(const wire::Resources& aFrom)
+{
+  return { aFrom.milli_cores(), aFrom.memory_mb(), aFrom.accelerators() };
+}
+
+core::CallerKey
+ReadKey(const wire::CallerKey& aFrom)
+{
+  return { aFrom.key(), aFrom.submission() };
+}
+
+core::LoadReport
+ReadLoad(const wire::LoadReport& aFrom)
+{
+  core::LoadReport load;
+  load.m_sequence = aFrom.sequence();
+  load.m_agentNow = InstantFrom(aFrom.agent_now());
+  load.m_offersSeen = aFrom.offers_seen();
+  load.m_freeSlots = aFrom.free_slots();
+  load.m_queuedRequests = aFrom.queued_requests();
+  load.m_queuedRequestWork = DurationFrom(aFrom.queued_request_work());
+  load.m_freeRoom = ReadResources(aFrom.free_room());
+  load.m_queuedTasks = aFrom.queued_tasks();
+  load.m_queuedTaskWork = DurationFrom(aFrom.queued_task_work());
+  return load;
+}
+
+template<typename Numbers>
+std::vector<core::AttemptId>
+ReadAttempts(const Numbers& aFrom)
+{
+  std::vector<core::AttemptId> attempts;
+  attempts.reserve(static_cast<std::size_t>(aFrom.size()));
+  for (const std::uint64_t attempt : aFrom) {
+    attempts.push_back({ attempt });
+  }
+  return attempts;
+}
+
+core::RevokeBatch
+ReadBody(const wire::RevokeBatch& aFrom)
+{
+  return { ReadAttempts(aFrom.attempts()), aFrom.stop_running() };
+}
+
+core::Reconcile
+ReadBody(const wire::Reconcile& aFrom)
+{
+  return { ReadAttempts(aFrom.attempts()) };
+}
+
+core::FenceQuery
+ReadBody(const wire::FenceQuery& aFrom)
+{
+  return { { aFrom.fence() },
+           aFrom.service(),
+           ReadKey(aFrom.key()),
+           DurationFrom(aFrom.remember_for()) };
+}
+
+core::EntryHello
+ReadBody(const wire::EntryHello& aFrom)
+{
+  return { { aFrom.config() },
+           aFrom.draining(),
+           DurationFrom(aFrom.subscribe_for()) };
+}
+
+core::ConfigUpdate
+ReadBody(const wire::ConfigUpdate& aFrom)
+{
+  return { { aFrom.version() }, aFrom.document() };
+}
+
+core::ConfigRequest
+ReadBody(const wire::ConfigRequest& aFrom)
+{
+  return { { aFrom.known() } };
+}
+
+core::EndpointInfo
+ReadEndpoint(const wire::EndpointInfo& aFrom)
+{
+  return {
+    aFrom.service(), aFrom.slots(), aFrom.connections(), aFrom.leaving()
+  };
+}
+
+core::WorkerInfo
+ReadWorker(const wire::WorkerInfo& aFrom)
+{
+  return { aFrom.name(),
+           aFrom.rack(),
+           ReadResources(aFrom.capacity()),
+           aFrom.quarantined() };
+}
+
+core::Announce
+ReadBody(const wire::Announce& aFrom)
+{
+  core::Announce announce;
+  announce.m_zone = aFrom.zone();
+  announce.m_httpAddress = aFrom.http_address();
+  announce.m_config = { aFrom.config() };
+  announce.m_leaving = aFrom.leaving();
+  announce.m_leaseFor = DurationFrom(aFrom.lease_for());
+  if (aFrom.has_endpoint()) {
+    announce.m_endpoint = ReadEndpoint(aFrom.endpoint());
+  }
+  for (const wire::WorkerInfo& worker : aFrom.workers()) {
+    announce.m_workers.push_back(ReadWorker(worker));
+  }
+  announce.m_load = ReadLoad(aFrom.load());
+  return announce;
+}
+
+core::PeerHello
+ReadBody(const wire::PeerHello& aFrom)
+{
+  core::PeerHello hello;
+  hello.m_config = { aFrom.config() };
+  hello.m_draining = aFrom.draining();
+  hello.m_remembersFor = DurationFrom(aFrom.remembers_for());
+  for (const wire::DepartedAgent& departed : aFrom.departed()) {
+    hello.m_departed.push_back(
+      { { departed.name(), { departed.incarnation() } },
+        departed.service(),
+        DurationFrom(departed.age()),
+        DurationFrom(departed.was_member_for()) });
+  }
+  return hello;
+}
+
+core::Offer
+BodyReader::ReadOffer(wire::Offer& aFrom)
+{
+  core::Offer offer;
+  offer.m_attempt = { aFrom.attempt() };
+  offer.m_kind =
+    Checked(static_cast<std::uint32_t>(aFrom.kind()), core::WorkKind::Task);
+  offer.m_service = aFrom.service();
+  offer.m_team = aFrom.team();
+  offer.m_startBy = InstantFrom(aFrom.start_by());
+  offer.m_deadline = InstantFrom(aFrom.deadline());
+  offer.m_expectedRun = DurationFrom(aFrom.expected_run());
+  offer.m_need = ReadResources(aFrom.need());
+  offer.m_job = { aFrom.job() };
+  if (aFrom.has_key()) {
+    offer.m_key = ReadKey(aFrom.key());
+  }
+  offer.m_payload = std::move(*aFrom.mutable_payload());
+  return offer;
+}
+
+core::AttemptReport
+BodyReader::ReadReport(wire::AttemptReport& aFrom)
+{
+  core::AttemptReport report;
+  report.m_attempt = { aFrom.attempt() };
+  report.m_fate = Fate(aFrom.fate());
+  report.m_kind = Kind(aFrom.error_kind());
+  report.m_ranFor = DurationFrom(aFrom.ran_for());
+  report.m_waitedFor = DurationFrom(aFrom.waited_for());
+  report.m_output = std::move(*aFrom.mutable_output());
+  return report;
+}
+
+core::OfferBatch
+BodyReader::ReadBody(wire::OfferBatch& aFrom)
+{
+  core::OfferBatch batch;
+  batch.m_agentIncarnation = { aFrom.agent_incarnation() };
+  batch.m_offers.reserve(static_cast<std::size_t>(aFrom.offers_size()));
+  for (wire::Offer& offer : *aFrom.mutable_offers()) {
+    batch.m_offers.push_back(ReadOffer(offer));
+  }
+  return batch;
+}
+
+core::ReportBatch
+BodyReader::ReadBody(wire::ReportBatch& aFrom)
+{
+  core::ReportBatch batch;
+  batch.m_reports.reserve(static_cast<std::size_t>(aFrom.reports_size()));
+  for (wire::AttemptReport& report : *aFrom.mutable_reports()) {
+    batch.m_reports.push_back(ReadReport(report));
+  }
+  batch.m_load = ReadLoad(aFrom.load());
+  return batch;
+}
+
+core::FenceReply
+BodyReader::ReadBody(wire::FenceReply& aFrom)
+{
+  core::FenceReply reply;
+  reply.m_fence = { aFrom.fence() };
+  reply.m_fate = Fate(aFrom.fate());
+  reply.m_kind = Kind(aFrom.error_kind());
+  reply.m_output = std::move(*aFrom.mutable_output());
+  reply.m_remembersFor = DurationFrom(aFrom.remembers_for());
+  return reply;
+}
+
+std::optional<core::Message>
+BodyReader::Read(wire::Envelope& aFrom)
+{
+  switch (aFrom.body_case()) {
+    case wire::Envelope::kOfferBatch:
+      return ReadBody(*aFrom.mutable_offer_batch());
+    case wire::Envelope::kRevokeBatch:
+      return protocol::ReadBody(aFrom.revoke_batch());
+    case wire::Envelope::kReconcile:
+      return protocol::ReadBody(aFrom.reconcile());
+    case wire::Envelope::kFenceQuery:
+      return protocol::ReadBody(aFrom.fence_query());
+    case wire::Envelope::kEntryHello:
+      return protocol::ReadBody(aFrom.entry_hello());
+    case wire::Envelope::kConfigUpdate:
+      return protocol::ReadBody(aFrom.config_update());
+    case wire::Envelope::kConfigRequest:
+      return protocol::ReadBody(aFrom.config_request());
+    case wire::Envelope::kAnnounce:
+      return protocol::ReadBody(aFrom.announce());
+    case wire::Envelope::kReportBatch:
+      return ReadBody(*aFrom.mutable_report_batch());
+    case wire::Envelope::kFenceReply:
+      return ReadBody(*aFrom.mutable_fence_reply());
+    case wire::Envelope::kPeerHello:
+      return protocol::ReadBody(aFrom.peer_hello());
+    case wire::Envelope::kGreeting:
+    case wire::Envelope::BODY_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+core::Result<DecodedEnvelope>
+Decode(std::string_view aBytes)
+{
+  wire::Envelope envelope;
+  if (aBytes.size() > std::numeric_limits<int>::max() ||
+      !envelope.ParseFromArray(aBytes.data(),
+                               static_cast<int>(aBytes.size()))) {
+    return core::Fail(core::ErrorKind::MalformedRequest, "not an envelope");
+  }
+  if (envelope.sender_name().empty()) {
+    return core::Fail(core::ErrorKind::MalformedRequest, "no sender");
+  }
+  DecodedEnvelope decoded;
+  decoded.m_sender = { envelope.sender_name(),
+                       { envelope.sender_incarnation() } };
+  decoded.m_recipient = { envelope.recipient_incarnation() };
+  decoded.m_stamp = envelope.stamp();
+  if (envelope.has_greeting()) {
+    decoded.m_body = Greeting{ envelope.greeting().reply() };
+    return decoded;
+  }
+  BodyReader reader;
+  std::optional<core::Message> message = reader.Read(envelope);
+  if (!message) {
+    return core::Fail(core::ErrorKind::MalformedRequest, "no known body");
+  }
+  if (!reader.Valid()) {
+    return core::Fail(core::ErrorKind::MalformedRequest,
+                      "a number is outside its enumeration");
+  }
+  decoded.m_body = std::move(*message);
+  return decoded;
+}
+
+} // namespace mulberrysail::protocol
--- /dev/null
+++ b/packages/protocol/internal/encode.cpp
@@ -0,0 +1,258 @@
+#include "protocol/codec.h"
+
+#include <mulberrysail.pb.h>
+
+#include <utility>
+
+namespace mulberrysail::protocol {
+
+namespace {
+
+std::int64_t
+ToWire(core::Duration aDuration)
+{
+  return aDuration.count();
+}
+
+std::int64_t
+ToWire(core::Instant aInstant)
+{
+  return aInstant.time_since_epoch().count();
+}
+
+void
+Write(const core::Resources& aFrom, wire::Resources& aTo)
+{
+  aTo.set_milli_cores(aFrom.m_milliCores);
+  aTo.set_memory_mb(aFrom.m_memoryMb);
+  aTo.set_accelerators(aFrom.m_accelerators);
+}
+
+void
+Write(const core::CallerKey& aFrom, wire::CallerKey& aTo)
+{
+  aTo.set_key(aFrom.m_key);
+  aTo.set_submission(aFrom.m_submission);
+}
+
+void
+Write(const core::Offer& aFrom, wire::Offer& aTo)
+{
+  aTo.set_attempt(aFrom.m_attempt.m_value);
+  aTo.set_kind(static_cast<wire::WorkKind>(aFrom.m_kind));
+  aTo.set_service(aFrom.m_service);
+  aTo.set_team(aFrom.m_team);
+  aTo.set_start_by(ToWire(aFrom.m_startBy));
+  aTo.set_deadline(ToWire(aFrom.m_deadline));
+  aTo.set_expected_run(ToWire(aFrom.m_expectedRun));
+  Write(aFrom.m_need, *aTo.mutable_need());
+  aTo.set_job(aFrom.m_job.m_value);
+  if (aFrom.m_key) {
+    Write(*aFrom.m_key, *aTo.mutable_key());
+  }
+  aTo.set_payload(aFrom.m_payload);
+}
+
+void
+Write(const core::LoadReport& aFrom, wire::LoadReport& aTo)
+{
+  aTo.set_sequence(aFrom.m_sequence);
+  aTo.set_agent_now(ToWire(aFrom.m_agentNow));
+  aTo.set_offers_seen(aFrom.m_offersSeen);
+  aTo.set_free_slots(aFrom.m_freeSlots);
+  aTo.set_queued_requests(aFrom.m_queuedRequests);
+  aTo.set_queued_request_work(ToWire(aFrom.m_queuedRequestWork));
+  Write(aFrom.m_freeRoom, *aTo.mutable_free_room());
+  aTo.set_queued_tasks(aFrom.m_queuedTasks);
+  aTo.set_queued_task_work(ToWire(aFrom.m_queuedTaskWork));
+}
+
+void
+Write(const core::EndpointInfo& aFrom, wire::EndpointInfo& aTo)
+{
+  aTo.set_service(aFrom.m_service);
+  aTo.set_slots(aFrom.m_slots);
+  aTo.set_connections(aFrom.m_connections);
+  aTo.set_leaving(aFrom.m_leaving);
+}
+
+void
+Write(const core::WorkerInfo& aFrom, wire::WorkerInfo& aTo)
+{
+  aTo.set_name(aFrom.m_name);
+  aTo.set_rack(aFrom.m_rack);
+  Write(aFrom.m_capacity, *aTo.mutable_capacity());
+  aTo.set_quarantined(aFrom.m_quarantined);
+}
+
+void
+Write(const core::AttemptReport& aFrom, wire::AttemptReport& aTo)
+{
+  aTo.set_attempt(aFrom.m_attempt.m_value);
+  aTo.set_fate(static_cast<wire::AttemptFate>(aFrom.m_fate));
+  aTo.set_error_kind(static_cast<std::uint32_t>(aFrom.m_kind));
+  aTo.set_ran_for(ToWire(aFrom.m_ranFor));
+  aTo.set_waited_for(ToWire(aFrom.m_waitedFor));
+  aTo.set_output(aFrom.m_output);
+}
+
+void
+Write(const core::DepartedAgent& aFrom, wire::DepartedAgent& aTo)
+{
+  aTo.set_name(aFrom.m_agent.m_name);
+  aTo.set_incarnation(aFrom.m_agent.m_incarnation.m_value);
+  aTo.set_service(aFrom.m_service);
+  aTo.set_age(ToWire(aFrom.m_age));
+  aTo.set_was_member_for(ToWire(aFrom.m_wasMemberFor));
+}
+
+/** Writes a message of each kind into the body of an envelope. */
+class BodyWriter
+{
+public:
+  explicit BodyWriter(wire::Envelope& aEnvelope)
+    : m_envelope(aEnvelope)
+  {
+  }
+
+  void operator()(const core::OfferBatch& aFrom) const
+  {
+    wire::OfferBatch& to = *m_envelope.mutable_offer_batch();
+    to.set_agent_incarnation(aFrom.m_agentIncarnation.m_value);
+    for (const core::Offer& offer : aFrom.m_offers) {
+      Write(offer, *to.add_offers());
+    }
+  }
+
+  void operator()(const core::RevokeBatch& aFrom) const
+  {
+    wire::RevokeBatch& to = *m_envelope.mutable_revoke_batch();
+    for (const core::AttemptId attempt : aFrom.m_attempts) {
+      to.add_attempts(attempt.m_value);
+    }
+    to.set_stop_running(aFrom.m_stopRunning);
+  }
+
+  void operator()(const core::Reconcile& aFrom) const
+  {
+    wire::Reconcile& to = *m_envelope.mutable_reconcile();
+    for (const core::AttemptId attempt : aFrom.m_attempts) {
+      to.add_attempts(attempt.m_value);
+    }
+  }
+
+  void operator()(const core::FenceQuery& aFrom) const
+  {
+    wire::FenceQuery& to = *m_envelope.mutable_fence_query();
+    to.set_fence(aFrom.m_fence.m_value);
+    to.set_service(aFrom.m_service);
+    Write(aFrom.m_key, *to.mutable_key());
+    to.set_remember_for(ToWire(aFrom.m_rememberFor));
+  }
+
+  void operator()(const core::EntryHello& aFrom) const
+  {
+    wire::EntryHello& to = *m_envelope.mutable_entry_hello();
+    to.set_config(aFrom.m_config.m_value);
+    to.set_draining(aFrom.m_draining);
+    to.set_subscribe_for(ToWire(aFrom.m_subscribeFor));
+  }
+
+  void operator()(const core::ConfigUpdate& aFrom) const
+  {
+    wire::ConfigUpdate& to = *m_envelope.mutable_config_update();
+    to.set_version(aFrom.m_version.m_value);
+    to.set_document(aFrom.m_document);
+  }
+
+  void operator()(const core::ConfigRequest& aFrom) const
+  {
+    m_envelope.mutable_config_request()->set_known(aFrom.m_known.m_value);
+  }
+
+  void operator()(const core::Announce& aFrom) const
+  {
+    wire::Announce& to = *m_envelope.mutable_announce();
+    to.set_zone(aFrom.m_zone);
+    to.set_http_address(aFrom.m_httpAddress);
+    to.set_config(aFrom.m_config.m_value);
+    to.set_leaving(aFrom.m_leaving);
+    to.set_lease_for(ToWire(aFrom.m_leaseFor));
+    if (aFrom.m_endpoint) {
+      Write(*aFrom.m_endpoint, *to.mutable_endpoint());
+    }
+    for (const core::WorkerInfo& worker : aFrom.m_workers) {
+      Write(worker, *to.add_workers());
+    }
+    Write(aFrom.m_load, *to.mutable_load());
+  }
+
+  void operator()(const core::ReportBatch& aFrom) const
+  {
+    wire::ReportBatch& to = *m_envelope.mutable_report_batch();
+    for (const core::AttemptReport& report : aFrom.m_reports) {
+      Write(report, *to.add_reports());
+    }
+    Write(aFrom.m_load, *to.mutable_load());
+  }
+
+  void operator()(const core::FenceReply& aFrom) const
+  {
+    wire::FenceReply& to = *m_envelope.mutable_fence_reply();
+    to.set_fence(aFrom.m_fence.m_value);
+    to.set_fate(static_cast<wire::AttemptFate>(aFrom.m_fate));
+    to.set_error_kind(static_cast<std::uint32_t>(aFrom.m_kind));
+    to.set_output(aFrom.m_output);
+    to.set_remembers_for(ToWire(aFrom.m_remembersFor));
+  }
+
+  void operator()(const core::PeerHello& aFrom) const
+  {
+    wire::PeerHello& to = *m_envelope.mutable_peer_hello();
+    to.set_config(aFrom.m_config.m_value);
+    to.set_draining(aFrom.m_draining);
+    to.set_remembers_for(ToWire(aFrom.m_remembersFor));
+    for (const core::DepartedAgent& departed : aFrom.m_departed) {
+      Write(departed, *to.add_departed());
+    }
+  }
+
+private:
+  wire::Envelope& m_envelope;
+};
+
+wire::Envelope
+MakeEnvelope(const core::ProcessId& aSender, std::uint64_t aStamp)
+{
+  wire::Envelope envelope;
+  envelope.set_sender_name(aSender.m_name);
+  envelope.set_sender_incarnation(aSender.m_incarnation.m_value);
+  envelope.set_stamp(aStamp);
+  return envelope;
+}
+
+} // namespace
+
+std::string
+Encode(const core::ProcessId& aSender,
+       std::uint64_t aStamp,
+       const core::Message& aMessage,
+       core::Incarnation aRecipient)
+{
+  wire::Envelope envelope = MakeEnvelope(aSender, aStamp);
+  envelope.set_recipient_incarnation(aRecipient.m_value);
+  std::visit(BodyWriter(envelope), aMessage);
+  return envelope.SerializeAsString();
+}
+
+std::string
+EncodeGreeting(const core::ProcessId& aSender,
+               std::uint64_t aStamp,
+               const Greeting& aGreeting)
+{
+  wire::Envelope envelope = MakeEnvelope(aSender, aStamp);
+  envelope.mutable_greeting()->set_reply(aGreeting.m_reply);
+  return envelope.SerializeAsString();
+}
+
+} // namespace mulberrysail::protocol
--- /dev/null
+++ b/packages/protocol/tests/codec_test.cpp
@@ -0,0 +1,128 @@
+#include "protocol/codec.h"
+#include "protocol/tests/samples.h"
+
+#include <mulberrysail.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace mulberrysail::protocol {
+
+namespace {
+
+const core::ProcessId kSender{ "entry-1", { 42 } };
+constexpr std::uint64_t kStamp = 0x0123456789ABCDEF;
+
+/** Checks that damaged bytes are rejected, or read as something valid. */
+void
+CheckSurvives(std::string_view aBytes)
+{
+  const core::Result<DecodedEnvelope> decoded = Decode(aBytes);
+  if (decoded) {
+    CPPUNIT_ASSERT(!decoded.value().m_sender.m_name.empty());
+  } else {
+    CPPUNIT_ASSERT(decoded.error().m_kind == core::ErrorKind::MalformedRequest);
+  }
+}
+
+class CodecTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CodecTest);
+  CPPUNIT_TEST(EveryMessageComesBackWhole);
+  CPPUNIT_TEST(GreetingComesBack);
+  CPPUNIT_TEST(TruncatedBytesDontCrash);
+  CPPUNIT_TEST(CorruptedBytesDontCrash);
+  CPPUNIT_TEST(MissingPartsAreRejected);
+  CPPUNIT_TEST(NumbersOutsideTheirEnumerationAreRejected);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void EveryMessageComesBackWhole()
+  {
+    const std::vector<core::Message> samples = SampleMessages();
+    CPPUNIT_ASSERT_EQUAL(std::variant_size_v<core::Message>, samples.size());
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(i, samples[i].index());
+      const core::Result<DecodedEnvelope> decoded =
+        Decode(Encode(kSender, kStamp, samples[i], { 43 }));
+      CPPUNIT_ASSERT(decoded);
+      CPPUNIT_ASSERT(decoded.value().m_sender == kSender);
+      CPPUNIT_ASSERT_EQUAL(kStamp, decoded.value().m_stamp);
+      CPPUNIT_ASSERT(decoded.value().m_recipient == core::Incarnation{ 43 });
+      const core::Message* message =
+        std::get_if<core::Message>(&decoded.value().m_body);
+      CPPUNIT_ASSERT(message != nullptr);
+      CPPUNIT_ASSERT(SameMessage(samples[i], *message));
+    }
+  }
+
+  void GreetingComesBack()
+  {
+    const core::Result<DecodedEnvelope> decoded =
+      Decode(EncodeGreeting(kSender, kStamp, Greeting{ true }));
+    CPPUNIT_ASSERT(decoded);
+    const Greeting* greeting = std::get_if<Greeting>(&decoded.value().m_body);
+    CPPUNIT_ASSERT(greeting != nullptr && greeting->m_reply);
+  }
+
+  void TruncatedBytesDontCrash()
+  {
+    for (const core::Message& sample : SampleMessages()) {
+      const std::string bytes = Encode(kSender, kStamp, sample);
+      for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CheckSurvives(std::string_view(bytes).substr(0, size));
+      }
+    }
+    CPPUNIT_ASSERT(!Decode(""));
+  }
+
+  void CorruptedBytesDontCrash()
+  {
+    std::mt19937 random(1); // NOLINT: the same bytes each time
+    for (const core::Message& sample : SampleMessages()) {
+      const std::string bytes = Encode(kSender, kStamp, sample);
+      for (int round = 0; round < 2000; ++round) {
+        std::string corrupted = bytes;
+        corrupted[random() % corrupted.size()] = static_cast<char>(random());
+        corrupted[random() % corrupted.size()] = static_cast<char>(random());
+        CheckSurvives(corrupted);
+      }
+    }
+  }
+
+  void MissingPartsAreRejected()
+  {
+    CPPUNIT_ASSERT(!Decode(Encode({ "", { 1 } }, kStamp, core::Reconcile{})));
+    wire::Envelope envelope;
+    envelope.set_sender_name("entry-1");
+    const core::Result<DecodedEnvelope> decoded =
+      Decode(envelope.SerializeAsString());
+    CPPUNIT_ASSERT(!decoded);
+    CPPUNIT_ASSERT(decoded.error().m_kind == core::ErrorKind::MalformedRequest);
+  }
+
+  void NumbersOutsideTheirEnumerationAreRejected()
+  {
+    wire::Envelope envelope;
+    envelope.set_sender_name("agent-1");
+    wire::AttemptReport& report =
+      *envelope.mutable_report_batch()->add_reports();
+    report.set_fate(static_cast<wire::AttemptFate>(7));
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+    report.set_fate(wire::ATTEMPT_FATE_LOST);
+    CPPUNIT_ASSERT(Decode(envelope.SerializeAsString()));
+    report.set_error_kind(
+      static_cast<std::uint32_t>(core::ErrorKind::Internal) + 1);
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+    wire::Offer& offer = *envelope.mutable_offer_batch()->add_offers();
+    offer.set_kind(static_cast<wire::WorkKind>(-1));
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
+
+} // namespace
+
+} // namespace mulberrysail::protocol
--- /dev/null
+++ b/packages/protocol/tests/samples.cpp
@@ -0,0 +1,245 @@
+#include "protocol/tests/samples.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mulberrysail::protocol {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+core::Instant
+At(core::Duration aSinceStart)
+{
+  return core::Instant(aSinceStart);
+}
+
+core::LoadReport
+SampleLoad()
+{
+  return { 7, At(3s), 21, 5, 6, 900ms, { 1500, 64, 1 }, 8, 4s };
+}
+
+core::Offer
+SampleOffer()
+{
+  return { { 11 },
+           core::WorkKind::Task,
+           "stock-check",
+           "tala",
+           At(5s),
+           core::kNever,
+           300ms,
+           { 500, 128, 2 },
+           { 1ULL << 54U },
+           core::CallerKey{ "slip-7", 2 },
+           std::string("\0payload\xff", 9) };
+}
+
+core::Announce
+SampleAnnounce()
+{
+  return { "manila-1",
+           "http://127.0.0.1:9000",
+           { 4 },
+           true,
+           6s,
+           core::EndpointInfo{ "stock-check", 8, 64, true },
+           { { "w1", "r1", { 16000, 32768, 1 }, true } },
+           SampleLoad() };
+}
+
+auto
+Fields(const core::LoadReport& aLoad)
+{
+  return std::tie(aLoad.m_sequence,
+                  aLoad.m_agentNow,
+                  aLoad.m_offersSeen,
+                  aLoad.m_freeSlots,
+                  aLoad.m_queuedRequests,
+                  aLoad.m_queuedRequestWork,
+                  aLoad.m_freeRoom,
+                  aLoad.m_queuedTasks,
+                  aLoad.m_queuedTaskWork);
+}
+
+auto
+Fields(const core::Offer& aOffer)
+{
+  return std::tie(aOffer.m_attempt,
+                  aOffer.m_kind,
+                  aOffer.m_service,
+                  aOffer.m_team,
+                  aOffer.m_startBy,
+                  aOffer.m_deadline,
+                  aOffer.m_expectedRun,
+                  aOffer.m_need,
+                  aOffer.m_job,
+                  aOffer.m_key,
+                  aOffer.m_payload);
+}
+
+auto
+Fields(const core::AttemptReport& aReport)
+{
+  return std::tie(aReport.m_attempt,
+                  aReport.m_fate,
+                  aReport.m_kind,
+                  aReport.m_ranFor,
+                  aReport.m_waitedFor,
+                  aReport.m_output);
+}
+
+auto
+Fields(const core::DepartedAgent& aDeparted)
+{
+  return std::tie(aDeparted.m_agent,
+                  aDeparted.m_service,
+                  aDeparted.m_age,
+                  aDeparted.m_wasMemberFor);
+}
+
+template<typename T>
+bool
+SameList(const std::vector<T>& aLeft, const std::vector<T>& aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](const T& aOne, const T& aOther) {
+                      return Fields(aOne) == Fields(aOther);
+                    });
+}
+
+bool
+Same(const core::OfferBatch& aLeft, const core::OfferBatch& aRight)
+{
+  return aLeft.m_agentIncarnation == aRight.m_agentIncarnation &&
+         SameList(aLeft.m_offers, aRight.m_offers);
+}
+
+bool
+Same(const core::RevokeBatch& aLeft, const core::RevokeBatch& aRight)
+{
+  return aLeft.m_attempts == aRight.m_attempts &&
+         aLeft.m_stopRunning == aRight.m_stopRunning;
+}
+
+bool
+Same(const core::Reconcile& aLeft, const core::Reconcile& aRight)
+{
+  return aLeft.m_attempts == aRight.m_attempts;
+}
+
+bool
+Same(const core::FenceQuery& aLeft, const core::FenceQuery& aRight)
+{
+  return aLeft.m_fence == aRight.m_fence &&
+         aLeft.m_service == aRight.m_service && aLeft.m_key == aRight.m_key &&
+         aLeft.m_rememberFor == aRight.m_rememberFor;
+}
+
+bool
+Same(const core::EntryHello& aLeft, const core::EntryHello& aRight)
+{
+  return aLeft.m_config == aRight.m_config &&
+         aLeft.m_draining == aRight.m_draining &&
+         aLeft.m_subscribeFor == aRight.m_subscribeFor;
+}
+
+bool
+Same(const core::ConfigUpdate& aLeft, const core::ConfigUpdate& aRight)
+{
+  return aLeft.m_version == aRight.m_version &&
+         aLeft.m_document == aRight.m_document;
+}
+
+bool
+Same(const core::ConfigRequest& aLeft, const core::ConfigRequest& aRight)
+{
+  return aLeft.m_known == aRight.m_known;
+}
+
+bool
+Same(const core::Announce& aLeft, const core::Announce& aRight)
+{
+  return aLeft.m_zone == aRight.m_zone &&
+         aLeft.m_httpAddress == aRight.m_httpAddress &&
+         aLeft.m_config == aRight.m_config &&
+         aLeft.m_leaving == aRight.m_leaving &&
+         aLeft.m_leaseFor == aRight.m_leaseFor &&
+         aLeft.m_endpoint == aRight.m_endpoint &&
+         aLeft.m_workers == aRight.m_workers &&
+         Fields(aLeft.m_load) == Fields(aRight.m_load);
+}
+
+bool
+Same(const core::ReportBatch& aLeft, const core::ReportBatch& aRight)
+{
+  return SameList(aLeft.m_reports, aRight.m_reports) &&
+         Fields(aLeft.m_load) == Fields(aRight.m_load);
+}
+
+bool
+Same(const core::FenceReply& aLeft, const core::FenceReply& aRight)
+{
+  return aLeft.m_fence == aRight.m_fence && aLeft.m_fate == aRight.m_fate &&
+         aLeft.m_kind == aRight.m_kind && aLeft.m_output == aRight.m_output &&
+         aLeft.m_remembersFor == aRight.m_remembersFor;
+}
+
+bool
+Same(const core::PeerHello& aLeft, const core::PeerHello& aRight)
+{
+  return aLeft.m_config == aRight.m_config &&
+         aLeft.m_draining == aRight.m_draining &&
+         aLeft.m_remembersFor == aRight.m_remembersFor &&
+         SameList(aLeft.m_departed, aRight.m_departed);
+}
+
+} // namespace
+
+std::vector<core::Message>
+SampleMessages()
+{
+  return {
+    core::OfferBatch{ { 9 }, { SampleOffer() } },
+    core::RevokeBatch{ { { 11 }, { 12 } }, true },
+    core::Reconcile{ { { 11 } } },
+    core::FenceQuery{ { 3 }, "stock-check", { "slip-7", 2 }, 10min },
+    core::EntryHello{ { 4 }, true, 2s },
+    core::ConfigUpdate{ { 5 }, "{}" },
+    core::ConfigRequest{ { 4 } },
+    SampleAnnounce(),
+    core::ReportBatch{ { { { 11 },
+                           core::AttemptFate::Lost,
+                           core::ErrorKind::RunLost,
+                           120ms,
+                           40ms,
+                           "output" } },
+                       SampleLoad() },
+    core::FenceReply{ { 3 },
+                      core::AttemptFate::Failed,
+                      core::ErrorKind::TaskFailed,
+                      "output",
+                      10min },
+    core::PeerHello{
+      { 4 }, true, 10min, { { { "a1", { 2 } }, "stock-check", 5s, 1min } } },
+  };
+}
+
+bool
+SameMessage(const core::Message& aLeft, const core::Message& aRight)
+{
+  return std::visit(
+    [&](const auto& aMessage) {
+      using Body = std::decay_t<decltype(aMessage)>;
+      const Body* other = std::get_if<Body>(&aRight);
+      return other != nullptr && Same(aMessage, *other);
+    },
+    aLeft);
+}
+
+} // namespace mulberrysail::protocol
