Network: the transport of messages over ZeroMQ

Processes need a way to exchange messages that never blocks and that says when a message can't be routed. One thread owns a ROUTER for those who dial in and a DEALER for each dialled peer; other threads hand it messages through a queue with an eventfd. Both ends greet on each new connection, so that each knows the ProcessId of the other; a connection's loss is learned from the socket monitor or from an unroutable send. Where two processes dial each other, the first link stays in use until it is lost.

ZMQ_IMMEDIATE keeps messages off connections that don't stand. Links are learned on the dialling side from greetings alone, since messages of an earlier connection may still be read after a reconnect.

--- /dev/null
+++ b/packages/network/internal/messagedial.cpp
@@ -0,0 +1,99 @@
+#include "network/internal/messagedial.h"
+
+#include <cstring>
+
+namespace mulberrysail::network {
+
+namespace {
+
+/** How long messages not yet sent are kept when a socket is closed. */
+constexpr int kLingerMs = 200;
+/** Larger messages end the connection at the receiver. */
+constexpr std::int64_t kMaxMessageBytes = 64LL << 20U;
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 3000;
+constexpr int kHandshakeTimeoutMs = 2000;
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 1000;
+
+} // namespace
+
+void
+SetCommonOptions(zmq::socket_t& aSocket, std::uint32_t aHighWaterMark)
+{
+  aSocket.set(zmq::sockopt::linger, kLingerMs);
+  aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  aSocket.set(zmq::sockopt::sndhwm, static_cast<int>(aHighWaterMark));
+  aSocket.set(zmq::sockopt::rcvhwm, static_cast<int>(aHighWaterMark));
+  aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aSocket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
+}
+
+std::optional<zmq::message_t>
+ReceiveNow(zmq::socket_t& aSocket)
+{
+  zmq::message_t message;
+  if (!aSocket.recv(message, zmq::recv_flags::dontwait)) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+MessageDial::MessageDial(zmq::context_t& aContext,
+                         const std::string& aUrl,
+                         const std::string& aRoutingId,
+                         std::uint32_t aHighWaterMark)
+  : m_socket(aContext, zmq::socket_type::dealer)
+  , m_monitor(aContext, zmq::socket_type::pair)
+{
+  SetCommonOptions(m_socket, aHighWaterMark);
+  m_socket.set(zmq::sockopt::routing_id, aRoutingId);
+  m_socket.set(zmq::sockopt::immediate, true);
+  m_socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  m_socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  m_socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  const std::string monitorUrl = "inproc://monitor/" + aRoutingId;
+  if (zmq_socket_monitor(m_socket.handle(),
+                         monitorUrl.c_str(),
+                         ZMQ_EVENT_HANDSHAKE_SUCCEEDED |
+                           ZMQ_EVENT_DISCONNECTED) != 0) {
+    throw zmq::error_t();
+  }
+  m_monitor.set(zmq::sockopt::linger, 0);
+  m_monitor.connect(monitorUrl);
+  m_socket.connect(aUrl);
+}
+
+MessageDial::~MessageDial()
+{
+  zmq_socket_monitor(m_socket.handle(), nullptr, 0);
+}
+
+std::optional<DialEvent>
+MessageDial::NextEvent()
+{
+  const std::optional<zmq::message_t> head = ReceiveNow(m_monitor);
+  if (!head) {
+    return std::nullopt;
+  }
+  // The second part, an address, comes with the first.
+  static_cast<void>(ReceiveNow(m_monitor));
+  std::uint16_t number = 0;
+  std::memcpy(&number, head->data(), sizeof(number));
+  return number == ZMQ_EVENT_HANDSHAKE_SUCCEEDED ? DialEvent::Connected
+                                                 : DialEvent::Disconnected;
+}
+
+bool
+MessageDial::Send(const std::string& aBytes)
+{
+  // Reading the events makes the socket take note of a connection that was
+  // opened or lost a moment ago, which a send alone may put off.
+  static_cast<void>(m_socket.get(zmq::sockopt::events));
+  return m_socket.send(zmq::buffer(aBytes), zmq::send_flags::dontwait)
+    .has_value();
+}
+
+} // namespace mulberrysail::network
--- /dev/null
+++ b/packages/network/internal/messagetransport.cpp
@@ -0,0 +1,432 @@
+#include "network/internal/messagetransport.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace mulberrysail::network {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kSocketThreads = 1;
+constexpr int kMaxSockets = 4096;
+/** Routing ids hold at most 255 bytes, of which the numbers need some. */
+constexpr std::size_t kMaxNameBytes = 200;
+/** Messages read from one socket before the others get their turn. */
+constexpr int kReadBatch = 256;
+/** Wait before a greeting is tried again that a new connection didn't take. */
+constexpr std::chrono::milliseconds kGreetingRetry = 5ms;
+constexpr std::chrono::milliseconds kSweepInterval = 60s;
+/** Peers send heartbeats far more often than this. */
+constexpr core::Duration kForgetAfter = 10min;
+
+core::Instant
+Now()
+{
+  return core::Instant(std::chrono::duration_cast<core::Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::string
+RoutingId(const core::ProcessId& aSelf, std::uint64_t aDial)
+{
+  return aSelf.m_name + "/" + std::to_string(aSelf.m_incarnation.m_value) +
+         "/" + std::to_string(aDial);
+}
+
+std::uint16_t
+PortOf(const std::string& aUrl)
+{
+  return static_cast<std::uint16_t>(
+    std::stoul(aUrl.substr(aUrl.rfind(':') + 1)));
+}
+
+/** Puts a function that does nothing where the owner set none. */
+TransportHooks
+Completed(TransportHooks aHooks)
+{
+  const auto complete = [](auto& aHook, auto aDefault) {
+    if (!aHook) {
+      aHook = aDefault;
+    }
+  };
+  complete(aHooks.m_onMessage, [](const auto&, const auto&) {});
+  complete(aHooks.m_onLink, [](const auto&) {});
+  complete(aHooks.m_onSendFailed, [](const auto&, const auto&) {});
+  complete(aHooks.m_onRejected, [](const auto&) {});
+  complete(aHooks.m_stamp, [] { return std::uint64_t(0); });
+  complete(aHooks.m_mergeStamp, [](std::uint64_t) {});
+  return aHooks;
+}
+
+} // namespace
+
+MessageTransport::MessageTransport(const TransportOptions& aOptions,
+                                   TransportHooks aHooks)
+  : m_options(aOptions)
+  , m_hooks(Completed(std::move(aHooks)))
+  , m_context(kSocketThreads, kMaxSockets)
+{
+  if (!m_options.m_address.empty()) {
+    Listen();
+  }
+  m_thread = std::thread(&MessageTransport::Run, this);
+}
+
+MessageTransport::~MessageTransport()
+{
+  Stop();
+}
+
+void
+MessageTransport::Listen()
+{
+  zmq::socket_t listener(m_context, zmq::socket_type::router);
+  SetCommonOptions(listener, m_options.m_highWaterMark);
+  listener.set(zmq::sockopt::router_mandatory, true);
+  listener.set(zmq::sockopt::router_handover, true);
+  const std::string port =
+    m_options.m_port == 0 ? "*" : std::to_string(m_options.m_port);
+  listener.bind("tcp://" + m_options.m_address + ":" + port);
+  m_port = PortOf(listener.get(zmq::sockopt::last_endpoint));
+  m_listener = std::move(listener);
+}
+
+void
+MessageTransport::SetPeers(std::vector<PeerAddress> aPeers)
+{
+  m_outbox.SetPeers(std::move(aPeers));
+}
+
+void
+MessageTransport::Send(core::ProcessId aTo, core::Message aMessage)
+{
+  m_outbox.Push({ std::move(aTo), std::move(aMessage) });
+}
+
+TransportCounters
+MessageTransport::Counters() const
+{
+  return { m_messagesSent, m_messagesReceived, m_bytesSent, m_bytesReceived };
+}
+
+void
+MessageTransport::Stop()
+{
+  m_outbox.RequestStop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void
+MessageTransport::Run()
+{
+  while (!m_stopped) {
+    try {
+      Poll();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        m_hooks.m_onRejected(std::string("transport: ") + error.what());
+      }
+    }
+  }
+  m_dials.clear();
+  m_listener.reset();
+  m_context.close();
+}
+
+void
+MessageTransport::Poll()
+{
+  std::vector<zmq::pollitem_t> items;
+  items.reserve(2 + 2 * m_dials.size());
+  items.push_back({ nullptr, m_outbox.Descriptor(), ZMQ_POLLIN, 0 });
+  if (m_listener) {
+    items.push_back({ m_listener->handle(), 0, ZMQ_POLLIN, 0 });
+  }
+  std::chrono::milliseconds timeout = kSweepInterval;
+  for (auto& [id, dial] : m_dials) {
+    items.push_back({ dial.m_connection->Socket().handle(), 0, ZMQ_POLLIN, 0 });
+    items.push_back(
+      { dial.m_connection->Monitor().handle(), 0, ZMQ_POLLIN, 0 });
+    if (dial.m_greetingDue) {
+      timeout = kGreetingRetry;
+    }
+  }
+  zmq::poll(items, timeout);
+  for (auto& [id, dial] : m_dials) {
+    HandleDial(id, dial);
+  }
+  if (m_listener) {
+    HandleListener();
+  }
+  HandleOutbox();
+  ForgetSilentPeers();
+}
+
+void
+MessageTransport::HandleOutbox()
+{
+  MessageOutbox::Contents contents = m_outbox.Take();
+  m_stopped = contents.m_stop;
+  if (contents.m_peers) {
+    ApplyPeers(*contents.m_peers);
+  }
+  for (OutgoingMessage& message : contents.m_messages) {
+    Route(message);
+  }
+}
+
+void
+MessageTransport::ApplyPeers(const std::vector<PeerAddress>& aPeers)
+{
+  std::set<std::string> wanted;
+  for (const PeerAddress& peer : aPeers) {
+    wanted.insert(peer.m_url);
+  }
+  for (auto dial = m_dialsByUrl.begin(); dial != m_dialsByUrl.end();) {
+    if (wanted.contains(dial->first)) {
+      ++dial;
+      continue;
+    }
+    ForgetLink(DialledLink{ dial->second });
+    m_dials.erase(dial->second);
+    dial = m_dialsByUrl.erase(dial);
+  }
+  for (const std::string& url : wanted) {
+    if (!m_dialsByUrl.contains(url)) {
+      StartDial(url);
+    }
+  }
+}
+
+void
+MessageTransport::StartDial(const std::string& aUrl)
+{
+  const DialId id = ++m_lastDial;
+  try {
+    m_dials.emplace(
+      id,
+      std::make_unique<MessageDial>(m_context,
+                                    aUrl,
+                                    RoutingId(m_options.m_self, id),
+                                    m_options.m_highWaterMark));
+    m_dialsByUrl.emplace(aUrl, id);
+  } catch (const zmq::error_t& error) {
+    m_hooks.m_onRejected("peer address " + aUrl + ": " + error.what());
+  }
+}
+
+void
+MessageTransport::HandleDial(DialId aId, Dial& aDial)
+{
+  HandleDialEvents(aId, aDial);
+  if (aDial.m_greetingDue) {
+    SendGreeting(aDial);
+  }
+  for (int i = 0; i < kReadBatch; ++i) {
+    const std::optional<zmq::message_t> bytes =
+      ReceiveNow(aDial.m_connection->Socket());
+    if (!bytes) {
+      return;
+    }
+    HandleBytes(DialledLink{ aId }, *bytes);
+  }
+}
+
+void
+MessageTransport::HandleDialEvents(DialId aId, Dial& aDial)
+{
+  while (const std::optional<DialEvent> event =
+           aDial.m_connection->NextEvent()) {
+    aDial.m_greetingDue = *event == DialEvent::Connected;
+    if (*event == DialEvent::Disconnected) {
+      ForgetLink(DialledLink{ aId });
+    }
+  }
+}
+
+void
+MessageTransport::SendGreeting(Dial& aDial)
+{
+  const std::string bytes =
+    protocol::EncodeGreeting(m_options.m_self, m_hooks.m_stamp(), {});
+  if (aDial.m_connection->Send(bytes)) {
+    m_bytesSent += bytes.size();
+    aDial.m_greetingDue = false;
+  }
+}
+
+void
+MessageTransport::HandleListener()
+{
+  for (int i = 0; i < kReadBatch; ++i) {
+    const std::optional<zmq::message_t> routingId = ReceiveNow(*m_listener);
+    if (!routingId) {
+      return;
+    }
+    std::vector<zmq::message_t> parts;
+    bool more = routingId->more();
+    while (more) {
+      parts.push_back(std::move(*ReceiveNow(*m_listener)));
+      more = parts.back().more();
+    }
+    if (parts.size() != 1) {
+      m_hooks.m_onRejected("a message of " + std::to_string(parts.size()) +
+                           " parts");
+      continue;
+    }
+    HandleBytes(RoutedLink{ routingId->to_string() }, parts.front());
+  }
+}
+
+void
+MessageTransport::HandleBytes(const MessageLink& aLink,
+                              const zmq::message_t& aBytes)
+{
+  m_bytesReceived += aBytes.size();
+  core::Result<protocol::DecodedEnvelope> decoded =
+    protocol::Decode(aBytes.to_string_view());
+  if (!decoded) {
+    m_hooks.m_onRejected(decoded.error().m_detail);
+    return;
+  }
+  protocol::DecodedEnvelope& envelope = decoded.value();
+  m_hooks.m_mergeStamp(envelope.m_stamp);
+  if (const protocol::Greeting* greeting =
+        std::get_if<protocol::Greeting>(&envelope.m_body)) {
+    HandleGreeting(envelope.m_sender, aLink, *greeting);
+    return;
+  }
+  if (envelope.m_recipient != core::Incarnation{} &&
+      envelope.m_recipient != m_options.m_self.m_incarnation) {
+    m_hooks.m_onRejected("a message from " + envelope.m_sender.m_name +
+                         " for another life of this process");
+    return;
+  }
+  NoteHeard(envelope.m_sender, aLink);
+  ++m_messagesReceived;
+  m_hooks.m_onMessage(std::move(envelope.m_sender),
+                      std::get<core::Message>(std::move(envelope.m_body)));
+}
+
+void
+MessageTransport::HandleGreeting(const core::ProcessId& aFrom,
+                                 const MessageLink& aLink,
+                                 const protocol::Greeting& aGreeting)
+{
+  m_links.Heard(aFrom, aLink, Now());
+  if (!aGreeting.m_reply) {
+    const std::string reply = protocol::EncodeGreeting(
+      m_options.m_self, m_hooks.m_stamp(), { .m_reply = true });
+    if (!SendOver(aLink, reply)) {
+      ForgetLink(aLink);
+      return;
+    }
+  }
+  if (*m_links.Find(aFrom) == aLink) {
+    m_hooks.m_onLink(aFrom);
+  }
+}
+
+void
+MessageTransport::NoteHeard(const core::ProcessId& aFrom,
+                            const MessageLink& aLink)
+{
+  // A dialled peer is known by its greeting alone: what comes before it may
+  // be left from an earlier connection.
+  if (std::holds_alternative<RoutedLink>(aLink) &&
+      m_links.Heard(aFrom, aLink, Now()) && *m_links.Find(aFrom) == aLink) {
+    m_hooks.m_onLink(aFrom);
+  }
+}
+
+void
+MessageTransport::ForgetLink(const MessageLink& aLink)
+{
+  if (const std::optional<core::ProcessId> moved = m_links.Remove(aLink)) {
+    m_hooks.m_onLink(*moved);
+  }
+}
+
+void
+MessageTransport::ForgetSilentPeers()
+{
+  const core::Instant now = Now();
+  if (now >= m_nextSweep) {
+    m_links.RemoveSilent(now - kForgetAfter);
+    m_nextSweep = now + kSweepInterval;
+  }
+}
+
+void
+MessageTransport::Route(OutgoingMessage& aMessage)
+{
+  const MessageLink* link = m_links.Find(aMessage.m_to);
+  if (link != nullptr) {
+    const std::string bytes = protocol::Encode(m_options.m_self,
+                                               m_hooks.m_stamp(),
+                                               aMessage.m_message,
+                                               aMessage.m_to.m_incarnation);
+    if (SendOver(*link, bytes)) {
+      ++m_messagesSent;
+      return;
+    }
+  }
+  m_hooks.m_onSendFailed(std::move(aMessage.m_to),
+                         std::move(aMessage.m_message));
+}
+
+bool
+MessageTransport::SendOver(const MessageLink& aLink, const std::string& aBytes)
+{
+  bool sent = false;
+  try {
+    if (const DialledLink* dialled = std::get_if<DialledLink>(&aLink)) {
+      sent = m_dials.at(dialled->m_dial).m_connection->Send(aBytes);
+    } else {
+      sent = SendRouted(std::get<RoutedLink>(aLink), aBytes);
+    }
+  } catch (const zmq::error_t& error) {
+    if (error.num() == EHOSTUNREACH) {
+      ForgetLink(MessageLink(aLink));
+    }
+    return false;
+  }
+  if (sent) {
+    m_bytesSent += aBytes.size();
+  }
+  return sent;
+}
+
+bool
+MessageTransport::SendRouted(const RoutedLink& aLink, const std::string& aBytes)
+{
+  return m_listener->send(zmq::buffer(aLink.m_routingId),
+                          zmq::send_flags::dontwait |
+                            zmq::send_flags::sndmore) &&
+         m_listener->send(zmq::buffer(aBytes), zmq::send_flags::dontwait);
+}
+
+core::Result<std::unique_ptr<IMessageTransport>>
+StartMessageTransport(const TransportOptions& aOptions, TransportHooks aHooks)
+{
+  const std::string& name = aOptions.m_self.m_name;
+  if (name.empty() || name.size() > kMaxNameBytes) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      "the name of the process needs 1 to " +
+                        std::to_string(kMaxNameBytes) + " bytes");
+  }
+  try {
+    return std::make_unique<MessageTransport>(aOptions, std::move(aHooks));
+  } catch (const std::exception& error) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      "can't listen on " + aOptions.m_address + ":" +
+                        std::to_string(aOptions.m_port) + ": " + error.what());
+  }
+}
+
+} // namespace mulberrysail::network
