Telemetry: event log, hybrid logical clock, time line

Operators need one order of events over all processes. Each event gets a hybrid logical stamp, one line in the log and a place in a bounded ring.

--- a/packages/telemetry/ieventlog.h
+++ b/packages/telemetry/ieventlog.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "core/types/eventcode.h"
+#include "core/types/ids.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -42,4 +45,11 @@
   virtual std::vector<TimelineEvent> Events(std::uint64_t aSince) const = 0;
 };
 
+/**
+ * @param aSelf the process whose events are recorded.
+ * @param aCapacity how many events the ring holds; the oldest go first.
+ */
+std::unique_ptr<IEventLog>
+MakeEventLog(core::ProcessId aSelf, std::size_t aCapacity);
+
 } // namespace mulberrysail::telemetry
