Order claims of a caller key

Cause: two entries that claim the same unnumbered key at once would both be told that nobody holds it, and both place it. Change: a claim carries a number that orders it among claims of the same submission; agents refuse what yields to a claim that they have seen.

--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -27,8 +27,19 @@
   std::string m_key;
   /** 1 for the first submission; 0 if the caller doesn't number them. */
   std::uint32_t m_submission = 0;
+  /** Orders claims of the same submission number by several entries; 0 for a
+   * first submission, which is placed without asking. */
+  std::uint64_t m_claim = 0;
 
   bool operator==(const CallerKey&) const = default;
+
+  /** @return whether this claim of the key yields to @p aOther. */
+  bool YieldsTo(const CallerKey& aOther) const
+  {
+    return m_submission != aOther.m_submission
+             ? m_submission < aOther.m_submission
+             : m_claim < aOther.m_claim;
+  }
 };
 
 /** One attempt to place a request or a task. */
@@ -67,14 +78,16 @@
 };
 
 /** Asks what became of attempts; the agent refuses those that it doesn't
- * know, for good. */
+ * know, for good. Its answer carries its load also if the list is empty. */
 struct Reconcile
 {
   std::vector<AttemptId> m_attempts;
 };
 
-/** Asks whether an earlier submission of a key is held here. An agent that
- * has not seen it refuses earlier submissions from then on. */
+/** Asks whether another submission of a key is held here. An agent that has
+ * not seen one that started refuses, from then on, offers whose claim yields
+ * to this one. A query that itself yields to a claim made before is answered
+ * with Refused and the kind Superseded. */
 struct FenceQuery
 {
   FenceId m_fence;
@@ -207,8 +220,9 @@
 struct FenceReply
 {
   FenceId m_fence;
-  /** Refused: not seen, and fenced from now on. Running, Queued: its outcome
-   * follows in another FenceReply. */
+  /** Refused: not seen, and fenced from now on (or, with the kind Superseded,
+   * claimed by another). Running, Queued: its outcome follows in another
+   * FenceReply. */
   AttemptFate m_fate = AttemptFate::Refused;
   ErrorKind m_kind = ErrorKind::None;
   std::string m_output;
