Entry core: admission, dispatch, outcomes, claims, membership

Cause: nothing decided where work goes. Change: the entry's blackboard and its controllers. Work waits at the entry in order of expected run time with ageing, urgent work first, teams by turns; an agent gets only what it has room for, by its last report with our own later offers on top. Offers carry a running number that reports give back, so that lost offers don't stay counted for ever. Key claims ask the agents that may hold an earlier submission. Ruled out: counting received offers at the agent; one lost message would have shifted the count for good. Seen: it builds and is lint clean; not yet run against an agent.

--- /dev/null
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -0,0 +1,249 @@
+#include "core/internal/entry/admissioncontroller.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** Below this wait the arrival rate alone refuses nothing. */
+constexpr Duration kCalmBacklog = std::chrono::milliseconds(200);
+/** The share of the time to the deadline that may be spent on waiting. */
+constexpr double kUsableSlack = 0.8;
+
+Duration
+Scaled(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+void
+AdmissionController::OnRequest(EntryTurn& aTurn, SubmitRequest aRequest)
+{
+  std::optional<Refusal> refusal =
+    CheckLimits(aRequest.m_service, aRequest.m_team, 1);
+  if (refusal) {
+    m_answers.Refuse(aTurn,
+                     aRequest.m_caller,
+                     refusal->m_kind,
+                     refusal->m_detail,
+                     refusal->m_retryAfter);
+    return;
+  }
+  const ServiceConfig& config =
+    m_board.m_config.m_services.find(aRequest.m_service)->second;
+  const Duration deadline =
+    aRequest.m_deadline.value_or(config.m_defaultDeadline);
+  const Duration declared =
+    aRequest.m_declaredRun.value_or(config.m_expectedRun);
+  ServiceState& service = m_board.Service(aRequest.m_service);
+  const Duration expected = service.m_runTimes.Expect(declared);
+  refusal = CheckRequestLoad(aTurn, aRequest.m_service, expected, deadline);
+  service.m_arrivals.Add(aTurn.m_now, expected);
+  if (refusal) {
+    m_answers.Refuse(aTurn,
+                     aRequest.m_caller,
+                     refusal->m_kind,
+                     refusal->m_detail,
+                     refusal->m_retryAfter);
+    return;
+  }
+  WorkItem item;
+  item.m_declaredRun = declared;
+  item.m_expectedRun = expected;
+  item.m_payload = std::move(aRequest.m_payload);
+  Submission submission;
+  submission.m_caller = aRequest.m_caller;
+  submission.m_kind = WorkKind::Request;
+  submission.m_service = std::move(aRequest.m_service);
+  submission.m_team = std::move(aRequest.m_team);
+  submission.m_repeatable = aRequest.m_repeatable;
+  submission.m_key = std::move(aRequest.m_key);
+  submission.m_deadline = aTurn.m_now + deadline;
+  submission.m_items.push_back(std::move(item));
+  Submission& open = Open(aTurn, std::move(submission));
+  if (!m_claims.Begin(aTurn, open)) {
+    m_dispatch.Enqueue(aTurn, { open.m_id, 0 });
+    m_dispatch.DispatchRequests(aTurn, open.m_service);
+  }
+}
+
+void
+AdmissionController::OnJob(EntryTurn& aTurn, SubmitJob aJob)
+{
+  std::optional<Refusal> refusal =
+    CheckLimits(aJob.m_service, aJob.m_team, aJob.m_tasks.size());
+  if (!refusal) {
+    refusal = CheckJobSize(aJob);
+  }
+  if (refusal) {
+    m_answers.Refuse(aTurn,
+                     aJob.m_caller,
+                     refusal->m_kind,
+                     refusal->m_detail,
+                     refusal->m_retryAfter);
+    return;
+  }
+  const ServiceConfig& config =
+    m_board.m_config.m_services.find(aJob.m_service)->second;
+  ServiceState& service = m_board.Service(aJob.m_service);
+  Submission submission;
+  submission.m_caller = aJob.m_detached ? CallerToken{} : aJob.m_caller;
+  submission.m_kind = WorkKind::Task;
+  submission.m_service = std::move(aJob.m_service);
+  submission.m_team = std::move(aJob.m_team);
+  submission.m_deadline =
+    aTurn.m_now + aJob.m_deadline.value_or(config.m_defaultDeadline);
+  for (TaskSpec& task : aJob.m_tasks) {
+    WorkItem item;
+    item.m_need = task.m_need;
+    item.m_declaredRun = task.m_declaredRun.value_or(config.m_expectedRun);
+    item.m_expectedRun = service.m_runTimes.Expect(item.m_declaredRun);
+    item.m_payload = std::move(task.m_payload);
+    submission.m_items.push_back(std::move(item));
+  }
+  Submission& open = Open(aTurn, std::move(submission));
+  if (aJob.m_detached) {
+    aTurn.m_commands.emplace_back(SubmissionOpened{ aJob.m_caller, open.m_id });
+  }
+  m_dispatch.EnqueueJob(aTurn, open);
+  m_dispatch.DispatchTasks(aTurn);
+}
+
+std::optional<AdmissionController::Refusal>
+AdmissionController::CheckLimits(const std::string& aService,
+                                 const std::string& aTeam,
+                                 std::size_t aItems)
+{
+  if (m_board.m_draining) {
+    return Refusal{ ErrorKind::Draining, "this entry is shutting down", {} };
+  }
+  const auto config = m_board.m_config.m_services.find(aService);
+  if (config == m_board.m_config.m_services.end()) {
+    return Refusal{ ErrorKind::UnknownService,
+                    "no service is called " + aService,
+                    {} };
+  }
+  if (!config->second.m_enabled) {
+    return Refusal{ ErrorKind::NoEndpoint, "the service is disabled", {} };
+  }
+  const ServiceState& service = m_board.Service(aService);
+  if (service.m_open + aItems > config->second.m_maxOpen) {
+    return Refusal{ ErrorKind::Overloaded,
+                    "too much of the service is open at this entry",
+                    m_answers.RetryAfter(
+                      Scaled(service.m_requests.m_queue.Work(),
+                             1 / std::max(service.m_requests.m_slots, 1.0))) };
+  }
+  const auto team = m_board.m_config.m_teams.find(aTeam);
+  if (team != m_board.m_config.m_teams.end() && team->second.m_maxOpen > 0 &&
+      m_board.m_teams[aTeam].m_open + aItems > TeamLimit(team->second)) {
+    return Refusal{ ErrorKind::QuotaExceeded,
+                    "the team has too much open",
+                    {} };
+  }
+  return std::nullopt;
+}
+
+std::uint32_t
+AdmissionController::TeamLimit(const TeamConfig& aTeam) const
+{
+  // Entries divide the quota by their rank among the names, so that the
+  // shares add up to it exactly wherever they know the same entries.
+  const std::uint32_t entries = m_board.Entries();
+  const std::uint32_t rank = static_cast<std::uint32_t>(std::count_if(
+    m_board.m_peers.begin(),
+    m_board.m_peers.end(),
+    [this](const ProcessId& aPeer) { return aPeer < m_board.m_self; }));
+  return aTeam.m_maxOpen / entries + (rank < aTeam.m_maxOpen % entries ? 1 : 0);
+}
+
+std::optional<AdmissionController::Refusal>
+AdmissionController::CheckRequestLoad(EntryTurn& aTurn,
+                                      const std::string& aService,
+                                      Duration aExpectedRun,
+                                      Duration aDeadline)
+{
+  const ServiceState& service = m_board.Service(aService);
+  if (service.m_agents.empty() || service.m_requests.m_slots < 1) {
+    return Refusal{ ErrorKind::NoEndpoint,
+                    "no endpoint of the service is known",
+                    {} };
+  }
+  if (!m_board.m_config.m_services.find(aService)->second.m_admission) {
+    return std::nullopt;
+  }
+  const double ownSlots = service.m_requests.m_slots / m_board.Entries();
+  const Duration ahead = Scaled(
+    service.m_requests.m_queue.WorkNoLongerThan(aExpectedRun), 1 / ownSlots);
+  const Duration slack = std::max(aDeadline - aExpectedRun, Duration::zero());
+  const Duration backlog =
+    Scaled(service.m_requests.m_queue.Work(), 1 / ownSlots);
+  // While shorter work alone arrives faster than it can be done, longer work
+  // would wait until the crowd is gone, and then be refused late.
+  const bool starves =
+    backlog > kCalmBacklog &&
+    service.m_arrivals.SlotsNeeded(aTurn.m_now, aExpectedRun) > ownSlots;
+  if (ahead > Scaled(slack, kUsableSlack) || starves) {
+    return Refusal{ ErrorKind::DeadlineUnreachable,
+                    "too much work is ahead of it",
+                    m_answers.RetryAfter(backlog) };
+  }
+  return std::nullopt;
+}
+
+std::optional<AdmissionController::Refusal>
+AdmissionController::CheckJobSize(const SubmitJob& aJob) const
+{
+  bool anyWorker = false;
+  for (std::size_t i = 0; i < aJob.m_tasks.size(); ++i) {
+    bool fits = false;
+    for (const auto& [id, agent] : m_board.m_agents) {
+      for (const WorkerInfo& worker : agent.m_announced.m_workers) {
+        anyWorker = true;
+        fits = fits || worker.m_capacity.Fits(aJob.m_tasks[i].m_need);
+      }
+      if (fits) {
+        break;
+      }
+    }
+    if (!anyWorker) {
+      return Refusal{ ErrorKind::NoEndpoint, "no worker is known", {} };
+    }
+    if (!fits) {
+      return Refusal{ ErrorKind::Unsatisfiable,
+                      "no worker could ever hold task " + std::to_string(i),
+                      {} };
+    }
+  }
+  return std::nullopt;
+}
+
+Submission&
+AdmissionController::Open(EntryTurn& aTurn, Submission aSubmission)
+{
+  aSubmission.m_id = { m_board.NextId() };
+  aSubmission.m_admittedAt = aTurn.m_now;
+  const std::uint32_t items =
+    static_cast<std::uint32_t>(aSubmission.m_items.size());
+  m_board.Service(aSubmission.m_service).m_open += items;
+  m_board.m_teams[aSubmission.m_team].m_open += items;
+  ++m_board.m_counters.m_admitted;
+  ++m_board.m_counters.m_open;
+  if (aSubmission.m_caller.m_value != 0) {
+    m_board.m_callers[aSubmission.m_caller] = aSubmission.m_id;
+  }
+  m_board.m_timers.Add(aSubmission.m_deadline,
+                       DeadlineTimer{ aSubmission.m_id });
+  aTurn.Record(EventCode::SubmissionAdmitted,
+               aSubmission.m_id.m_value,
+               aSubmission.m_service);
+  const SubmissionId id = aSubmission.m_id;
+  return m_board.m_submissions.emplace(id, std::move(aSubmission))
+    .first->second;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/admissioncontroller.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/internal/entry/answercontroller.h"
+#include "core/internal/entry/claimcontroller.h"
+#include "core/internal/entry/dispatchcontroller.h"
+#include "core/internal/entry/entryboard.h"
+#include "core/types/events.h"
+
+namespace mulberrysail::core {
+
+/** Decides on arrival whether a submission is taken. */
+class AdmissionController
+{
+public:
+  AdmissionController(EntryBoard& aBoard,
+                      AnswerController& aAnswers,
+                      DispatchController& aDispatch,
+                      ClaimController& aClaims)
+    : m_board(aBoard)
+    , m_answers(aAnswers)
+    , m_dispatch(aDispatch)
+    , m_claims(aClaims)
+  {
+  }
+
+  void OnRequest(EntryTurn& aTurn, SubmitRequest aRequest);
+  void OnJob(EntryTurn& aTurn, SubmitJob aJob);
+
+private:
+  /** Why a submission is refused, and when to come back. */
+  struct Refusal
+  {
+    ErrorKind m_kind = ErrorKind::None;
+    std::string m_detail;
+    std::optional<Duration> m_retryAfter;
+  };
+
+  /** @return the refusal that needs no look at the load. */
+  std::optional<Refusal> CheckLimits(const std::string& aService,
+                                     const std::string& aTeam,
+                                     std::size_t aItems);
+  std::optional<Refusal> CheckRequestLoad(EntryTurn& aTurn,
+                                          const std::string& aService,
+                                          Duration aExpectedRun,
+                                          Duration aDeadline);
+  std::optional<Refusal> CheckJobSize(const SubmitJob& aJob) const;
+  std::uint32_t TeamLimit(const TeamConfig& aTeam) const;
+  Submission& Open(EntryTurn& aTurn, Submission aSubmission);
+
+  EntryBoard& m_board;
+  AnswerController& m_answers;
+  DispatchController& m_dispatch;
+  ClaimController& m_claims;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/agentrecord.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/internal/entry/runtimemodel.h"
+#include "core/types/messages.h"
+#include "core/types/time.h"
+
+#include <deque>
+#include <string>
+#include <unordered_set>
+
+namespace mulberrysail::core {
+
+/** An offer that no load report reflects yet. */
+struct UnreflectedOffer
+{
+  std::uint64_t m_sequence = 0;
+  WorkKind m_kind = WorkKind::Request;
+  Duration m_expectedRun{};
+  Resources m_need;
+};
+
+/** Everything that an entry knows of one agent in one of its lives. */
+struct AgentRecord
+{
+  ProcessId m_id;
+  Announce m_announced;
+  Instant m_joinedAt;
+  /** When the last message came from it. */
+  Instant m_heardAt;
+  /** Its clock less ours, never more than the truth: the message that told
+   * us was on its way for a while. */
+  Duration m_clockOffset{};
+  /** False after a send failed, until it is heard again. */
+  bool m_reachable = true;
+  LoadReport m_load;
+  std::uint64_t m_offersSent = 0;
+  std::deque<UnreflectedOffer> m_unreflected;
+  std::unordered_set<AttemptId> m_open;
+  SpeedModel m_speed;
+  ConfigVersion m_configPushed;
+  Instant m_configPushedAt;
+
+  bool ServesRequests(std::string_view aService) const
+  {
+    return m_reachable && !m_announced.m_leaving &&
+           m_announced.m_endpoint.has_value() &&
+           !m_announced.m_endpoint->m_leaving &&
+           m_announced.m_endpoint->m_service == aService;
+  }
+
+  bool ServesTasks() const
+  {
+    return m_reachable && !m_announced.m_leaving &&
+           !m_announced.m_workers.empty();
+  }
+
+  std::uint32_t Slots() const
+  {
+    return m_announced.m_endpoint ? m_announced.m_endpoint->m_slots : 0;
+  }
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -0,0 +1,212 @@
+#include "core/internal/entry/answercontroller.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(500);
+
+bool
+MayHaveRun(const WorkItem& aItem)
+{
+  return aItem.m_doubtful || aItem.m_state == WorkState::Offered ||
+         aItem.m_state == WorkState::Done;
+}
+
+Execution
+Worse(Execution aProved, Execution aOfKind)
+{
+  return aProved == Execution::NotRun && aOfKind == Execution::NotRun
+           ? Execution::NotRun
+           : (aOfKind == Execution::Ran ? Execution::Ran
+                                        : Execution::MayHaveRun);
+}
+
+/** The same failure, told of work that may have run. */
+ErrorKind
+UncertainKind(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::Cancelled:
+      return ErrorKind::CancelledRunning;
+    case ErrorKind::DeadlinePassedQueued:
+      return ErrorKind::DeadlinePassedRunning;
+    case ErrorKind::ConnectFailed:
+    case ErrorKind::NoEndpoint:
+    case ErrorKind::AttemptExpired:
+      return ErrorKind::RunLost;
+    default:
+      return aKind;
+  }
+}
+
+} // namespace
+
+Duration
+AnswerController::RetryAfter(Duration aBacklog)
+{
+  const Duration least = std::max(aBacklog, kLeastRetryAfter);
+  boost::random::uniform_int_distribution<Duration::rep> spread(
+    0, least.count() + kLeastRetryAfter.count());
+  return least + Duration(spread(m_board.m_random));
+}
+
+void
+AnswerController::Refuse(EntryTurn& aTurn,
+                         CallerToken aCaller,
+                         ErrorKind aKind,
+                         std::string aDetail,
+                         std::optional<Duration> aRetryAfter)
+{
+  Answer answer;
+  answer.m_kind = aKind;
+  answer.m_execution = DescribeError(aKind).m_execution;
+  answer.m_detail = std::move(aDetail);
+  if (DescribeError(aKind).m_retry == Retry::Later) {
+    answer.m_retryAfter =
+      aRetryAfter ? *aRetryAfter : RetryAfter(Duration::zero());
+  }
+  ++m_board.m_counters.m_refused;
+  aTurn.Record(EventCode::SubmissionRefused,
+               aCaller.m_value,
+               std::string(DescribeError(aKind).m_name));
+  aTurn.m_commands.emplace_back(AnswerCaller{ aCaller, std::move(answer) });
+}
+
+Execution
+AnswerController::Proved(const Submission& aSubmission) const
+{
+  const bool doubt = std::any_of(
+    aSubmission.m_items.begin(), aSubmission.m_items.end(), MayHaveRun);
+  return doubt ? Execution::MayHaveRun : Execution::NotRun;
+}
+
+void
+AnswerController::Fail(EntryTurn& aTurn,
+                       Submission& aSubmission,
+                       ErrorKind aKind,
+                       std::string aDetail)
+{
+  Answer answer;
+  const Execution proved = Proved(aSubmission);
+  answer.m_kind = proved == Execution::NotRun ? aKind : UncertainKind(aKind);
+  answer.m_execution = Worse(proved, DescribeError(answer.m_kind).m_execution);
+  answer.m_detail = std::move(aDetail);
+  if (DescribeError(answer.m_kind).m_retry == Retry::Later) {
+    answer.m_retryAfter = RetryAfter(Duration::zero());
+  }
+  ++m_board.m_counters.m_failed;
+  Withdraw(aTurn, aSubmission);
+  Answered(aTurn, aSubmission, std::move(answer));
+}
+
+void
+AnswerController::Complete(EntryTurn& aTurn, Submission& aSubmission)
+{
+  Answer answer;
+  for (WorkItem& item : aSubmission.m_items) {
+    answer.m_outputs.push_back(std::move(item.m_output));
+  }
+  ++m_board.m_counters.m_completed;
+  Answered(aTurn, aSubmission, std::move(answer));
+}
+
+void
+AnswerController::Cancel(EntryTurn& aTurn, Submission& aSubmission)
+{
+  aTurn.Record(
+    EventCode::SubmissionCancelled, aSubmission.m_id.m_value, "by its caller");
+  Fail(aTurn, aSubmission, ErrorKind::Cancelled, "cancelled by its caller");
+}
+
+void
+AnswerController::OnDeadline(EntryTurn& aTurn, SubmissionId aSubmission)
+{
+  Submission* submission = m_board.Find(aSubmission);
+  if (submission != nullptr) {
+    Fail(aTurn,
+         *submission,
+         ErrorKind::DeadlinePassedQueued,
+         "the deadline has passed");
+  }
+}
+
+void
+AnswerController::OnForget(SubmissionId aSubmission)
+{
+  m_board.m_finished.erase(aSubmission);
+}
+
+void
+AnswerController::Withdraw(EntryTurn& aTurn, Submission& aSubmission)
+{
+  std::map<ProcessId, RevokeBatch> revokes;
+  WaitQueue& queue = m_board.QueueOf(aSubmission);
+  for (std::uint32_t i = 0; i < aSubmission.m_items.size(); ++i) {
+    WorkItem& item = aSubmission.m_items[i];
+    if (item.m_state == WorkState::Waiting) {
+      queue.Erase({ item.m_order, { aSubmission.m_id, i } },
+                  item.m_expectedRun);
+    }
+    if (item.m_state == WorkState::Offered) {
+      RevokeBatch& batch = revokes[item.m_agent];
+      batch.m_stopRunning = true;
+      batch.m_attempts.push_back(item.m_attempt);
+      m_board.m_attempts.erase(item.m_attempt);
+      const auto agent = m_board.m_agents.find(item.m_agent);
+      if (agent != m_board.m_agents.end()) {
+        agent->second.m_open.erase(item.m_attempt);
+      }
+    }
+  }
+  for (auto& [agent, batch] : revokes) {
+    aTurn.Send(agent, std::move(batch));
+  }
+}
+
+void
+AnswerController::Answered(EntryTurn& aTurn,
+                           Submission& aSubmission,
+                           Answer aAnswer)
+{
+  aAnswer.m_submission = aSubmission.m_id;
+  const std::uint32_t items =
+    static_cast<std::uint32_t>(aSubmission.m_items.size());
+  aTurn.Record(EventCode::SubmissionAnswered,
+               aSubmission.m_id.m_value,
+               std::string(DescribeError(aAnswer.m_kind).m_name));
+  ServiceState& service = m_board.Service(aSubmission.m_service);
+  service.m_open -= std::min(items, service.m_open);
+  TeamState& team = m_board.m_teams[aSubmission.m_team];
+  team.m_open -= std::min(items, team.m_open);
+  m_board.m_counters.m_open -= 1;
+  m_board.m_callers.erase(aSubmission.m_caller);
+
+  SubmissionStatus status;
+  status.m_submission = aSubmission.m_id;
+  status.m_service = aSubmission.m_service;
+  status.m_team = aSubmission.m_team;
+  status.m_done = aSubmission.m_done;
+  const CallerToken caller = aSubmission.m_caller;
+  const bool job = aSubmission.m_kind == WorkKind::Task;
+  const SubmissionId id = aSubmission.m_id;
+  m_board.m_submissions.erase(id);
+  // Only a job can be asked about later; a request's caller is on the line.
+  if (job) {
+    status.m_answer = aAnswer;
+    m_board.m_finished[id] = { std::move(status) };
+    m_board.m_timers.Add(aTurn.m_now + m_board.m_policy.m_statusMemory,
+                         ForgetTimer{ id });
+  }
+  if (caller.m_value != 0) {
+    aTurn.m_commands.emplace_back(AnswerCaller{ caller, std::move(aAnswer) });
+  }
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/answercontroller.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/internal/entry/entryboard.h"
+
+#include <optional>
+#include <string>
+
+namespace mulberrysail::core {
+
+/** Ends submissions: each is answered once, and what is left of it at agents
+ * is taken back. */
+class AnswerController
+{
+public:
+  explicit AnswerController(EntryBoard& aBoard)
+    : m_board(aBoard)
+  {
+  }
+
+  /** Refuses what was never admitted. */
+  void Refuse(EntryTurn& aTurn,
+              CallerToken aCaller,
+              ErrorKind aKind,
+              std::string aDetail,
+              std::optional<Duration> aRetryAfter);
+
+  /** Ends @p aSubmission without a whole answer. Its execution is what is
+   * proved of its items, whatever the kind's table says better. */
+  void Fail(EntryTurn& aTurn,
+            Submission& aSubmission,
+            ErrorKind aKind,
+            std::string aDetail);
+
+  /** Ends @p aSubmission, whose items are all done. */
+  void Complete(EntryTurn& aTurn, Submission& aSubmission);
+
+  /** Ends it for a caller that doesn't want it any more. */
+  void Cancel(EntryTurn& aTurn, Submission& aSubmission);
+
+  /** Handles the deadline, if it is still open. */
+  void OnDeadline(EntryTurn& aTurn, SubmissionId aSubmission);
+
+  void OnForget(SubmissionId aSubmission);
+
+  /** @return when a refused caller should come back: after @p aBacklog, and
+   * spread, so that a refused crowd doesn't return as one. */
+  Duration RetryAfter(Duration aBacklog);
+
+private:
+  Execution Proved(const Submission& aSubmission) const;
+  void Answered(EntryTurn& aTurn, Submission& aSubmission, Answer aAnswer);
+  void Withdraw(EntryTurn& aTurn, Submission& aSubmission);
+
+  EntryBoard& m_board;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/arrivalmeter.cpp
@@ -0,0 +1,58 @@
+#include "core/internal/entry/arrivalmeter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** Short enough to see an opening minute begin, long enough not to take a
+ * few long requests for one. */
+constexpr Duration kWindow = std::chrono::milliseconds(1000);
+/** Classes for each doubling of the run time. */
+constexpr double kClassesPerOctave = 3;
+
+} // namespace
+
+std::size_t
+ArrivalMeter::ClassOf(Duration aRun)
+{
+  const double micros =
+    static_cast<double>(std::max<Duration::rep>(aRun.count(), 1));
+  const double scaled = kClassesPerOctave * std::log2(micros);
+  return std::min(static_cast<std::size_t>(scaled), kClasses - 1);
+}
+
+double
+ArrivalMeter::Decayed(const Rate& aRate, Instant aNow)
+{
+  if (aRate.m_slots <= 0) {
+    return 0;
+  }
+  const double age = static_cast<double>((aNow - aRate.m_at).count());
+  return aRate.m_slots * std::exp(-age / static_cast<double>(kWindow.count()));
+}
+
+void
+ArrivalMeter::Add(Instant aNow, Duration aExpectedRun)
+{
+  Rate& rate = m_rates.at(ClassOf(aExpectedRun));
+  rate.m_slots =
+    Decayed(rate, aNow) + static_cast<double>(aExpectedRun.count()) /
+                            static_cast<double>(kWindow.count());
+  rate.m_at = aNow;
+}
+
+double
+ArrivalMeter::SlotsNeeded(Instant aNow, Duration aRun) const
+{
+  const std::size_t last = ClassOf(aRun);
+  double slots = 0;
+  for (std::size_t i = 0; i <= last; ++i) {
+    slots += Decayed(m_rates.at(i), aNow);
+  }
+  return slots;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/internal/entry/answercontroller.h"
+#include "core/internal/entry/entryboard.h"
+#include "core/internal/entry/placement.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** Keeps what waits in order and offers it to agents that have room. */
+class DispatchController
+{
+public:
+  DispatchController(EntryBoard& aBoard, AnswerController& aAnswers)
+    : m_board(aBoard)
+    , m_answers(aAnswers)
+    , m_placement(aBoard)
+  {
+  }
+
+  /** Puts a request into its queue, for the first time or again. */
+  void Enqueue(EntryTurn& aTurn, WorkRef aWork);
+
+  /** Puts all tasks of a job into their queue. */
+  void EnqueueJob(EntryTurn& aTurn, Submission& aJob);
+
+  /** Offers the requests that wait for @p aService, as far as there is
+   * room. */
+  void DispatchRequests(EntryTurn& aTurn, const std::string& aService);
+
+  /** Offers the tasks that wait, as far as there is room. */
+  void DispatchTasks(EntryTurn& aTurn);
+
+  /** Offers whatever waits. */
+  void DispatchAll(EntryTurn& aTurn);
+
+  /** Sends the offers of this turn, in one message an agent. */
+  void Flush(EntryTurn& aTurn);
+
+  void OnStartBy(EntryTurn& aTurn, WorkRef aWork);
+  void OnProbeReply(EntryTurn& aTurn, const ProcessId& aAgent);
+  void OnProbeTimer(EntryTurn& aTurn, WorkRef aWork);
+
+  /** Counts out offers that @p aLoad reflects, and takes the load over. */
+  static void TakeLoad(AgentRecord& aAgent, const LoadReport& aLoad);
+
+private:
+  enum class Placed : std::uint8_t
+  {
+    Offered,
+    Probing,
+    NoRoom,
+  };
+
+  void Dispatch(EntryTurn& aTurn, WaitQueue& aQueue);
+  Placed Place(EntryTurn& aTurn, const WaitKey& aKey);
+  void Offer(EntryTurn& aTurn,
+             Submission& aSubmission,
+             std::uint32_t aIndex,
+             AgentRecord& aAgent);
+  void StartProbe(EntryTurn& aTurn,
+                  Submission& aSubmission,
+                  std::uint32_t aIndex,
+                  std::uint32_t aProbes);
+  void FinishProbe(EntryTurn& aTurn, std::size_t aProbe);
+  std::int64_t OrderOf(EntryTurn& aTurn,
+                       const Submission& aSubmission,
+                       Duration aLength,
+                       Duration aWork);
+  void Wait(EntryTurn& aTurn,
+            Submission& aSubmission,
+            std::uint32_t aIndex,
+            std::int64_t aOrder);
+
+  EntryBoard& m_board;
+  AnswerController& m_answers;
+  Placement m_placement;
+  std::map<ProcessId, OfferBatch> m_pendingOffers;
+};
+
+/**
+ * @return the agents among which the key's first placement is chosen: the
+ * best by rendezvous hashing of those that serve @p aService now.
+ */
+std::vector<AgentRecord*>
+KeyCandidates(EntryBoard& aBoard,
+              const std::string& aService,
+              const CallerKey& aKey);
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -0,0 +1,67 @@
+#include "core/internal/entry/entryboard.h"
+
+#include "core/ientry.h"
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** The shard is in the top bits of every id that it makes. */
+constexpr unsigned kShardShift = 56;
+
+} // namespace
+
+std::uint8_t
+ShardOf(SubmissionId aSubmission)
+{
+  return static_cast<std::uint8_t>(aSubmission.m_value >> kShardShift);
+}
+
+std::uint8_t
+ShardOf(AttemptId aAttempt)
+{
+  return static_cast<std::uint8_t>(aAttempt.m_value >> kShardShift);
+}
+
+std::uint64_t
+EntryBoard::NextId()
+{
+  return (static_cast<std::uint64_t>(m_shard) << kShardShift) | m_nextId++;
+}
+
+Submission*
+EntryBoard::Find(SubmissionId aId)
+{
+  const auto found = m_submissions.find(aId);
+  return found == m_submissions.end() ? nullptr : &found->second;
+}
+
+WorkItem*
+EntryBoard::Find(WorkRef aWork)
+{
+  Submission* submission = Find(aWork.m_submission);
+  return submission == nullptr ? nullptr
+                               : &submission->m_items.at(aWork.m_index);
+}
+
+ServiceState&
+EntryBoard::Service(const std::string& aName)
+{
+  return m_services[aName];
+}
+
+WaitPool&
+EntryBoard::PoolOf(const Submission& aSubmission)
+{
+  return aSubmission.m_kind == WorkKind::Request
+           ? Service(aSubmission.m_service).m_requests
+           : m_tasks;
+}
+
+std::uint32_t
+EntryBoard::Entries() const
+{
+  return static_cast<std::uint32_t>(m_peers.size()) + 1;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/entryboard.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "core/internal/entry/agentrecord.h"
+#include "core/internal/entry/arrivalmeter.h"
+#include "core/internal/entry/retrybudget.h"
+#include "core/internal/entry/runtimemodel.h"
+#include "core/internal/entry/submission.h"
+#include "core/internal/entry/timerqueue.h"
+#include "core/internal/entry/waitqueue.h"
+#include "core/types/commands.h"
+#include "core/types/configuration.h"
+#include "core/types/policy.h"
+#include "core/types/status.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** What happens in one call of IEntry::Handle. */
+struct EntryTurn
+{
+  Instant m_now;
+  EntryCommands& m_commands;
+
+  void Send(const ProcessId& aTo, Message aMessage)
+  {
+    m_commands.emplace_back(SendMessage{ aTo, std::move(aMessage) });
+  }
+
+  void Record(EventCode aCode, std::uint64_t aSubject, std::string aDetail)
+  {
+    m_commands.emplace_back(RecordEvent{ aCode, aSubject, std::move(aDetail) });
+  }
+};
+
+/** What waits for the same agents, and how teams take turns at them. */
+struct WaitPool
+{
+  WaitQueue m_queue;
+  /** Slots of the endpoints, or cores of the workers, of all agents. */
+  double m_slots = 0;
+  /** A team that has asked for more than its share gets its next turn at
+   * this instant. */
+  std::map<std::string, Instant, std::less<>> m_teamTurn;
+};
+
+/** State of one service at this entry. */
+struct ServiceState
+{
+  WaitPool m_requests;
+  RunTimeModel m_runTimes;
+  ArrivalMeter m_arrivals;
+  /** Moving average of what ran, for agents' waits. */
+  Duration m_meanRun{};
+  std::uint32_t m_open = 0;
+  /** The agents whose endpoint serves it. */
+  std::vector<AgentRecord*> m_agents;
+};
+
+/** State of one team at this entry, over all services. */
+struct TeamState
+{
+  std::uint32_t m_open = 0;
+  Instant m_lastSeen;
+};
+
+/** A claim of a caller key that waits for agents' replies. */
+struct Claim
+{
+  WorkRef m_work;
+  CallerKey m_key;
+  /** Agents whose reply is missing. */
+  std::set<ProcessId> m_asked;
+  /** One holds an earlier submission that may be running. */
+  bool m_held = false;
+  /** Some evidence can't be had. */
+  bool m_uncertain = false;
+};
+
+/** Replies to load probes that one item waits for. */
+struct Probe
+{
+  WorkRef m_work;
+  std::set<ProcessId> m_asked;
+  std::vector<ProcessId> m_candidates;
+};
+
+/** An agent that is gone, while caller keys may still ask for it. */
+struct DepartedRecord
+{
+  DepartedAgent m_agent;
+  Instant m_departedAt;
+};
+
+/** A finished submission, kept for its status. */
+struct FinishedSubmission
+{
+  SubmissionStatus m_status;
+};
+
+/** The blackboard of one shard of an entry; its controllers read and write
+ * it and keep nothing themselves. */
+struct EntryBoard
+{
+  // Identity and settings
+  ProcessId m_self;
+  std::uint8_t m_shard = 0;
+  EntryPolicy m_policy;
+  boost::random::mt19937_64 m_random;
+
+  // Configuration
+  Configuration m_config;
+  std::string m_document;
+
+  // Membership
+  std::map<ProcessId, AgentRecord> m_agents;
+  /** Those with workers. */
+  std::vector<AgentRecord*> m_taskAgents;
+  std::vector<ProcessId> m_peers;
+  std::deque<DepartedRecord> m_departed;
+  /** Departures before this instant may be unknown here. */
+  Instant m_departuresKnownSince;
+  bool m_started = false;
+  bool m_draining = false;
+
+  // Work
+  std::uint64_t m_nextId = 1;
+  std::unordered_map<SubmissionId, Submission> m_submissions;
+  std::unordered_map<SubmissionId, FinishedSubmission> m_finished;
+  std::unordered_map<CallerToken, SubmissionId> m_callers;
+  std::unordered_map<AttemptId, WorkRef> m_attempts;
+  std::map<std::string, ServiceState, std::less<>> m_services;
+  /** The workers are one pool for the jobs of all services. */
+  WaitPool m_tasks;
+  std::map<std::string, TeamState, std::less<>> m_teams;
+  std::map<FenceId, Claim> m_claims;
+  std::vector<Probe> m_probes;
+  RetryBudget m_retryBudget{ 20 };
+
+  TimerQueue m_timers;
+  EntryCounters m_counters;
+
+  /** @return a new number that no other shard or life of it uses at once. */
+  std::uint64_t NextId();
+
+  /** @return the submission, or null if it is no longer open. */
+  Submission* Find(SubmissionId aId);
+
+  /** @return the item, or null if its submission is no longer open. */
+  WorkItem* Find(WorkRef aWork);
+
+  ServiceState& Service(const std::string& aName);
+
+  /** @return the pool for which items of @p aSubmission wait. */
+  WaitPool& PoolOf(const Submission& aSubmission);
+  WaitQueue& QueueOf(const Submission& aSubmission)
+  {
+    return PoolOf(aSubmission).m_queue;
+  }
+
+  /** @return the number of entries that share the agents, at least 1. */
+  std::uint32_t Entries() const;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/placement.cpp
@@ -0,0 +1,235 @@
+#include "core/internal/entry/placement.h"
+
+#include "core/internal/overloaded.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** More agents than these are sampled, so that a decision's cost is bounded
+ * however large the service. */
+constexpr std::size_t kMostConsidered = 32;
+/** Weight of the risk that other entries take the same last slot. */
+constexpr double kCollisionWeight = 0.5;
+constexpr double kNoRoom = std::numeric_limits<double>::infinity();
+
+double
+Micros(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count());
+}
+
+std::int64_t
+Room(std::uint32_t aFree, std::int64_t aTaken)
+{
+  return static_cast<std::int64_t>(aFree) - aTaken;
+}
+
+} // namespace
+
+std::vector<AgentRecord*>
+Placement::Sample(const std::vector<AgentRecord*>& aAgents, std::size_t aCount)
+{
+  std::vector<AgentRecord*> sample;
+  if (aAgents.empty()) {
+    return sample;
+  }
+  // Picks with replacement when the sample is small against the fleet.
+  if (aAgents.size() > 4 * aCount) {
+    boost::random::uniform_int_distribution<std::size_t> any(
+      0, aAgents.size() - 1);
+    while (sample.size() < aCount) {
+      sample.push_back(aAgents[any(m_board.m_random)]);
+    }
+    return sample;
+  }
+  sample = aAgents;
+  for (std::size_t i = 0; i < std::min(aCount, sample.size()); ++i) {
+    boost::random::uniform_int_distribution<std::size_t> rest(
+      i, sample.size() - 1);
+    std::swap(sample[i], sample[rest(m_board.m_random)]);
+  }
+  sample.resize(std::min(aCount, sample.size()));
+  return sample;
+}
+
+Placement::PredictedLoad
+Placement::Predict(const AgentRecord& aAgent, WorkKind aKind)
+{
+  PredictedLoad load;
+  std::int64_t taken = 0;
+  for (const UnreflectedOffer& offer : aAgent.m_unreflected) {
+    if (offer.m_kind == aKind) {
+      ++taken;
+      load.m_queuedWork += offer.m_expectedRun;
+    }
+  }
+  const std::int64_t room = Room(aAgent.m_load.m_freeSlots, taken);
+  load.m_freeSlots = std::max<std::int64_t>(room, 0);
+  load.m_queued = static_cast<std::int64_t>(aAgent.m_load.m_queuedRequests) +
+                  std::max<std::int64_t>(-room, 0);
+  load.m_queuedWork += aAgent.m_load.m_queuedRequestWork;
+  return load;
+}
+
+bool
+Placement::HasRoom(const AgentRecord& aAgent) const
+{
+  const PredictedLoad load = Predict(aAgent, WorkKind::Request);
+  return load.m_freeSlots > 0 ||
+         load.m_queued <
+           static_cast<std::int64_t>(m_board.m_policy.m_agentQueueDepth);
+}
+
+double
+Placement::Score(const AgentRecord& aAgent,
+                 const ServiceState& aService,
+                 const WorkItem& aItem)
+{
+  const ReportedLoadPlacement* policy =
+    std::get_if<ReportedLoadPlacement>(&m_board.m_policy.m_placement);
+  const bool learn = policy != nullptr && policy->m_learnSpeed;
+  const bool affinity = policy != nullptr && policy->m_zoneAffinity;
+  const PredictedLoad load = Predict(aAgent, WorkKind::Request);
+  const double speed = learn ? aAgent.m_speed.Factor() : 1;
+  const double slots = std::max(aAgent.Slots(), 1U);
+  const double meanRun =
+    Micros(std::max(aService.m_meanRun, aItem.m_expectedRun / 4));
+  double score = Micros(aItem.m_expectedRun) * speed;
+  if (affinity && aAgent.m_announced.m_zone != m_board.m_policy.m_zone) {
+    score += 2 * Micros(m_board.m_policy.m_zoneDelay);
+  }
+  if (load.m_freeSlots > 0) {
+    const double free = static_cast<double>(load.m_freeSlots);
+    score += kCollisionWeight * meanRun * speed / slots / (free * free);
+  } else {
+    score += speed * (Micros(load.m_queuedWork) + meanRun) / slots;
+  }
+  boost::random::uniform_real_distribution<double> tie(0, 200);
+  return score + tie(m_board.m_random);
+}
+
+AgentRecord*
+Placement::LeastLoaded(const Submission& aSubmission,
+                       const WorkItem& aItem,
+                       const std::vector<AgentRecord*>& aCandidates)
+{
+  const ServiceState& service = m_board.Service(aSubmission.m_service);
+  AgentRecord* best = nullptr;
+  double bestScore = kNoRoom;
+  for (AgentRecord* agent : aCandidates) {
+    if (!agent->ServesRequests(aSubmission.m_service)) {
+      continue;
+    }
+    const double score = Score(*agent, service, aItem);
+    if (score < bestScore) {
+      best = agent;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+AgentRecord*
+Placement::PickForRequest(const Submission& aSubmission,
+                          const WorkItem& aItem,
+                          const std::vector<AgentRecord*>* aCandidates)
+{
+  const std::vector<AgentRecord*>& all =
+    aCandidates != nullptr ? *aCandidates
+                           : m_board.Service(aSubmission.m_service).m_agents;
+  return std::visit(
+    Overloaded{ [&](const RandomPlacement&) {
+                 return LeastLoaded(aSubmission, aItem, Sample(all, 1));
+               },
+                [&](const ProbePlacement&) {
+                  return LeastLoaded(aSubmission, aItem, Sample(all, 1));
+                },
+                [&](const ReportedLoadPlacement&) {
+                  std::vector<AgentRecord*> open;
+                  const std::vector<AgentRecord*> sample =
+                    all.size() > kMostConsidered ? Sample(all, kMostConsidered)
+                                                 : all;
+                  std::copy_if(sample.begin(),
+                               sample.end(),
+                               std::back_inserter(open),
+                               [&](const AgentRecord* aAgent) {
+                                 return HasRoom(*aAgent) &&
+                                        aAgent->m_id != aItem.m_lastRefusedBy;
+                               });
+                  return LeastLoaded(aSubmission, aItem, open);
+                } },
+    m_board.m_policy.m_placement);
+}
+
+double
+Placement::TaskScore(const AgentRecord& aAgent, const WorkItem& aItem)
+{
+  if (!aAgent.ServesTasks() || aAgent.m_id == aItem.m_lastRefusedBy) {
+    return kNoRoom;
+  }
+  std::int64_t cores = aAgent.m_load.m_freeRoom.m_milliCores;
+  std::int64_t memory = aAgent.m_load.m_freeRoom.m_memoryMb;
+  std::int64_t accelerators = aAgent.m_load.m_freeRoom.m_accelerators;
+  std::int64_t waiting = aAgent.m_load.m_queuedTasks;
+  double work = Micros(aAgent.m_load.m_queuedTaskWork);
+  for (const UnreflectedOffer& offer : aAgent.m_unreflected) {
+    if (offer.m_kind == WorkKind::Task) {
+      cores -= offer.m_need.m_milliCores;
+      memory -= offer.m_need.m_memoryMb;
+      accelerators -= offer.m_need.m_accelerators;
+    }
+  }
+  const Resources& need = aItem.m_need;
+  const bool fits = cores >= need.m_milliCores && memory >= need.m_memoryMb &&
+                    accelerators >= need.m_accelerators;
+  double capacity = 0;
+  bool holds = false;
+  for (const WorkerInfo& worker : aAgent.m_announced.m_workers) {
+    if (!worker.m_quarantined) {
+      capacity += worker.m_capacity.m_milliCores;
+      holds = holds || worker.m_capacity.Fits(need);
+    }
+  }
+  if (!holds || capacity <= 0) {
+    return kNoRoom;
+  }
+  if (fits) {
+    return -static_cast<double>(cores) / capacity;
+  }
+  waiting += std::max<std::int64_t>(-cores, 0) /
+             std::max<std::int64_t>(need.m_milliCores, 1);
+  const std::int64_t depth =
+    static_cast<std::int64_t>(m_board.m_policy.m_agentQueueDepth) *
+    static_cast<std::int64_t>(aAgent.m_announced.m_workers.size());
+  return waiting < depth ? 1 + work / capacity : kNoRoom;
+}
+
+AgentRecord*
+Placement::PickForTask(const WorkItem& aItem)
+{
+  const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
+  const bool byLoad =
+    std::holds_alternative<ReportedLoadPlacement>(m_board.m_policy.m_placement);
+  const std::size_t considered = byLoad ? kMostConsidered : 1;
+  const std::vector<AgentRecord*> sample =
+    all.size() > considered ? Sample(all, considered) : all;
+  AgentRecord* best = nullptr;
+  double bestScore = kNoRoom;
+  for (AgentRecord* agent : sample) {
+    const double score = TaskScore(*agent, aItem);
+    if (score < bestScore) {
+      best = agent;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/runtimemodel.cpp
@@ -0,0 +1,71 @@
+#include "core/internal/entry/runtimemodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** Samples after which an old one counts little. */
+constexpr double kServiceWindow = 400;
+constexpr double kSpeedWindow = 30;
+/** Samples before the regression is used at all. */
+constexpr double kServiceMinimum = 20;
+/** Samples at which a speed is half believed. */
+constexpr double kSpeedPrior = 4;
+constexpr double kMaxSpeedFactor = 32;
+constexpr Duration kShortestRun{ 100 };
+constexpr Duration kLongestRun = std::chrono::minutes(10);
+
+double
+LogOf(Duration aRun)
+{
+  return std::log(static_cast<double>(std::max(aRun, kShortestRun).count()));
+}
+
+} // namespace
+
+Duration
+RunTimeModel::Expect(Duration aDeclared) const
+{
+  if (m_weight < kServiceMinimum) {
+    return std::clamp(aDeclared, kShortestRun, kLongestRun);
+  }
+  const double slope =
+    m_varX > 1e-9 ? std::clamp(m_covXY / m_varX, 0.0, 1.0) : 0.0;
+  const double expected = m_meanY + slope * (LogOf(aDeclared) - m_meanX);
+  const Duration run{ static_cast<Duration::rep>(std::exp(expected)) };
+  return std::clamp(run, kShortestRun, kLongestRun);
+}
+
+void
+RunTimeModel::Learn(Duration aDeclared, Duration aActual)
+{
+  const double x = LogOf(aDeclared);
+  const double y = LogOf(aActual);
+  m_weight = std::min(m_weight + 1, kServiceWindow);
+  const double step = 1 / m_weight;
+  const double deltaX = x - m_meanX;
+  m_meanX += step * deltaX;
+  m_meanY += step * (y - m_meanY);
+  m_varX += step * (deltaX * (x - m_meanX) - m_varX);
+  m_covXY += step * (deltaX * (y - m_meanY) - m_covXY);
+}
+
+double
+SpeedModel::Factor() const
+{
+  const double belief = m_weight / (m_weight + kSpeedPrior);
+  return std::clamp(
+    std::exp(belief * m_meanLog), 1 / kMaxSpeedFactor, kMaxSpeedFactor);
+}
+
+void
+SpeedModel::Learn(Duration aExpected, Duration aActual)
+{
+  m_weight = std::min(m_weight + 1, kSpeedWindow);
+  m_meanLog += (LogOf(aActual) - LogOf(aExpected) - m_meanLog) / m_weight;
+}
+
+} // namespace mulberrysail::core
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -24,6 +24,14 @@
   Answer m_answer;
 };
 
+/** A detached job was admitted: its caller gets the id now, and the answer by
+ * its status. */
+struct SubmissionOpened
+{
+  CallerToken m_caller;
+  SubmissionId m_submission;
+};
+
 /** Where an attempt runs. */
 struct RunTarget
 {
@@ -61,7 +69,8 @@
   std::string m_detail;
 };
 
-using EntryCommand = std::variant<SendMessage, AnswerCaller, RecordEvent>;
+using EntryCommand =
+  std::variant<SendMessage, AnswerCaller, SubmissionOpened, RecordEvent>;
 using AgentCommand = std::variant<SendMessage, StartRun, StopRun, RecordEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -78,8 +78,9 @@
   std::string m_service;
   std::string m_team;
   std::optional<Duration> m_deadline;
-  /** Set if the caller may submit the job again under the same id. */
-  std::optional<CallerKey> m_key;
+  /** The caller doesn't hold its connection: it gets SubmissionOpened or a
+   * refusal, and asks for the status. */
+  bool m_detached = false;
   std::vector<TaskSpec> m_tasks;
 };
 
--- a/packages/core/types/ids.h
+++ b/packages/core/types/ids.h
@@ -13,7 +13,9 @@
 {
   std::uint64_t m_value = 0;
 
-  auto operator<=>(const StrongId&) const = default;
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  auto operator<=>(const StrongId&) const =
+    default; // NOLINT(modernize-use-nullptr)
 };
 
 /** One life of one process; a restarted process has another. */
@@ -37,7 +39,9 @@
   std::string m_name;
   Incarnation m_incarnation;
 
-  auto operator<=>(const ProcessId&) const = default;
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  auto operator<=>(const ProcessId&) const =
+    default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -67,6 +67,9 @@
 struct OfferBatch
 {
   Incarnation m_agentIncarnation;
+  /** Number of the last offer in it; the entry counts those that it sent to
+   * this incarnation, lost ones included. */
+  std::uint64_t m_sequence = 0;
   std::vector<Offer> m_offers;
 };
 
@@ -127,8 +130,10 @@
   std::uint64_t m_sequence = 0;
   /** The agent's clock when the report was made. */
   Instant m_agentNow;
-  /** Offers that the agent had received from the addressed entry. */
+  /** The highest OfferBatch::m_sequence received from the addressed entry. */
   std::uint64_t m_offersSeen = 0;
+  /** The configuration in force at the agent. */
+  ConfigVersion m_config;
   std::uint32_t m_freeSlots = 0;
   std::uint32_t m_queuedRequests = 0;
   /** Expected run time of all queued requests. */
@@ -169,7 +174,6 @@
   std::string m_zone;
   /** Where workers and operators reach it over HTTP. */
   std::string m_httpAddress;
-  ConfigVersion m_config;
   bool m_leaving = false;
   /** The entry forgets the agent this long after its last message. */
   Duration m_leaseFor{};
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -37,6 +37,9 @@
   PlacementPolicy m_placement = ReportedLoadPlacement{};
   /** Offers that may wait at an agent beyond its free slots. */
   std::uint32_t m_agentQueueDepth = 4;
+  /** Waiting work is promoted by its age: this share of the time waited is
+   * taken off its expected run time in the order of the queue. */
+  double m_ageing = 0.2;
   /** Retries allowed per hundred first attempts. */
   std::uint32_t m_retryBudgetPercent = 20;
   /** One way between zones; what placing in the own zone saves. */
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -30,7 +30,8 @@
   std::string m_zone;
   std::string m_httpAddress;
   bool m_leaving = false;
-  ConfigVersion m_config;
+  /** False while nothing is heard of it. */
+  bool m_reachable = true;
   std::optional<EndpointInfo> m_endpoint;
   std::vector<WorkerInfo> m_workers;
   LoadReport m_load;
--- a/packages/network/imessagetransport.h
+++ b/packages/network/imessagetransport.h
@@ -19,7 +19,9 @@
   /** tcp://IP:port */
   std::string m_url;
 
-  auto operator<=>(const PeerAddress&) const = default;
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  auto operator<=>(const PeerAddress&) const =
+    default; // NOLINT(modernize-use-nullptr)
 };
 
 /** What the transport tells; all calls come from its own thread, in the order
