--- /dev/null
+++ b/packages/core/internal/agent/admission.cpp
@@ -0,0 +1,142 @@
+#include "core/internal/agent/admission.h"
+
+#include "core/internal/agent/membership.h"
+#include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/starter.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core::agent {
+
+void
+Admission::Take(EntryIndex aEntry, OfferBatch aBatch)
+{
+  if (aBatch.m_agentIncarnation != m_board.m_self.m_incarnation) {
+    for (const Offer& offer : aBatch.m_offers) {
+      AttemptReport report;
+      report.m_attempt = offer.m_attempt;
+      report.m_kind = ErrorKind::StaleIncarnation;
+      ++m_board.m_counters.m_offersRefused;
+      Outcomes(m_board).Report(aEntry, std::move(report));
+    }
+    return;
+  }
+  for (Offer& offer : aBatch.m_offers) {
+    Consider(aEntry, std::move(offer));
+  }
+}
+
+void
+Admission::Consider(EntryIndex aEntry, Offer aOffer)
+{
+  const AttemptKey key{ aEntry, aOffer.m_attempt };
+  if (IsDuplicate(key, aOffer)) {
+    return;
+  }
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  ++entry.m_offersSeen;
+  ++m_board.m_counters.m_offersReceived;
+  const ErrorKind kind = Judge(key, aOffer);
+  if (kind != ErrorKind::None) {
+    Outcomes(m_board).RefuseOffer(key, aOffer, kind);
+    return;
+  }
+  ++entry.m_openAttempts;
+  Attempt& attempt = m_board.m_attempts.m_open[key];
+  attempt.m_key = key;
+  attempt.m_offer = std::move(aOffer);
+  attempt.m_sequence = m_board.m_attempts.m_nextSequence++;
+  attempt.m_receivedAt = m_board.m_now;
+  if (attempt.m_offer.m_key) {
+    KeyKeeper(m_board).Claim(attempt);
+  }
+  Queues(m_board).Add(attempt);
+  m_board.m_attempts.m_fresh.push_back(key);
+}
+
+bool
+Admission::IsDuplicate(const AttemptKey& aKey, const Offer& aOffer)
+{
+  if (m_board.m_attempts.m_open.contains(aKey)) {
+    return true;
+  }
+  if (const AttemptReport* kept = AnswerKeeper(m_board).Find(aKey)) {
+    Outcomes(m_board).Report(aKey.m_entry, *kept);
+    return true;
+  }
+  switch (AnswerKeeper(m_board).Classify(aKey)) {
+    case Unknown::NeverSeen:
+      return false;
+    case Unknown::MayBeRefused:
+      Outcomes(m_board).RefuseOffer(aKey, aOffer, ErrorKind::AttemptExpired);
+      return true;
+    case Unknown::MayHaveStarted:
+      break;
+  }
+  AttemptReport report;
+  report.m_attempt = aKey.m_attempt;
+  report.m_fate = AttemptFate::Lost;
+  report.m_kind = ErrorKind::RunLost;
+  AnswerKeeper(m_board).Keep(aKey, report, true, aOffer.m_startBy);
+  Outcomes(m_board).Report(aKey.m_entry, std::move(report));
+  return true;
+}
+
+ErrorKind
+Admission::Judge(const AttemptKey& aKey, const Offer& aOffer) const
+{
+  if (m_board.m_draining) {
+    return ErrorKind::Draining;
+  }
+  if (m_board.m_now > aOffer.m_startBy) {
+    return ErrorKind::AttemptExpired;
+  }
+  if (m_board.m_now > aOffer.m_deadline) {
+    return ErrorKind::DeadlinePassedQueued;
+  }
+  if (aOffer.m_key && KeyKeeper(m_board).Superseded(aKey, aOffer)) {
+    return ErrorKind::Superseded;
+  }
+  return aOffer.m_kind == WorkKind::Request ? JudgeRequest(aOffer)
+                                            : JudgeTask(aOffer);
+}
+
+ErrorKind
+Admission::JudgeRequest(const Offer& aOffer) const
+{
+  if (!EndpointServes(m_board) ||
+      aOffer.m_service != m_board.m_endpoint.m_info->m_service) {
+    return ErrorKind::NoEndpoint;
+  }
+  // What can start at once doesn't count as waiting.
+  const std::size_t room = static_cast<std::size_t>(FreeSlots(m_board)) +
+                           m_board.m_policy.m_maxQueuedRequests;
+  return m_board.m_requests.m_order.size() < room ? ErrorKind::None
+                                                  : ErrorKind::QueueFull;
+}
+
+ErrorKind
+Admission::JudgeTask(const Offer& aOffer) const
+{
+  if (!HasWorkerFor(m_board, aOffer, {})) {
+    const bool anyLive =
+      std::any_of(m_board.m_workers.m_workers.begin(),
+                  m_board.m_workers.m_workers.end(),
+                  [&](const std::pair<const std::string, Worker>& aWorker) {
+                    return IsLive(m_board, aWorker.second);
+                  });
+    const bool anyHolds =
+      std::any_of(m_board.m_workers.m_workers.begin(),
+                  m_board.m_workers.m_workers.end(),
+                  [&](const std::pair<const std::string, Worker>& aWorker) {
+                    return aWorker.second.m_info.m_capacity.Fits(aOffer.m_need);
+                  });
+    return anyLive && !anyHolds ? ErrorKind::Unsatisfiable
+                                : ErrorKind::NoEndpoint;
+  }
+  return m_board.m_tasks.m_size < m_board.m_policy.m_maxQueuedTasks
+           ? ErrorKind::None
+           : ErrorKind::QueueFull;
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/agent.cpp
@@ -0,0 +1,309 @@
+#include "core/internal/agent/agent.h"
+
+#include "core/internal/agent/admission.h"
+#include "core/internal/agent/breakers.h"
+#include "core/internal/agent/membership.h"
+#include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/reconciler.h"
+#include "core/internal/agent/reporter.h"
+#include "core/internal/agent/runs.h"
+#include "core/internal/agent/starter.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace mulberrysail::core {
+
+namespace agent {
+
+namespace {
+
+/** A batch of offers asks for load reports for so long. */
+constexpr Duration kOfferSubscription = std::chrono::seconds(2);
+constexpr std::uint64_t kRunPrefixMask = 0xFFFFFFFF00000000ULL;
+
+/** Run ids of different agents, and of lives of one, are to differ, since
+ * they may meet at one worker. */
+std::uint64_t
+RunPrefix(const ProcessId& aSelf, std::uint64_t aSeed)
+{
+  return XXH3_64bits_withSeed(aSelf.m_name.data(),
+                              aSelf.m_name.size(),
+                              aSelf.m_incarnation.m_value ^ aSeed) &
+         kRunPrefixMask;
+}
+
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+Agent::Agent(ProcessId aSelf, AgentPolicy aPolicy, std::uint64_t aSeed)
+{
+  m_board.m_attempts.m_runPrefix = RunPrefix(aSelf, aSeed);
+  m_board.m_self = std::move(aSelf);
+  m_board.m_policy = std::move(aPolicy);
+}
+
+void
+Agent::Handle(Instant aNow, AgentEvent aEvent, AgentCommands& aCommands)
+{
+  if (!m_begun) {
+    m_begun = true;
+    m_board.m_startedAt = aNow;
+    m_board.m_now = aNow;
+  }
+  m_board.m_now = std::max(m_board.m_now, aNow);
+  m_board.m_commands = &aCommands;
+  std::visit([this](auto& aAny) { On(aAny); }, aEvent);
+  Settle();
+  m_board.m_commands = nullptr;
+}
+
+void
+Agent::Settle()
+{
+  Membership(m_board).Lapse();
+  Breakers(m_board).EndPauses();
+  Starter starter(m_board);
+  starter.RefuseStranded();
+  // What expires right now may still be started, but doesn't wait on.
+  starter.RefuseExpired(m_board.m_now - Duration(1));
+  starter.StartRequests();
+  starter.StartTasks();
+  starter.RefuseExpired(m_board.m_now);
+  RecordQueued();
+  AnswerKeeper(m_board).Purge();
+  KeyKeeper(m_board).Purge();
+  Reporter(m_board).Flush();
+}
+
+void
+Agent::RecordQueued()
+{
+  AttemptSection& attempts = m_board.m_attempts;
+  for (const AttemptKey& key : attempts.m_fresh) {
+    const auto place = attempts.m_open.find(key);
+    if (place != attempts.m_open.end() && !place->second.m_running) {
+      Record(m_board, EventCode::AttemptQueued, key.m_attempt.m_value, {});
+    }
+  }
+  attempts.m_fresh.clear();
+}
+
+void
+Agent::On(MessageReceived& aEvent)
+{
+  const EntryIndex entry = Membership(m_board).Hear(aEvent.m_from);
+  Receive(entry, aEvent.m_message);
+}
+
+void
+Agent::Receive(EntryIndex aEntry, Message& aMessage)
+{
+  std::visit(
+    Overloaded{
+      [&](OfferBatch& aBatch) { TakeOffers(aEntry, aBatch); },
+      [&](const RevokeBatch& aBatch) {
+        Reconciler(m_board).Revoke(aEntry, aBatch);
+      },
+      [&](const Reconcile& aReconcile) {
+        Reconciler(m_board).Tell(aEntry, aReconcile);
+      },
+      [&](const FenceQuery& aQuery) { KeyKeeper(m_board).Ask(aEntry, aQuery); },
+      [&](const EntryHello& aHello) { Greet(aEntry, aHello); },
+      [&](ConfigUpdate& aUpdate) {
+        Configure(aUpdate.m_version, std::move(aUpdate.m_document));
+      },
+      [&](const ConfigRequest& aRequest) {
+        SendConfig(aEntry, aRequest.m_known);
+      },
+      [&](const auto&) {
+        Record(m_board, EventCode::MessageRejected, 0, "not for an agent");
+      } },
+    aMessage);
+}
+
+void
+Agent::TakeOffers(EntryIndex aEntry, OfferBatch& aBatch)
+{
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  entry.m_subscribedUntil =
+    std::max(entry.m_subscribedUntil, m_board.m_now + kOfferSubscription);
+  Admission(m_board).Take(aEntry, std::move(aBatch));
+}
+
+void
+Agent::Greet(EntryIndex aEntry, const EntryHello& aHello)
+{
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  entry.m_subscribedUntil =
+    std::max(entry.m_subscribedUntil, m_board.m_now + aHello.m_subscribeFor);
+}
+
+void
+Agent::Configure(ConfigVersion aVersion, std::string aDocument)
+{
+  if (aVersion <= m_board.m_config.m_version) {
+    return;
+  }
+  m_board.m_config = { aVersion, std::move(aDocument) };
+  Record(m_board, EventCode::ConfigInForce, aVersion.m_value, {});
+  AnnounceToAll(m_board);
+}
+
+void
+Agent::SendConfig(EntryIndex aEntry, ConfigVersion aKnown)
+{
+  const ConfigSection& config = m_board.m_config;
+  if (config.m_version <= aKnown) {
+    return;
+  }
+  Send(m_board,
+       m_board.m_entries.m_records.at(aEntry),
+       ConfigUpdate{ config.m_version, config.m_document });
+}
+
+void
+Agent::On(SendFailed& aEvent)
+{
+  Reporter(m_board).TakeBack(aEvent.m_to, std::move(aEvent.m_message));
+}
+
+void
+Agent::On(LinkReset& aEvent)
+{
+  const EntryIndex index = Membership(m_board).Hear(aEvent.m_peer);
+  m_board.m_entries.m_records.at(index).m_announceDue = true;
+}
+
+void
+Agent::On(TimerFired& /*aEvent*/)
+{
+}
+
+void
+Agent::On(DrainRequested& /*aEvent*/)
+{
+  if (m_board.m_draining) {
+    return;
+  }
+  m_board.m_draining = true;
+  m_board.m_endpoint.m_changed = true;
+  m_board.m_workers.m_shrunk = true;
+  Record(m_board, EventCode::ProcessDraining, 0, {});
+  AnnounceToAll(m_board);
+}
+
+void
+Agent::On(ConfigChanged& aEvent)
+{
+  Configure(aEvent.m_configuration.m_version, std::move(aEvent.m_document));
+}
+
+void
+Agent::On(EndpointAnnounced& aEvent)
+{
+  Membership(m_board).SetEndpoint(std::move(aEvent));
+}
+
+void
+Agent::On(WorkerAnnounced& aEvent)
+{
+  Membership(m_board).SetWorker(std::move(aEvent));
+}
+
+void
+Agent::On(RunFinished& aEvent)
+{
+  Runs(m_board).Finish(std::move(aEvent));
+}
+
+void
+Agent::On(PeersChanged& aEvent)
+{
+  Membership(m_board).SetEntries(aEvent.m_entries);
+}
+
+Instant
+Agent::NextWake() const
+{
+  Instant wake = NextReportDue(m_board);
+  if (!m_board.m_expiry.empty()) {
+    wake = std::min(wake, m_board.m_expiry.begin()->first.first);
+  }
+  if (m_board.m_endpoint.m_info) {
+    wake = std::min(wake, m_board.m_endpoint.m_leaseEnds);
+  }
+  for (const auto& [name, worker] : m_board.m_workers.m_workers) {
+    if (worker.m_leaseEnds > m_board.m_now) {
+      wake = std::min(wake, worker.m_leaseEnds);
+    }
+    if (worker.m_breaker.m_state == BreakerState::Open) {
+      wake = std::min(wake, worker.m_breaker.m_openUntil);
+    }
+  }
+  return wake;
+}
+
+bool
+Agent::Idle() const
+{
+  if (!m_board.m_attempts.m_open.empty()) {
+    return false;
+  }
+  return std::all_of(
+    m_board.m_entries.m_records.begin(),
+    m_board.m_entries.m_records.end(),
+    [this](const std::pair<const EntryIndex, EntryRecord>& aEntry) {
+      const EntryRecord& entry = aEntry.second;
+      const bool gone =
+        m_board.m_now - entry.m_lastHeard >= m_board.m_policy.m_lease;
+      return entry.m_reports.empty() || gone;
+    });
+}
+
+AgentStatus
+Agent::Status() const
+{
+  AgentStatus status;
+  status.m_agent = m_board.m_self;
+  status.m_zone = m_board.m_policy.m_zone;
+  status.m_httpAddress = m_board.m_policy.m_httpAddress;
+  status.m_leaving = m_board.m_draining;
+  status.m_config = m_board.m_config.m_version;
+  status.m_endpoint = m_board.m_endpoint.m_info;
+  status.m_workers = LiveWorkers(m_board);
+  status.m_load = CurrentLoad(m_board);
+  status.m_openAttempts =
+    static_cast<std::uint32_t>(m_board.m_attempts.m_open.size());
+  return status;
+}
+
+AgentCounters
+Agent::Counters() const
+{
+  AgentCounters counters = m_board.m_counters;
+  counters.m_running = m_board.m_attempts.m_byRun.size();
+  counters.m_queued = m_board.m_attempts.m_open.size() - counters.m_running;
+  return counters;
+}
+
+} // namespace agent
+
+std::unique_ptr<IAgent>
+MakeAgent(ProcessId aSelf, AgentPolicy aPolicy, std::uint64_t aSeed)
+{
+  return std::make_unique<agent::Agent>(
+    std::move(aSelf), std::move(aPolicy), aSeed);
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/agent/board.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/internal/agent/answersection.h"
+#include "core/internal/agent/endpointsection.h"
+#include "core/internal/agent/entrysection.h"
+#include "core/internal/agent/keysection.h"
+#include "core/internal/agent/learningsection.h"
+#include "core/internal/agent/queuesection.h"
+#include "core/internal/agent/workersection.h"
+#include "core/types/commands.h"
+#include "core/types/policy.h"
+#include "core/types/status.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberrysail::core::agent {
+
+/** The newest configuration, for entries that ask. */
+struct ConfigSection
+{
+  ConfigVersion m_version;
+  std::string m_document;
+};
+
+struct AttemptSection
+{
+  std::unordered_map<AttemptKey, Attempt> m_open;
+  std::unordered_map<RunId, AttemptKey> m_byRun;
+  /** Taken in with the event in hand. */
+  std::vector<AttemptKey> m_fresh;
+  std::uint64_t m_nextSequence = 1;
+  /** High half of all run ids of this agent incarnation. */
+  std::uint64_t m_runPrefix = 0;
+  std::uint64_t m_nextRun = 1;
+};
+
+/** All state of one agent. Controllers read and write it; none of them keeps
+ * state of its own. */
+struct AgentBoard
+{
+  ProcessId m_self;
+  AgentPolicy m_policy;
+  /** Time of the event in hand. */
+  Instant m_now;
+  /** Time of the first event. */
+  Instant m_startedAt;
+  bool m_draining = false;
+  /** Where the event in hand puts its commands. */
+  AgentCommands* m_commands = nullptr;
+  std::uint64_t m_loadSequence = 0;
+
+  EntrySection m_entries;
+  EndpointSection m_endpoint;
+  WorkerSection m_workers;
+  AttemptSection m_attempts;
+  RequestQueue m_requests;
+  TaskQueue m_tasks;
+  ExpirySection m_expiry;
+  AnswerSection m_answers;
+  KeySection m_keys;
+  LearningSection m_learning;
+  ConfigSection m_config;
+  AgentCounters m_counters;
+};
+
+/** Puts an event on the time line. */
+inline void
+Record(AgentBoard& aBoard,
+       EventCode aCode,
+       std::uint64_t aSubject,
+       std::string aDetail)
+{
+  aBoard.m_commands->push_back(
+    RecordEvent{ aCode, aSubject, std::move(aDetail) });
+}
+
+/** Sends at once. */
+inline void
+Send(AgentBoard& aBoard, EntryRecord& aEntry, Message aMessage)
+{
+  aEntry.m_lastSent = aBoard.m_now;
+  aBoard.m_commands->push_back(SendMessage{ aEntry.m_id, std::move(aMessage) });
+}
+
+/** Has all entries told of a change when the event in hand is done. */
+inline void
+AnnounceToAll(AgentBoard& aBoard)
+{
+  for (auto& [index, entry] : aBoard.m_entries.m_records) {
+    entry.m_announceDue = true;
+  }
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/entrysection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/internal/agent/attempt.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberrysail::core::agent {
+
+/** Attempts that were forgotten, by the highest id: ids of one shard rise, so
+ * an id at or below a mark may be one of those. */
+struct ForgottenMarks
+{
+  /** Highest id that had been started. */
+  AttemptId m_started;
+  /** Highest id that had been refused without its offer being known. */
+  AttemptId m_refused;
+};
+
+/** What the agent knows of one life of one entry. */
+struct EntryRecord
+{
+  ProcessId m_id;
+  /** Named by the last list of entries. */
+  bool m_listed = false;
+  Instant m_lastHeard;
+  Instant m_lastSent;
+  Instant m_subscribedUntil;
+  bool m_announceDue = false;
+  /** Set while the transport doesn't take messages to it. */
+  bool m_unreachable = false;
+  std::uint64_t m_offersSeen = 0;
+  std::uint32_t m_openAttempts = 0;
+  /** The load in the last message that carried one. */
+  LoadReport m_lastLoad;
+  std::vector<AttemptReport> m_reports;
+  /** By the part of the attempt id that names the shard. */
+  std::map<std::uint64_t, ForgottenMarks> m_forgotten;
+};
+
+/** All entries, in the order in which they were met. */
+struct EntrySection
+{
+  std::map<EntryIndex, EntryRecord> m_records;
+  std::unordered_map<ProcessId, EntryIndex> m_byId;
+  EntryIndex m_nextIndex = 1;
+};
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/membership.cpp
@@ -0,0 +1,225 @@
+#include "core/internal/agent/membership.h"
+
+#include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/workerusage.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+constexpr std::size_t kMaxWorkers = 1024;
+
+/** The failures of a worker that is gone are remembered for so long. */
+constexpr Duration kBreakerMemory = std::chrono::seconds(60);
+
+} // namespace
+
+bool
+EndpointServes(const AgentBoard& aBoard)
+{
+  return aBoard.m_endpoint.m_info && !aBoard.m_endpoint.m_info->m_leaving &&
+         !aBoard.m_draining;
+}
+
+bool
+IsLive(const AgentBoard& aBoard, const Worker& aWorker)
+{
+  return !aWorker.m_leaving && aWorker.m_leaseEnds > aBoard.m_now;
+}
+
+bool
+IsPresent(const AgentBoard& aBoard, const EntryRecord& aEntry)
+{
+  return aEntry.m_listed ||
+         aBoard.m_now - aEntry.m_lastHeard < aBoard.m_policy.m_lease;
+}
+
+EntryIndex
+Membership::Meet(const ProcessId& aEntry)
+{
+  EntrySection& entries = m_board.m_entries;
+  const auto known = entries.m_byId.find(aEntry);
+  if (known != entries.m_byId.end()) {
+    return known->second;
+  }
+  Supersede(aEntry);
+  const EntryIndex index = entries.m_nextIndex++;
+  entries.m_byId.emplace(aEntry, index);
+  EntryRecord& record = entries.m_records[index];
+  record.m_id = aEntry;
+  record.m_lastHeard = m_board.m_now;
+  record.m_announceDue = true;
+  Record(m_board, EventCode::EntryJoined, 0, aEntry.m_name);
+  return index;
+}
+
+EntryIndex
+Membership::Hear(const ProcessId& aEntry)
+{
+  const EntryIndex index = Meet(aEntry);
+  EntryRecord& record = m_board.m_entries.m_records.at(index);
+  record.m_lastHeard = m_board.m_now;
+  record.m_unreachable = false;
+  return index;
+}
+
+void
+Membership::Supersede(const ProcessId& aEntry)
+{
+  for (auto& [index, record] : m_board.m_entries.m_records) {
+    const bool earlierLife = record.m_id.m_name == aEntry.m_name &&
+                             record.m_id.m_incarnation < aEntry.m_incarnation;
+    if (earlierLife) {
+      record.m_listed = false;
+      RefuseQueuedOf(index);
+    }
+  }
+}
+
+void
+Membership::RefuseQueuedOf(EntryIndex aEntry)
+{
+  std::vector<AttemptKey> waiting;
+  for (const auto& [key, attempt] : m_board.m_attempts.m_open) {
+    if (key.m_entry == aEntry && !attempt.m_running) {
+      waiting.push_back(key);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const AttemptKey& key : waiting) {
+    Outcomes(m_board).EndQueued(m_board.m_attempts.m_open.at(key),
+                                AttemptFate::Revoked,
+                                ErrorKind::Cancelled);
+  }
+}
+
+void
+Membership::SetEntries(std::span<const ProcessId> aEntries)
+{
+  for (auto& [index, record] : m_board.m_entries.m_records) {
+    record.m_listed = false;
+  }
+  for (const ProcessId& entry : aEntries) {
+    const EntryIndex index = Meet(entry);
+    m_board.m_entries.m_records.at(index).m_listed = true;
+  }
+}
+
+void
+Membership::SetEndpoint(EndpointAnnounced aAnnounced)
+{
+  EndpointSection& endpoint = m_board.m_endpoint;
+  const bool changed = endpoint.m_info != aAnnounced.m_info;
+  if (changed) {
+    endpoint.m_changed = true;
+    Record(m_board,
+           aAnnounced.m_info.m_leaving ? EventCode::EndpointLeaving
+                                       : EventCode::EndpointAnnounced,
+           0,
+           aAnnounced.m_info.m_service);
+    AnnounceToAll(m_board);
+  }
+  endpoint.m_info = std::move(aAnnounced.m_info);
+  endpoint.m_url = std::move(aAnnounced.m_url);
+  endpoint.m_leaseEnds = m_board.m_now + m_board.m_policy.m_endpointLease;
+}
+
+void
+Membership::SetWorker(WorkerAnnounced aAnnounced)
+{
+  std::map<std::string, Worker, std::less<>>& workers =
+    m_board.m_workers.m_workers;
+  const auto known = workers.find(aAnnounced.m_info.m_name);
+  if (known == workers.end() &&
+      (aAnnounced.m_leaving || workers.size() >= kMaxWorkers)) {
+    return;
+  }
+  Worker& worker = workers[aAnnounced.m_info.m_name];
+  aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
+  const bool wasLive = IsLive(m_board, worker);
+  const bool changed = worker.m_info != aAnnounced.m_info ||
+                       worker.m_leaving != aAnnounced.m_leaving || !wasLive;
+  worker.m_info = std::move(aAnnounced.m_info);
+  worker.m_url = std::move(aAnnounced.m_url);
+  worker.m_leaving = aAnnounced.m_leaving;
+  worker.m_unreachable = false;
+  worker.m_leaseEnds = m_board.m_now + m_board.m_policy.m_workerLease;
+  WorkerUsage(m_board).Take(worker, aAnnounced.m_usage);
+  if (changed) {
+    m_board.m_workers.m_shrunk = true;
+    Record(m_board,
+           worker.m_leaving ? EventCode::WorkerLapsed
+                            : EventCode::WorkerAnnounced,
+           0,
+           worker.m_info.m_name);
+    AnnounceToAll(m_board);
+  }
+}
+
+void
+Membership::Lapse()
+{
+  LapseEndpoint();
+  LapseWorkers();
+  ForgetEntries();
+}
+
+void
+Membership::LapseEndpoint()
+{
+  EndpointSection& endpoint = m_board.m_endpoint;
+  if (!endpoint.m_info || endpoint.m_leaseEnds > m_board.m_now) {
+    return;
+  }
+  Record(m_board, EventCode::EndpointLapsed, 0, endpoint.m_info->m_service);
+  endpoint.m_info.reset();
+  endpoint.m_changed = true;
+  AnnounceToAll(m_board);
+}
+
+void
+Membership::LapseWorkers()
+{
+  std::map<std::string, Worker, std::less<>>& workers =
+    m_board.m_workers.m_workers;
+  for (auto place = workers.begin(); place != workers.end();) {
+    Worker& worker = place->second;
+    if (worker.m_leaseEnds > m_board.m_now) {
+      ++place;
+      continue;
+    }
+    if (!worker.m_leaving) {
+      worker.m_leaving = true;
+      m_board.m_workers.m_shrunk = true;
+      Record(m_board, EventCode::WorkerLapsed, 0, worker.m_info.m_name);
+      AnnounceToAll(m_board);
+    }
+    const bool forget = worker.m_running == 0 &&
+                        (worker.m_breaker.m_state == BreakerState::Closed ||
+                         m_board.m_now - worker.m_leaseEnds > kBreakerMemory);
+    place = forget ? workers.erase(place) : std::next(place);
+  }
+}
+
+void
+Membership::ForgetEntries()
+{
+  std::map<EntryIndex, EntryRecord>& records = m_board.m_entries.m_records;
+  for (auto place = records.begin(); place != records.end();) {
+    const EntryRecord& record = place->second;
+    const bool forget =
+      !record.m_listed && record.m_openAttempts == 0 &&
+      m_board.m_now - record.m_lastHeard > m_board.m_policy.m_keyMemory;
+    if (!forget) {
+      ++place;
+      continue;
+    }
+    Record(m_board, EventCode::EntryForgotten, 0, record.m_id.m_name);
+    m_board.m_entries.m_byId.erase(record.m_id);
+    place = records.erase(place);
+  }
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/membership.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/internal/agent/board.h"
+#include "core/types/events.h"
+
+#include <span>
+
+namespace mulberrysail::core::agent {
+
+/** Who is there: entries, the endpoint, the workers; and their leases. */
+class Membership
+{
+public:
+  explicit Membership(AgentBoard& aBoard)
+    : m_board(aBoard)
+  {
+  }
+
+  /** @return the number of @p aEntry, which is announced to if it is new. */
+  EntryIndex Meet(const ProcessId& aEntry);
+
+  /** Notes that @p aEntry is alive. */
+  EntryIndex Hear(const ProcessId& aEntry);
+
+  void SetEntries(std::span<const ProcessId> aEntries);
+  void SetEndpoint(EndpointAnnounced aAnnounced);
+  void SetWorker(WorkerAnnounced aAnnounced);
+
+  /** Ends the leases that have run out. */
+  void Lapse();
+
+private:
+  void Supersede(const ProcessId& aEntry);
+  void RefuseQueuedOf(EntryIndex aEntry);
+  void LapseEndpoint();
+  void LapseWorkers();
+  void ForgetEntries();
+
+  AgentBoard& m_board;
+};
+
+/** @return whether the endpoint takes work. */
+bool
+EndpointServes(const AgentBoard& aBoard);
+
+/** @return whether the worker's lease holds and it isn't leaving. */
+bool
+IsLive(const AgentBoard& aBoard, const Worker& aWorker);
+
+/** @return whether the entry was heard of lately or is on the list. */
+bool
+IsPresent(const AgentBoard& aBoard, const EntryRecord& aEntry);
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/outcomes.cpp
@@ -0,0 +1,127 @@
+#include "core/internal/agent/outcomes.h"
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+/** Reports kept for an entry that can't be reached; it asks for the rest. */
+constexpr std::size_t kMaxUnsent = 4096;
+
+} // namespace
+
+void
+Outcomes::EndQueued(Attempt& aAttempt, AttemptFate aFate, ErrorKind aKind)
+{
+  Queues(m_board).Remove(aAttempt);
+  AttemptReport report;
+  report.m_attempt = aAttempt.m_key.m_attempt;
+  report.m_fate = aFate;
+  report.m_kind = aKind;
+  report.m_waitedFor = m_board.m_now - aAttempt.m_receivedAt;
+  const bool revoked = aFate == AttemptFate::Revoked;
+  ++(revoked ? m_board.m_counters.m_revoked
+             : m_board.m_counters.m_offersRefused);
+  Record(m_board,
+         revoked ? EventCode::AttemptRevoked : EventCode::AttemptRefused,
+         report.m_attempt.m_value,
+         std::string(DescribeError(aKind).m_name));
+  Forget(aAttempt, std::move(report), false);
+}
+
+void
+Outcomes::EndRun(Attempt& aAttempt,
+                 AttemptFate aFate,
+                 ErrorKind aKind,
+                 std::string aOutput)
+{
+  AttemptReport report;
+  report.m_attempt = aAttempt.m_key.m_attempt;
+  report.m_fate = aFate;
+  report.m_kind = aKind;
+  report.m_ranFor = m_board.m_now - aAttempt.m_startedAt;
+  report.m_waitedFor = aAttempt.m_startedAt - aAttempt.m_receivedAt;
+  report.m_output = std::move(aOutput);
+  switch (aFate) {
+    case AttemptFate::Completed:
+      ++m_board.m_counters.m_completed;
+      break;
+    case AttemptFate::Failed:
+      ++m_board.m_counters.m_failed;
+      break;
+    case AttemptFate::Lost:
+      ++m_board.m_counters.m_lost;
+      break;
+    default:
+      ++m_board.m_counters.m_offersRefused;
+      break;
+  }
+  Record(m_board,
+         aFate == AttemptFate::Lost ? EventCode::AttemptLost
+                                    : EventCode::AttemptFinished,
+         report.m_attempt.m_value,
+         std::string(DescribeError(aKind).m_name));
+  m_board.m_attempts.m_byRun.erase(aAttempt.m_run);
+  const bool ran = aFate != AttemptFate::Refused;
+  Forget(aAttempt, std::move(report), ran);
+}
+
+void
+Outcomes::RefuseOffer(const AttemptKey& aKey,
+                      const Offer& aOffer,
+                      ErrorKind aKind)
+{
+  AttemptReport report;
+  report.m_attempt = aKey.m_attempt;
+  report.m_fate = AttemptFate::Refused;
+  report.m_kind = aKind;
+  ++m_board.m_counters.m_offersRefused;
+  Record(m_board,
+         EventCode::AttemptRefused,
+         aKey.m_attempt.m_value,
+         std::string(DescribeError(aKind).m_name));
+  AnswerKeeper(m_board).Keep(aKey, report, false, aOffer.m_startBy);
+  Report(aKey.m_entry, std::move(report));
+}
+
+void
+Outcomes::RefuseUnseen(const AttemptKey& aKey, AttemptFate aFate)
+{
+  AttemptReport report;
+  report.m_attempt = aKey.m_attempt;
+  report.m_fate = aFate;
+  report.m_kind = aFate == AttemptFate::Revoked ? ErrorKind::Cancelled
+                                                : ErrorKind::AttemptExpired;
+  AnswerKeeper(m_board).Keep(aKey, report, false, kNever);
+  Report(aKey.m_entry, std::move(report));
+}
+
+void
+Outcomes::Report(EntryIndex aEntry, AttemptReport aReport)
+{
+  const auto entry = m_board.m_entries.m_records.find(aEntry);
+  if (entry == m_board.m_entries.m_records.end()) {
+    return;
+  }
+  std::vector<AttemptReport>& reports = entry->second.m_reports;
+  if (entry->second.m_unreachable && reports.size() >= kMaxUnsent) {
+    reports.erase(reports.begin());
+  }
+  reports.push_back(std::move(aReport));
+}
+
+void
+Outcomes::Forget(Attempt& aAttempt, AttemptReport aReport, bool aStarted)
+{
+  KeyKeeper(m_board).Ended(aAttempt, aReport);
+  AnswerKeeper(m_board).Keep(
+    aAttempt.m_key, aReport, aStarted, aAttempt.m_offer.m_startBy);
+  const AttemptKey key = aAttempt.m_key;
+  const auto entry = m_board.m_entries.m_records.find(key.m_entry);
+  if (entry != m_board.m_entries.m_records.end()) {
+    --entry->second.m_openAttempts;
+  }
+  m_board.m_attempts.m_open.erase(key);
+  Report(key.m_entry, std::move(aReport));
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/queues.cpp
@@ -0,0 +1,151 @@
+#include "core/internal/agent/queues.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+constexpr std::int64_t kMilli = 1000;
+
+/** The share of the time waited that is taken off is the same for all at any
+ * instant, so that the order never changes while they wait. */
+QueueOrder
+AgedOrder(const AgentBoard& aBoard,
+          Duration aWork,
+          Instant aReceivedAt,
+          std::uint64_t aSequence)
+{
+  const double waitedSince =
+    aBoard.m_policy.m_ageing *
+    static_cast<double>((aReceivedAt - aBoard.m_startedAt).count());
+  return { aWork.count() + std::llround(waitedSince), aSequence };
+}
+
+JobKey
+JobOf(const Attempt& aAttempt)
+{
+  return { aAttempt.m_key.m_entry, aAttempt.m_offer.m_job };
+}
+
+QueueOrder
+LongestFirst(const Attempt& aAttempt)
+{
+  return { -aAttempt.m_offer.m_expectedRun.count(), aAttempt.m_sequence };
+}
+
+} // namespace
+
+Duration
+CoreTime(const Offer& aOffer)
+{
+  return aOffer.m_expectedRun * aOffer.m_need.m_milliCores / kMilli;
+}
+
+Instant
+ExpiryOf(const Offer& aOffer)
+{
+  return std::min(aOffer.m_startBy, aOffer.m_deadline);
+}
+
+void
+Queues::Add(Attempt& aAttempt)
+{
+  m_board.m_expiry.emplace(
+    std::pair(ExpiryOf(aAttempt.m_offer), aAttempt.m_sequence), &aAttempt);
+  if (aAttempt.m_offer.m_kind == WorkKind::Request) {
+    AddRequest(aAttempt);
+  } else {
+    AddTask(aAttempt);
+  }
+}
+
+void
+Queues::Remove(Attempt& aAttempt)
+{
+  m_board.m_expiry.erase(
+    std::pair(ExpiryOf(aAttempt.m_offer), aAttempt.m_sequence));
+  if (aAttempt.m_offer.m_kind == WorkKind::Request) {
+    RemoveRequest(aAttempt);
+  } else {
+    RemoveTask(aAttempt);
+  }
+}
+
+Attempt*
+Queues::FirstExpired(Instant aUpTo) const
+{
+  const auto first = m_board.m_expiry.begin();
+  if (first == m_board.m_expiry.end() || first->first.first > aUpTo) {
+    return nullptr;
+  }
+  return first->second;
+}
+
+void
+Queues::AddRequest(Attempt& aAttempt)
+{
+  const Duration work = aAttempt.m_offer.m_expectedRun;
+  m_board.m_requests.m_order.emplace(
+    AgedOrder(m_board, work, aAttempt.m_receivedAt, aAttempt.m_sequence),
+    &aAttempt);
+  m_board.m_requests.m_work += work;
+}
+
+void
+Queues::RemoveRequest(Attempt& aAttempt)
+{
+  const Duration work = aAttempt.m_offer.m_expectedRun;
+  m_board.m_requests.m_order.erase(
+    AgedOrder(m_board, work, aAttempt.m_receivedAt, aAttempt.m_sequence));
+  m_board.m_requests.m_work -= work;
+}
+
+void
+Queues::AddTask(Attempt& aAttempt)
+{
+  TaskQueue& queue = m_board.m_tasks;
+  const JobKey key = JobOf(aAttempt);
+  const auto [place, isNew] = queue.m_jobs.try_emplace(key);
+  JobQueue& job = place->second;
+  if (isNew) {
+    job.m_receivedAt = aAttempt.m_receivedAt;
+    job.m_sequence = aAttempt.m_sequence;
+  }
+  job.m_tasks.emplace(LongestFirst(aAttempt), &aAttempt);
+  job.m_work += aAttempt.m_offer.m_expectedRun;
+  queue.m_work += CoreTime(aAttempt.m_offer);
+  ++queue.m_size;
+  Reorder(key, job);
+}
+
+void
+Queues::RemoveTask(Attempt& aAttempt)
+{
+  TaskQueue& queue = m_board.m_tasks;
+  const JobKey key = JobOf(aAttempt);
+  const auto place = queue.m_jobs.find(key);
+  JobQueue& job = place->second;
+  job.m_tasks.erase(LongestFirst(aAttempt));
+  job.m_work -= aAttempt.m_offer.m_expectedRun;
+  queue.m_work -= CoreTime(aAttempt.m_offer);
+  --queue.m_size;
+  if (job.m_tasks.empty()) {
+    queue.m_order.erase(job.m_order);
+    queue.m_jobs.erase(place);
+    return;
+  }
+  Reorder(key, job);
+}
+
+void
+Queues::Reorder(const JobKey& aKey, JobQueue& aJob)
+{
+  m_board.m_tasks.m_order.erase(aJob.m_order);
+  aJob.m_order =
+    AgedOrder(m_board, aJob.m_work, aJob.m_receivedAt, aJob.m_sequence);
+  m_board.m_tasks.m_order.emplace(aJob.m_order, aKey);
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/reporter.cpp
@@ -0,0 +1,193 @@
+#include "core/internal/agent/reporter.h"
+
+#include "core/internal/agent/membership.h"
+#include "core/internal/agent/starter.h"
+#include "core/internal/agent/workerusage.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+/** A number has changed much if it did by this share of the larger one. */
+constexpr std::uint64_t kMuchDivisor = 4;
+/** Smaller changes of a count are never told. */
+constexpr std::uint64_t kLeastChange = 2;
+/** Smaller changes of free cores, in thousandths, are never told. */
+constexpr std::uint64_t kLeastCoreChange = 2000;
+
+bool
+DiffersMuch(std::uint64_t aOld, std::uint64_t aNew, std::uint64_t aLeast)
+{
+  if ((aOld == 0) != (aNew == 0)) {
+    return true;
+  }
+  const std::uint64_t larger = std::max(aOld, aNew);
+  const std::uint64_t difference = larger - std::min(aOld, aNew);
+  return difference >= std::max(aLeast, larger / kMuchDivisor);
+}
+
+} // namespace
+
+bool
+DiffersMuch(const LoadReport& aOld, const LoadReport& aNew)
+{
+  return DiffersMuch(aOld.m_freeSlots, aNew.m_freeSlots, kLeastChange) ||
+         DiffersMuch(
+           aOld.m_queuedRequests, aNew.m_queuedRequests, kLeastChange) ||
+         DiffersMuch(aOld.m_queuedTasks, aNew.m_queuedTasks, kLeastChange) ||
+         DiffersMuch(aOld.m_freeRoom.m_milliCores,
+                     aNew.m_freeRoom.m_milliCores,
+                     kLeastCoreChange);
+}
+
+LoadReport
+CurrentLoad(const AgentBoard& aBoard)
+{
+  LoadReport load;
+  load.m_sequence = aBoard.m_loadSequence;
+  load.m_agentNow = aBoard.m_now;
+  load.m_freeSlots = FreeSlots(aBoard);
+  load.m_queuedRequests =
+    static_cast<std::uint32_t>(aBoard.m_requests.m_order.size());
+  load.m_queuedRequestWork = aBoard.m_requests.m_work;
+  load.m_queuedTasks = static_cast<std::uint32_t>(aBoard.m_tasks.m_size);
+  load.m_queuedTaskWork = aBoard.m_tasks.m_work;
+  if (aBoard.m_draining) {
+    return load;
+  }
+  for (const auto& [name, worker] : aBoard.m_workers.m_workers) {
+    AddRoom(load.m_freeRoom, FreeRoom(aBoard, worker));
+  }
+  return load;
+}
+
+std::vector<WorkerInfo>
+LiveWorkers(const AgentBoard& aBoard)
+{
+  std::vector<WorkerInfo> workers;
+  for (const auto& [name, worker] : aBoard.m_workers.m_workers) {
+    if (IsLive(aBoard, worker)) {
+      workers.push_back(worker.m_info);
+    }
+  }
+  return workers;
+}
+
+Instant
+NextReportDue(const AgentBoard& aBoard)
+{
+  Instant due = kNever;
+  const LoadReport load = CurrentLoad(aBoard);
+  for (const auto& [index, entry] : aBoard.m_entries.m_records) {
+    if (IsPresent(aBoard, entry)) {
+      due = std::min(due, entry.m_lastSent + aBoard.m_policy.m_heartbeat);
+    }
+    if (!entry.m_unreachable && entry.m_subscribedUntil > aBoard.m_now &&
+        DiffersMuch(entry.m_lastLoad, load)) {
+      due = std::min(
+        due, entry.m_lastLoad.m_agentNow + aBoard.m_policy.m_reportInterval);
+    }
+  }
+  return due;
+}
+
+void
+Reporter::Flush()
+{
+  for (auto& [index, entry] : m_board.m_entries.m_records) {
+    FlushTo(entry);
+  }
+}
+
+void
+Reporter::FlushTo(EntryRecord& aEntry)
+{
+  const bool heartbeat = HeartbeatDue(aEntry);
+  if (heartbeat) {
+    aEntry.m_unreachable = false;
+    aEntry.m_announceDue = true;
+  }
+  if (aEntry.m_unreachable) {
+    return;
+  }
+  if (aEntry.m_announceDue && IsPresent(m_board, aEntry)) {
+    SendAnnounce(aEntry);
+  }
+  if (!aEntry.m_reports.empty() || WantsLoad(aEntry)) {
+    SendReports(aEntry);
+  }
+}
+
+bool
+Reporter::HeartbeatDue(const EntryRecord& aEntry) const
+{
+  return IsPresent(m_board, aEntry) &&
+         m_board.m_now - aEntry.m_lastSent >= m_board.m_policy.m_heartbeat;
+}
+
+bool
+Reporter::WantsLoad(const EntryRecord& aEntry) const
+{
+  return aEntry.m_subscribedUntil > m_board.m_now &&
+         m_board.m_now - aEntry.m_lastLoad.m_agentNow >=
+           m_board.m_policy.m_reportInterval &&
+         DiffersMuch(aEntry.m_lastLoad, CurrentLoad(m_board));
+}
+
+void
+Reporter::SendAnnounce(EntryRecord& aEntry)
+{
+  aEntry.m_announceDue = false;
+  Announce announce;
+  announce.m_zone = m_board.m_policy.m_zone;
+  announce.m_httpAddress = m_board.m_policy.m_httpAddress;
+  announce.m_config = m_board.m_config.m_version;
+  announce.m_leaving = m_board.m_draining;
+  announce.m_leaseFor = m_board.m_policy.m_lease;
+  announce.m_endpoint = m_board.m_endpoint.m_info;
+  announce.m_workers = LiveWorkers(m_board);
+  announce.m_load = NextLoad(aEntry);
+  Send(m_board, aEntry, std::move(announce));
+}
+
+void
+Reporter::SendReports(EntryRecord& aEntry)
+{
+  ReportBatch batch;
+  batch.m_reports = std::move(aEntry.m_reports);
+  aEntry.m_reports.clear();
+  batch.m_load = NextLoad(aEntry);
+  ++m_board.m_counters.m_reportsSent;
+  Send(m_board, aEntry, std::move(batch));
+}
+
+LoadReport
+Reporter::NextLoad(EntryRecord& aEntry)
+{
+  LoadReport load = CurrentLoad(m_board);
+  load.m_sequence = ++m_board.m_loadSequence;
+  load.m_offersSeen = aEntry.m_offersSeen;
+  aEntry.m_lastLoad = load;
+  return load;
+}
+
+void
+Reporter::TakeBack(const ProcessId& aEntry, Message aMessage)
+{
+  const auto known = m_board.m_entries.m_byId.find(aEntry);
+  if (known == m_board.m_entries.m_byId.end()) {
+    return;
+  }
+  EntryRecord& entry = m_board.m_entries.m_records.at(known->second);
+  entry.m_unreachable = true;
+  entry.m_announceDue = true;
+  if (ReportBatch* batch = std::get_if<ReportBatch>(&aMessage)) {
+    entry.m_reports.insert(entry.m_reports.begin(),
+                           std::make_move_iterator(batch->m_reports.begin()),
+                           std::make_move_iterator(batch->m_reports.end()));
+  }
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/runs.cpp
@@ -0,0 +1,116 @@
+#include "core/internal/agent/runs.h"
+
+#include "core/internal/agent/breakers.h"
+#include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/starter.h"
+#include "core/internal/agent/workerusage.h"
+
+namespace mulberrysail::core::agent {
+
+void
+Runs::Finish(RunFinished aFinished)
+{
+  const auto run = m_board.m_attempts.m_byRun.find(aFinished.m_run);
+  if (run == m_board.m_attempts.m_byRun.end()) {
+    Record(m_board,
+           EventCode::AttemptReplyDropped,
+           aFinished.m_run.m_value,
+           "unknown run");
+    return;
+  }
+  Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
+  if (attempt.m_offer.m_kind == WorkKind::Request) {
+    FreeSlot();
+  } else {
+    FreeWorker(attempt, aFinished.m_outcome);
+  }
+  switch (aFinished.m_outcome) {
+    case RunOutcome::Completed:
+      Outcomes(m_board).EndRun(attempt,
+                               AttemptFate::Completed,
+                               ErrorKind::None,
+                               std::move(aFinished.m_output));
+      return;
+    case RunOutcome::Failed:
+      Outcomes(m_board).EndRun(attempt,
+                               AttemptFate::Failed,
+                               attempt.m_stopRequested
+                                 ? ErrorKind::CancelledRunning
+                                 : ErrorKind::TaskFailed,
+                               std::move(aFinished.m_output));
+      return;
+    case RunOutcome::NeverSent:
+      NotSent(attempt);
+      return;
+    case RunOutcome::Lost:
+      Outcomes(m_board).EndRun(
+        attempt, AttemptFate::Lost, ErrorKind::RunLost, {});
+      return;
+  }
+}
+
+void
+Runs::FreeSlot()
+{
+  --m_board.m_endpoint.m_running;
+}
+
+void
+Runs::FreeWorker(Attempt& aAttempt, RunOutcome aOutcome)
+{
+  const auto place = m_board.m_workers.m_workers.find(aAttempt.m_worker);
+  if (place == m_board.m_workers.m_workers.end()) {
+    return;
+  }
+  Worker& worker = place->second;
+  --worker.m_running;
+  TakeRoom(worker.m_used, aAttempt.m_room);
+  Breakers breakers(m_board);
+  switch (aOutcome) {
+    case RunOutcome::Completed:
+      WorkerUsage(m_board).Learn(aAttempt);
+      breakers.Succeeded(worker);
+      return;
+    case RunOutcome::NeverSent:
+      worker.m_unreachable = true;
+      return;
+    case RunOutcome::Failed:
+    case RunOutcome::Lost:
+      if (!aAttempt.m_stopRequested) {
+        breakers.Failed(worker, aAttempt);
+      }
+      return;
+  }
+}
+
+void
+Runs::NotSent(Attempt& aAttempt)
+{
+  const Offer& offer = aAttempt.m_offer;
+  const bool again = offer.m_kind == WorkKind::Task && !aAttempt.m_requeued &&
+                     !aAttempt.m_stopRequested && !m_board.m_draining &&
+                     m_board.m_now < ExpiryOf(offer) &&
+                     HasWorkerFor(m_board, offer, aAttempt.m_worker);
+  if (again) {
+    Requeue(aAttempt);
+    return;
+  }
+  Outcomes(m_board).EndRun(
+    aAttempt, AttemptFate::Refused, ErrorKind::ConnectFailed, {});
+}
+
+void
+Runs::Requeue(Attempt& aAttempt)
+{
+  m_board.m_attempts.m_byRun.erase(aAttempt.m_run);
+  aAttempt.m_running = false;
+  aAttempt.m_requeued = true;
+  KeyKeeper(m_board).Moved(aAttempt);
+  Queues(m_board).Add(aAttempt);
+  Record(m_board,
+         EventCode::AttemptQueued,
+         aAttempt.m_key.m_attempt.m_value,
+         "not sent to " + aAttempt.m_worker);
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/runs.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/internal/agent/board.h"
+#include "core/types/events.h"
+
+namespace mulberrysail::core::agent {
+
+/** Takes the outcomes of runs. */
+class Runs
+{
+public:
+  explicit Runs(AgentBoard& aBoard)
+    : m_board(aBoard)
+  {
+  }
+
+  void Finish(RunFinished aFinished);
+
+private:
+  void FreeSlot();
+  void FreeWorker(Attempt& aAttempt, RunOutcome aOutcome);
+  void Requeue(Attempt& aAttempt);
+  void NotSent(Attempt& aAttempt);
+
+  AgentBoard& m_board;
+};
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/starter.cpp
@@ -0,0 +1,266 @@
+#include "core/internal/agent/starter.h"
+
+#include "core/internal/agent/membership.h"
+#include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/workerusage.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+/** Jobs that are tried when the first in order finds no room. */
+constexpr int kMaxBackfillJobs = 16;
+/** Tasks of one job that are tried, the longest first. */
+constexpr int kMaxBackfillTasks = 4;
+/** Nothing is started before a job whose turn came so long ago. */
+constexpr Duration kBackfillPatience = std::chrono::seconds(1);
+
+bool
+CanHold(const Worker& aWorker, const Offer& aOffer)
+{
+  return aWorker.m_info.m_capacity.Fits(aOffer.m_need);
+}
+
+double
+ShareLeft(std::uint32_t aFree, std::uint32_t aNeed, std::uint32_t aCapacity)
+{
+  return aCapacity == 0 ? 0.0 : static_cast<double>(aFree - aNeed) / aCapacity;
+}
+
+/** @return how much would be left; the least is the best fit. */
+double
+Leftover(const Worker& aWorker, const Resources& aFree, const Resources& aRoom)
+{
+  const Resources& capacity = aWorker.m_info.m_capacity;
+  return ShareLeft(
+           aFree.m_milliCores, aRoom.m_milliCores, capacity.m_milliCores) +
+         ShareLeft(aFree.m_memoryMb, aRoom.m_memoryMb, capacity.m_memoryMb) +
+         ShareLeft(
+           aFree.m_accelerators, aRoom.m_accelerators, capacity.m_accelerators);
+}
+
+} // namespace
+
+std::uint32_t
+FreeSlots(const AgentBoard& aBoard)
+{
+  const EndpointSection& endpoint = aBoard.m_endpoint;
+  if (!EndpointServes(aBoard)) {
+    return 0;
+  }
+  const std::uint32_t slots =
+    std::min(endpoint.m_info->m_slots, endpoint.m_info->m_connections);
+  return slots > endpoint.m_running ? slots - endpoint.m_running : 0;
+}
+
+bool
+HasWorkerFor(const AgentBoard& aBoard,
+             const Offer& aOffer,
+             const std::string& aAvoided)
+{
+  return std::any_of(aBoard.m_workers.m_workers.begin(),
+                     aBoard.m_workers.m_workers.end(),
+                     [&](const std::pair<const std::string, Worker>& aEntry) {
+                       const Worker& worker = aEntry.second;
+                       return aEntry.first != aAvoided &&
+                              IsLive(aBoard, worker) &&
+                              worker.m_breaker.m_state != BreakerState::Open &&
+                              CanHold(worker, aOffer);
+                     });
+}
+
+void
+Starter::StartRequests()
+{
+  RequestQueue& queue = m_board.m_requests;
+  while (!queue.m_order.empty() && FreeSlots(m_board) > 0) {
+    Attempt& attempt = *queue.m_order.begin()->second;
+    Queues(m_board).Remove(attempt);
+    ++m_board.m_endpoint.m_running;
+    Start(attempt,
+          { WorkKind::Request,
+            m_board.m_endpoint.m_info->m_service,
+            m_board.m_endpoint.m_url });
+  }
+}
+
+void
+Starter::StartTasks()
+{
+  if (m_board.m_draining) {
+    return;
+  }
+  TaskQueue& queue = m_board.m_tasks;
+  int tried = 0;
+  auto place = queue.m_order.begin();
+  while (place != queue.m_order.end() && tried < kMaxBackfillJobs) {
+    const JobKey key = place->second;
+    const JobQueue& job = queue.m_jobs.at(key);
+    const bool waitedLong =
+      m_board.m_now - job.m_receivedAt > kBackfillPatience;
+    if (StartFromJob(job)) {
+      // Its work has fallen, which may have changed the order.
+      place = queue.m_order.begin();
+      tried = 0;
+      continue;
+    }
+    if (waitedLong) {
+      return;
+    }
+    ++place;
+    ++tried;
+  }
+}
+
+bool
+Starter::StartFromJob(const JobQueue& aJob)
+{
+  int tried = 0;
+  for (const auto& [order, attempt] : aJob.m_tasks) {
+    if (StartOnWorker(*attempt)) {
+      return true;
+    }
+    if (++tried == kMaxBackfillTasks) {
+      break;
+    }
+  }
+  return false;
+}
+
+bool
+Starter::StartOnWorker(Attempt& aAttempt)
+{
+  Worker* worker = BestFit(aAttempt);
+  if (worker == nullptr) {
+    return false;
+  }
+  Queues(m_board).Remove(aAttempt);
+  aAttempt.m_worker = worker->m_info.m_name;
+  aAttempt.m_room = WorkerUsage(m_board).RoomFor(aAttempt.m_offer, *worker);
+  AddRoom(worker->m_used, aAttempt.m_room);
+  ++worker->m_running;
+  Start(aAttempt, { WorkKind::Task, worker->m_info.m_name, worker->m_url });
+  return true;
+}
+
+Worker*
+Starter::BestFit(const Attempt& aAttempt)
+{
+  Worker* best = nullptr;
+  std::pair<std::uint32_t, double> bestScore;
+  for (auto& [name, worker] : m_board.m_workers.m_workers) {
+    if (name == aAttempt.m_worker || worker.m_unreachable ||
+        !CanHold(worker, aAttempt.m_offer)) {
+      continue;
+    }
+    const Resources free = FreeRoom(m_board, worker);
+    const Resources room =
+      WorkerUsage(m_board).RoomFor(aAttempt.m_offer, worker);
+    if (free == Resources{} || !free.Fits(room)) {
+      continue;
+    }
+    const std::pair<std::uint32_t, double> score{
+      worker.m_breaker.m_failures, Leftover(worker, free, room)
+    };
+    if (best == nullptr || score < bestScore) {
+      best = &worker;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+void
+Starter::Start(Attempt& aAttempt, RunTarget aTarget)
+{
+  AttemptSection& attempts = m_board.m_attempts;
+  aAttempt.m_running = true;
+  aAttempt.m_startedAt = m_board.m_now;
+  aAttempt.m_run = RunId{ attempts.m_runPrefix | attempts.m_nextRun++ };
+  attempts.m_byRun.emplace(aAttempt.m_run, aAttempt.m_key);
+  ++m_board.m_counters.m_started;
+  KeyKeeper(m_board).Moved(aAttempt);
+  Record(m_board,
+         EventCode::AttemptStarted,
+         aAttempt.m_key.m_attempt.m_value,
+         aTarget.m_name);
+  // A task may have to be sent again to another worker.
+  std::string payload = aTarget.m_kind == WorkKind::Task
+                          ? aAttempt.m_offer.m_payload
+                          : std::move(aAttempt.m_offer.m_payload);
+  m_board.m_commands->push_back(
+    StartRun{ aAttempt.m_run,
+              std::move(aTarget),
+              aAttempt.m_offer.m_need,
+              aAttempt.m_offer.m_deadline - m_board.m_now,
+              std::move(payload) });
+}
+
+void
+Starter::RefuseStranded()
+{
+  if (m_board.m_endpoint.m_changed) {
+    m_board.m_endpoint.m_changed = false;
+    RefuseRequests();
+  }
+  if (m_board.m_workers.m_shrunk) {
+    m_board.m_workers.m_shrunk = false;
+    RefuseTasks();
+  }
+}
+
+void
+Starter::RefuseRequests()
+{
+  std::vector<Attempt*> stranded;
+  for (const auto& [order, attempt] : m_board.m_requests.m_order) {
+    if (!EndpointServes(m_board) ||
+        attempt->m_offer.m_service != m_board.m_endpoint.m_info->m_service) {
+      stranded.push_back(attempt);
+    }
+  }
+  for (Attempt* attempt : stranded) {
+    Outcomes(m_board).EndQueued(*attempt,
+                                AttemptFate::Refused,
+                                m_board.m_draining ? ErrorKind::Draining
+                                                   : ErrorKind::NoEndpoint);
+  }
+}
+
+void
+Starter::RefuseTasks()
+{
+  std::vector<Attempt*> stranded;
+  for (const auto& [key, job] : m_board.m_tasks.m_jobs) {
+    for (const auto& [order, attempt] : job.m_tasks) {
+      if (m_board.m_draining ||
+          !HasWorkerFor(m_board, attempt->m_offer, attempt->m_worker)) {
+        stranded.push_back(attempt);
+      }
+    }
+  }
+  for (Attempt* attempt : stranded) {
+    const ErrorKind kind = m_board.m_draining    ? ErrorKind::Draining
+                           : attempt->m_requeued ? ErrorKind::ConnectFailed
+                                                 : ErrorKind::NoEndpoint;
+    Outcomes(m_board).EndQueued(*attempt, AttemptFate::Refused, kind);
+  }
+}
+
+void
+Starter::RefuseExpired(Instant aUpTo)
+{
+  while (Attempt* attempt = Queues(m_board).FirstExpired(aUpTo)) {
+    const bool deadline =
+      attempt->m_offer.m_deadline < attempt->m_offer.m_startBy;
+    Outcomes(m_board).EndQueued(*attempt,
+                                AttemptFate::Refused,
+                                deadline ? ErrorKind::DeadlinePassedQueued
+                                         : ErrorKind::AttemptExpired);
+  }
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/internal/agent/workerusage.cpp
@@ -0,0 +1,172 @@
+#include "core/internal/agent/workerusage.h"
+
+#include "core/internal/agent/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+constexpr double kLeastFactor = 0.25;
+constexpr double kMostFactor = 4.0;
+/** How fast a factor follows what is seen. */
+constexpr double kLearningRate = 0.2;
+/** Share of the tasks that are to stay within their room. */
+constexpr double kCoreQuantile = 0.9;
+constexpr double kMemoryQuantile = 0.98;
+constexpr std::size_t kMaxServices = 4096;
+constexpr std::uint32_t kPercent = 100;
+/** Low bits of a run id count; the others name the agent incarnation. */
+constexpr std::uint64_t kRunCounterMask = 0xFFFFFFFFULL;
+
+/** Moves towards the quantile: up by its share, down by the rest. */
+double
+Follow(double aFactor,
+       double aQuantile,
+       std::uint32_t aUsed,
+       std::uint32_t aDeclared)
+{
+  if (aDeclared == 0 || aUsed == 0) {
+    return aFactor;
+  }
+  const double ratio = static_cast<double>(aUsed) / aDeclared;
+  const double step = ratio > aFactor ? aQuantile : aQuantile - 1.0;
+  return std::clamp(
+    aFactor * (1.0 + kLearningRate * step), kLeastFactor, kMostFactor);
+}
+
+std::uint32_t
+Scale(std::uint32_t aDeclared, double aFactor, std::uint32_t aCapacity)
+{
+  const std::int64_t scaled =
+    std::llround(static_cast<double>(aDeclared) * aFactor);
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(scaled, aCapacity));
+}
+
+std::uint32_t
+Left(std::uint32_t aCapacity,
+     std::uint32_t aPercent,
+     std::uint32_t aUsed,
+     std::uint32_t aForeign)
+{
+  const std::int64_t usable =
+    static_cast<std::int64_t>(aCapacity) * aPercent / kPercent;
+  const std::int64_t left = usable - aUsed - aForeign;
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
+}
+
+void
+RaiseTo(Resources& aRoom, const Resources& aUsed)
+{
+  aRoom.m_milliCores = std::max(aRoom.m_milliCores, aUsed.m_milliCores);
+  aRoom.m_memoryMb = std::max(aRoom.m_memoryMb, aUsed.m_memoryMb);
+  aRoom.m_accelerators = std::max(aRoom.m_accelerators, aUsed.m_accelerators);
+}
+
+} // namespace
+
+void
+AddRoom(Resources& aSum, const Resources& aPart)
+{
+  aSum.m_milliCores += aPart.m_milliCores;
+  aSum.m_memoryMb += aPart.m_memoryMb;
+  aSum.m_accelerators += aPart.m_accelerators;
+}
+
+void
+TakeRoom(Resources& aSum, const Resources& aPart)
+{
+  aSum.m_milliCores -= aPart.m_milliCores;
+  aSum.m_memoryMb -= aPart.m_memoryMb;
+  aSum.m_accelerators -= aPart.m_accelerators;
+}
+
+Resources
+FreeRoom(const AgentBoard& aBoard, const Worker& aWorker)
+{
+  const Breaker& breaker = aWorker.m_breaker;
+  if (!IsLive(aBoard, aWorker) || breaker.m_state == BreakerState::Open) {
+    return {};
+  }
+  const Resources& capacity = aWorker.m_info.m_capacity;
+  const Resources& used = aWorker.m_used;
+  const Resources& foreign = aWorker.m_foreign;
+  // Alone on the worker a task may take more than the breaker's share.
+  const std::uint32_t percent =
+    aWorker.m_running == 0 ? kPercent : breaker.m_roomPercent;
+  if (breaker.m_state == BreakerState::Probing && aWorker.m_running > 0) {
+    return {};
+  }
+  return {
+    Left(
+      capacity.m_milliCores, percent, used.m_milliCores, foreign.m_milliCores),
+    Left(capacity.m_memoryMb, percent, used.m_memoryMb, foreign.m_memoryMb),
+    Left(capacity.m_accelerators,
+         kPercent,
+         used.m_accelerators,
+         foreign.m_accelerators)
+  };
+}
+
+void
+WorkerUsage::Take(Worker& aWorker, std::span<const TaskUsage> aUsage)
+{
+  aWorker.m_foreign = {};
+  for (const TaskUsage& usage : aUsage) {
+    const bool own = (usage.m_run.m_value & ~kRunCounterMask) ==
+                     m_board.m_attempts.m_runPrefix;
+    if (!own) {
+      AddRoom(aWorker.m_foreign, usage.m_used);
+      continue;
+    }
+    const auto run = m_board.m_attempts.m_byRun.find(usage.m_run);
+    if (run == m_board.m_attempts.m_byRun.end()) {
+      continue;
+    }
+    Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
+    if (attempt.m_worker != aWorker.m_info.m_name) {
+      continue;
+    }
+    RaiseTo(attempt.m_peak, usage.m_used);
+    TakeRoom(aWorker.m_used, attempt.m_room);
+    RaiseTo(attempt.m_room, usage.m_used);
+    AddRoom(aWorker.m_used, attempt.m_room);
+  }
+}
+
+void
+WorkerUsage::Learn(const Attempt& aAttempt)
+{
+  const Offer& offer = aAttempt.m_offer;
+  const bool known = m_board.m_learning.contains(offer.m_service);
+  if (!known && m_board.m_learning.size() >= kMaxServices) {
+    return;
+  }
+  NeedFactors& factors = m_board.m_learning[offer.m_service];
+  factors.m_cores = Follow(factors.m_cores,
+                           kCoreQuantile,
+                           aAttempt.m_peak.m_milliCores,
+                           offer.m_need.m_milliCores);
+  factors.m_memory = Follow(factors.m_memory,
+                            kMemoryQuantile,
+                            aAttempt.m_peak.m_memoryMb,
+                            offer.m_need.m_memoryMb);
+}
+
+Resources
+WorkerUsage::RoomFor(const Offer& aOffer, const Worker& aWorker) const
+{
+  const auto place = m_board.m_learning.find(aOffer.m_service);
+  const NeedFactors factors =
+    place == m_board.m_learning.end() ? NeedFactors{} : place->second;
+  const Resources& capacity = aWorker.m_info.m_capacity;
+  return {
+    Scale(aOffer.m_need.m_milliCores, factors.m_cores, capacity.m_milliCores),
+    Scale(aOffer.m_need.m_memoryMb, factors.m_memory, capacity.m_memoryMb),
+    aOffer.m_need.m_accelerators
+  };
+}
+
+} // namespace mulberrysail::core::agent
--- /dev/null
+++ b/packages/core/tests/agentfixture.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/iagent.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** An agent core with a clock that only the test moves. */
+class AgentFixture
+{
+public:
+  explicit AgentFixture(AgentPolicy aPolicy = {});
+
+  /** Gives the agent an event; what it commands is added to the commands. */
+  void Give(AgentEvent aEvent);
+  void Receive(const ProcessId& aFrom, Message aMessage);
+
+  /** Moves the clock, firing the timer whenever the agent asks for it. */
+  void Advance(Duration aBy);
+
+  /** Announces an endpoint of the service "photo". */
+  void AddEndpoint(std::uint32_t aSlots);
+  void AddWorker(const std::string& aName, Resources aCapacity);
+
+  Offer RequestOffer(std::uint64_t aAttempt) const;
+  Offer TaskOffer(std::uint64_t aAttempt,
+                  std::uint64_t aJob,
+                  Resources aNeed) const;
+  void MakeOffers(std::vector<Offer> aOffers);
+  void Finish(RunId aRun,
+              RunOutcome aOutcome = RunOutcome::Completed,
+              std::string aOutput = "output");
+
+  /** @return all starts since the last Forget(). */
+  std::vector<StartRun> Starts() const;
+  std::vector<StopRun> Stops() const;
+  std::vector<AttemptReport> Reports() const;
+  std::optional<AttemptReport> ReportOn(std::uint64_t aAttempt) const;
+  std::vector<Announce> Announcements() const;
+  std::vector<FenceReply> FenceReplies() const;
+  std::size_t Messages() const;
+  void Forget();
+
+  const ProcessId m_self{ "agent1", Incarnation{ 7 } };
+  const ProcessId m_entry{ "entry1", Incarnation{ 3 } };
+  std::unique_ptr<IAgent> m_agent;
+  Instant m_now{ std::chrono::seconds(100) };
+  AgentCommands m_commands;
+
+private:
+  template<typename T>
+  std::vector<T> Sent() const;
+};
+
+} // namespace mulberrysail::core
