--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -21,6 +21,8 @@
     }
     return;
   }
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  entry.m_offersSeen = std::max(entry.m_offersSeen, aBatch.m_sequence);
   for (Offer& offer : aBatch.m_offers) {
     Consider(aEntry, std::move(offer));
   }
@@ -34,9 +36,8 @@
     return;
   }
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
-  ++entry.m_offersSeen;
   ++m_board.m_counters.m_offersReceived;
-  const ErrorKind kind = Judge(key, aOffer);
+  const ErrorKind kind = Judge(aOffer);
   if (kind != ErrorKind::None) {
     Outcomes(m_board).RefuseOffer(key, aOffer, kind);
     return;
@@ -83,7 +84,7 @@
 }
 
 ErrorKind
-Admission::Judge(const AttemptKey& aKey, const Offer& aOffer) const
+Admission::Judge(const Offer& aOffer) const
 {
   if (m_board.m_draining) {
     return ErrorKind::Draining;
@@ -94,7 +95,7 @@
   if (m_board.m_now > aOffer.m_deadline) {
     return ErrorKind::DeadlinePassedQueued;
   }
-  if (aOffer.m_key && KeyKeeper(m_board).Superseded(aKey, aOffer)) {
+  if (aOffer.m_key && KeyKeeper(m_board).Superseded(aOffer)) {
     return ErrorKind::Superseded;
   }
   return aOffer.m_kind == WorkKind::Request ? JudgeRequest(aOffer)
--- a/packages/core/internal/agent/admission.h
+++ b/packages/core/internal/agent/admission.h
@@ -19,7 +19,7 @@
   void Consider(EntryIndex aEntry, Offer aOffer);
   /** @return whether the attempt is known, and was answered if it is over. */
   bool IsDuplicate(const AttemptKey& aKey, const Offer& aOffer);
-  ErrorKind Judge(const AttemptKey& aKey, const Offer& aOffer) const;
+  ErrorKind Judge(const Offer& aOffer) const;
   ErrorKind JudgeRequest(const Offer& aOffer) const;
   ErrorKind JudgeTask(const Offer& aOffer) const;
 
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -30,7 +30,10 @@
   bool m_announceDue = false;
   /** Set while the transport doesn't take messages to it. */
   bool m_unreachable = false;
+  /** The highest number of an offer that came from it. */
   std::uint64_t m_offersSeen = 0;
+  /** It has asked what became of attempts, or only for the load. */
+  bool m_loadAsked = false;
   std::uint32_t m_openAttempts = 0;
   /** The load in the last message that carried one. */
   LoadReport m_lastLoad;
--- a/packages/core/internal/agent/keykeeper.cpp
+++ b/packages/core/internal/agent/keykeeper.cpp
@@ -31,6 +31,15 @@
   return { aOffer.m_service, aOffer.m_key->m_key };
 }
 
+bool
+IsFencedOff(const AgentBoard& aBoard,
+            const KeyRecord& aRecord,
+            const CallerKey& aClaim)
+{
+  return aRecord.m_fence && aRecord.m_fenceUntil > aBoard.m_now &&
+         aClaim.YieldsTo(*aRecord.m_fence);
+}
+
 std::uint64_t
 BytesOf(const KeyName& aName, const KeyRecord& aRecord)
 {
@@ -43,24 +52,14 @@
 } // namespace
 
 bool
-KeyKeeper::Superseded(const AttemptKey& aAttempt, const Offer& aOffer) const
+KeyKeeper::Superseded(const Offer& aOffer) const
 {
   const auto place = m_board.m_keys.m_records.find(NameOf(aOffer));
   if (place == m_board.m_keys.m_records.end()) {
     return false;
   }
   const KeyRecord& record = place->second;
-  if (record.m_fenceUntil > m_board.m_now &&
-      aOffer.m_key->m_submission < record.m_fence) {
-    return true;
-  }
-  if (!record.m_holder) {
-    return false;
-  }
-  const bool sameJob = aOffer.m_job.m_value != 0 &&
-                       aOffer.m_job == record.m_holder->m_job &&
-                       aAttempt.m_entry == record.m_holder->m_attempt.m_entry;
-  return !sameJob;
+  return record.m_holder || IsFencedOff(m_board, record, *aOffer.m_key);
 }
 
 void
@@ -68,9 +67,6 @@
 {
   const KeyName name = NameOf(aAttempt.m_offer);
   KeyRecord& record = m_board.m_keys.m_records[name];
-  if (record.m_holder) {
-    return;
-  }
   Unlist(record);
   record.m_holder =
     KeyHolder{ aAttempt.m_key,         aAttempt.m_offer.m_key->m_submission,
@@ -140,7 +136,7 @@
 {
   const KeyName name{ aQuery.m_service, aQuery.m_key.m_key };
   const FenceAsker asker{
-    aEntry, aQuery.m_fence, aQuery.m_key.m_submission, aQuery.m_rememberFor
+    aEntry, aQuery.m_fence, aQuery.m_key, aQuery.m_rememberFor
   };
   KeyRecord& record = m_board.m_keys.m_records[name];
   if (!record.m_holder) {
@@ -172,6 +168,10 @@
                  KeyRecord& aRecord,
                  const FenceAsker& aAsker)
 {
+  if (IsFencedOff(m_board, aRecord, aAsker.m_key)) {
+    Reply(aAsker, AttemptFate::Refused, ErrorKind::Superseded, {});
+    return;
+  }
   Unlist(aRecord);
   if (aRecord.m_bytes == 0) {
     Resize(aName, aRecord);
@@ -184,13 +184,13 @@
     Reply(aAsker, AttemptFate::Lost, ErrorKind::RepeatUncertain, {});
     return;
   }
-  aRecord.m_fence = std::max(aRecord.m_fence, aAsker.m_submission);
+  aRecord.m_fence = aAsker.m_key;
   aRecord.m_fenceUntil =
     std::max(aRecord.m_fenceUntil,
              m_board.m_now +
                std::max(aAsker.m_rememberFor, m_board.m_policy.m_keyMemory));
   List(aName, aRecord);
-  Record(m_board, EventCode::KeyFenced, aAsker.m_submission, aName.m_key);
+  Record(m_board, EventCode::KeyFenced, aAsker.m_key.m_submission, aName.m_key);
   Reply(aAsker, AttemptFate::Refused, ErrorKind::None, {});
 }
 
--- a/packages/core/internal/agent/keysection.h
+++ b/packages/core/internal/agent/keysection.h
@@ -23,7 +23,7 @@
 {
   EntryIndex m_entry = 0;
   FenceId m_fence;
-  std::uint32_t m_submission = 0;
+  CallerKey m_key;
   Duration m_rememberFor{};
 };
 
@@ -31,8 +31,6 @@
 struct KeyHolder
 {
   AttemptKey m_attempt;
-  std::uint32_t m_submission = 0;
-  SubmissionId m_job;
   AttemptFate m_fate = AttemptFate::Queued;
   ErrorKind m_kind = ErrorKind::None;
   std::string m_output;
@@ -40,8 +38,8 @@
 
 struct KeyRecord
 {
-  /** Submissions below it are refused. */
-  std::uint32_t m_fence = 0;
+  /** Claims that yield to it are refused. */
+  std::optional<CallerKey> m_fence;
   Instant m_fenceUntil;
   std::optional<KeyHolder> m_holder;
   std::vector<FenceAsker> m_askers;
--- a/packages/core/internal/agent/reconciler.cpp
+++ b/packages/core/internal/agent/reconciler.cpp
@@ -47,6 +47,7 @@
 void
 Reconciler::Tell(EntryIndex aEntry, const Reconcile& aReconcile)
 {
+  m_board.m_entries.m_records.at(aEntry).m_loadAsked = true;
   for (const AttemptId id : aReconcile.m_attempts) {
     const AttemptKey key{ aEntry, id };
     const auto place = m_board.m_attempts.m_open.find(key);
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -48,6 +48,7 @@
   LoadReport load;
   load.m_sequence = aBoard.m_loadSequence;
   load.m_agentNow = aBoard.m_now;
+  load.m_config = aBoard.m_config.m_version;
   load.m_freeSlots = FreeSlots(aBoard);
   load.m_queuedRequests =
     static_cast<std::uint32_t>(aBoard.m_requests.m_order.size());
@@ -115,7 +116,7 @@
   if (aEntry.m_announceDue && IsPresent(m_board, aEntry)) {
     SendAnnounce(aEntry);
   }
-  if (!aEntry.m_reports.empty() || WantsLoad(aEntry)) {
+  if (!aEntry.m_reports.empty() || aEntry.m_loadAsked || WantsLoad(aEntry)) {
     SendReports(aEntry);
   }
 }
@@ -143,7 +144,6 @@
   Announce announce;
   announce.m_zone = m_board.m_policy.m_zone;
   announce.m_httpAddress = m_board.m_policy.m_httpAddress;
-  announce.m_config = m_board.m_config.m_version;
   announce.m_leaving = m_board.m_draining;
   announce.m_leaseFor = m_board.m_policy.m_lease;
   announce.m_endpoint = m_board.m_endpoint.m_info;
@@ -158,6 +158,7 @@
   ReportBatch batch;
   batch.m_reports = std::move(aEntry.m_reports);
   aEntry.m_reports.clear();
+  aEntry.m_loadAsked = false;
   batch.m_load = NextLoad(aEntry);
   ++m_board.m_counters.m_reportsSent;
   Send(m_board, aEntry, std::move(batch));
--- a/packages/core/tests/agentfixture.cpp
+++ b/packages/core/tests/agentfixture.cpp
@@ -94,7 +94,9 @@
 void
 AgentFixture::MakeOffers(std::vector<Offer> aOffers)
 {
-  Receive(m_entry, OfferBatch{ m_self.m_incarnation, std::move(aOffers) });
+  m_offersMade += aOffers.size();
+  Receive(m_entry,
+          OfferBatch{ m_self.m_incarnation, m_offersMade, std::move(aOffers) });
 }
 
 void
