HTTP server on RESTinio and HTTP client on libcurl

Cause: all programs talk HTTP and JSON to the outside. Change: StartHttpServer runs RESTinio on a bounded set of threads and StartHttpClient the libcurl multi interface on one. Error bodies come from one function, MakeErrorResponse. libcurl sends a request again by itself when a reused connection ends without an answer. Its pre-request callback comes before each sending; it refuses a second one once any byte has left, so a call is sent at most once and the connections can still be reused. Ruled out: a fresh connection for each call (a round trip more each), and a read callback that refuses to rewind (it guards only the body). RESTinio's connection limiter is not used: a client that resets while it is accepted takes a place for good. Connections over the limit are closed by its address filter instead.

--- a/packages/network/ihttpclient.h
+++ b/packages/network/ihttpclient.h
@@ -16,15 +16,19 @@
   std::string m_url;
   std::map<std::string, std::string, std::less<>> m_headers;
   std::string m_body;
-  /** Of the whole call. */
+  /** Of the whole call; zero for none. */
   std::chrono::milliseconds m_timeout{ 10000 };
   std::chrono::milliseconds m_connectTimeout{ 1000 };
+  /** Streams only: ends the call when nothing was received for so long; zero
+   * for no limit. */
+  std::chrono::milliseconds m_silenceTimeout{ 0 };
 };
 
 /** How far a call came. */
 enum class HttpFate : std::uint8_t
 {
-  /** An answer was read whole; its status may still be an error's. */
+  /** An answer was read whole; its status may still be an error's. A body
+   * whose end is marked only by the end of the connection isn't whole. */
   Answered,
   /** No byte of the request was sent: the server can't have acted on it. */
   NeverSent,
@@ -60,12 +64,14 @@
   virtual void Call(HttpCall aCall, HttpCallback aCallback) = 0;
 
   /** Starts a call whose answer is read in parts, as for a watch.
-   * @p aCallback comes when it ends. A timeout of zero means none. */
+   * @p aCallback comes when it ends; its body is empty. */
   virtual void Stream(HttpCall aCall,
                       HttpChunkHandler aOnChunk,
                       HttpCallback aCallback) = 0;
 
-  /** Ends the thread; calls still open get Lost. */
+  /** Ends the thread. Calls still open get Lost, or NeverSent where nothing
+   * was sent; so do calls that are made later, on the thread that makes them.
+   * Not to be called from a callback. */
   virtual void Stop() = 0;
 };
 
@@ -75,6 +81,8 @@
   std::uint32_t m_maxIdleConnections = 64;
   /** Connections to one server; further calls wait. 0 for no limit. */
   std::uint32_t m_maxConnectionsPerHost = 0;
+  /** An answer with a larger body is Lost. */
+  std::uint64_t m_maxBodyBytes = 16ULL << 20U;
 };
 
 std::unique_ptr<IHttpClient>
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -51,7 +51,7 @@
    * then what is written to the stream. It is called before the responder
    * returns. The request's DisconnectHook stays in force until the stream is
    * closed. */
-  HttpStreamHandler m_onStream;
+  HttpStreamHandler m_onStream = nullptr;
 };
 
 /** Answers one request, from any thread, once. If it is dropped unused, the
--- /dev/null
+++ b/packages/network/internal/httpserver.cpp
@@ -0,0 +1,501 @@
+#include "network/ihttpserver.h"
+
+#include "network/errorresponse.h"
+#include "network/internal/connectionregistry.h"
+
+#include <restinio/http_server.hpp>
+#include <restinio/uri_helpers.hpp>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <exception>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace mulberrysail::network {
+
+namespace {
+
+/** Requests of one connection that are read before the first is answered. At
+ * least two, or the end of a connection isn't seen while a request waits. */
+constexpr std::size_t kMaxPipelined = 16;
+constexpr std::size_t kMaxHeaderFields = 128;
+/** How long a client may take to read one part of an answer. */
+constexpr std::chrono::seconds kWriteTimeout{ 30 };
+/** Requests are ended by their deadlines, not by the connection. */
+constexpr std::chrono::hours kHandlingTimeout{ 24 * 365 };
+/** How often a connection checks its timeouts, at most. */
+constexpr std::chrono::milliseconds kMaxTimerPeriod{ 1000 };
+
+/** Tells the registry of connections that open and end. */
+class StateListener
+{
+public:
+  explicit StateListener(std::shared_ptr<ConnectionRegistry> aRegistry)
+    : m_registry(std::move(aRegistry))
+  {
+  }
+
+  // The name is RESTinio's.
+  void state_changed( // NOLINT(readability-identifier-naming)
+    const restinio::connection_state::notice_t& aNotice) noexcept
+  {
+    const restinio::connection_state::cause_t cause = aNotice.cause();
+    if (std::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+      m_registry->Opened(aNotice.connection_id());
+    } else {
+      m_registry->Closed(aNotice.connection_id());
+    }
+  }
+
+private:
+  std::shared_ptr<ConnectionRegistry> m_registry;
+};
+
+/** Denies connections over the limit. RESTinio's own limiter isn't used: it
+ * loses a place for good with each client that resets during accept. */
+class ConnectionGuard
+{
+public:
+  explicit ConnectionGuard(std::shared_ptr<ConnectionRegistry> aRegistry)
+    : m_registry(std::move(aRegistry))
+  {
+  }
+
+  // The name is RESTinio's.
+  restinio::ip_blocker::inspection_result_t
+  inspect( // NOLINT(readability-identifier-naming)
+    const restinio::ip_blocker::incoming_info_t& /*aInfo*/) noexcept
+  {
+    return m_registry->HasRoom() ? restinio::ip_blocker::allow()
+                                 : restinio::ip_blocker::deny();
+  }
+
+private:
+  std::shared_ptr<ConnectionRegistry> m_registry;
+};
+
+struct ServerTraits : public restinio::default_traits_t
+{
+  // The names are RESTinio's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using connection_state_listener_t = StateListener;
+  using ip_blocker_t = ConnectionGuard;
+  // NOLINTEND(readability-identifier-naming)
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+
+/** What answers need as long as one is open, even after the server. */
+struct ServerContext
+{
+  asio::io_context m_ioContext;
+  std::shared_ptr<ConnectionRegistry> m_registry;
+};
+
+using ContextPtr = std::shared_ptr<ServerContext>;
+
+RequestId
+IdOf(const restinio::request_t& aRequest)
+{
+  return { aRequest.connection_id(), aRequest.request_id() };
+}
+
+restinio::http_status_line_t
+StatusLine(int aStatus)
+{
+  return { restinio::http_status_code_t{ static_cast<std::uint16_t>(aStatus) },
+           aStatus < 400 ? "OK" : "Error" };
+}
+
+template<typename Output>
+restinio::response_builder_t<Output>
+BuildHead(restinio::request_t& aRequest, const HttpResponse& aResponse)
+{
+  restinio::response_builder_t<Output> builder =
+    aRequest.create_response<Output>(StatusLine(aResponse.m_status));
+  builder.append_header(restinio::http_field::content_type,
+                        aResponse.m_contentType);
+  for (const auto& [name, value] : aResponse.m_headers) {
+    builder.append_header(name, value);
+  }
+  return builder;
+}
+
+class ResponseStream : public IHttpStream
+{
+public:
+  using Builder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+  ResponseStream(ContextPtr aContext, RequestId aId, Builder aBuilder)
+    : m_context(std::move(aContext))
+    , m_id(aId)
+    , m_builder(std::move(aBuilder))
+  {
+  }
+
+  ResponseStream(const ResponseStream&) = delete;
+  ResponseStream& operator=(const ResponseStream&) = delete;
+
+  ~ResponseStream() override { Close(); }
+
+  void Begin(std::string aFirst)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_builder.append_chunk(std::move(aFirst));
+    m_builder.flush();
+  }
+
+  bool Write(std::string aPart) override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_closed || !m_context->m_registry->IsOpen(m_id)) {
+      return false;
+    }
+    m_builder.append_chunk(std::move(aPart));
+    m_builder.flush();
+    return true;
+  }
+
+  void Close() override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_closed) {
+      return;
+    }
+    m_closed = true;
+    m_context->m_registry->EndRequest(m_id);
+    m_builder.done();
+  }
+
+private:
+  /** Declared first: the connection in the builder must go before it. */
+  ContextPtr m_context;
+  RequestId m_id;
+  std::mutex m_mutex;
+  bool m_closed = false;
+  Builder m_builder;
+};
+
+/** Answers one request once. */
+class Responder
+{
+public:
+  Responder(ContextPtr aContext, restinio::request_handle_t aRequest)
+    : m_context(std::move(aContext))
+    , m_request(std::move(aRequest))
+  {
+  }
+
+  Responder(const Responder&) = delete;
+  Responder& operator=(const Responder&) = delete;
+
+  ~Responder()
+  {
+    Respond(MakeErrorResponse(core::ErrorKind::Internal,
+                              { .m_detail = "the request was not answered" }));
+  }
+
+  void Respond(HttpResponse aResponse)
+  {
+    if (m_answered.exchange(true)) {
+      return;
+    }
+    // What the client sees of an exception is a closed connection.
+    try {
+      if (aResponse.m_onStream) {
+        BeginStream(std::move(aResponse));
+      } else {
+        SendWhole(std::move(aResponse));
+      }
+    } catch (const std::exception&) {
+      m_context->m_registry->EndRequest(IdOf(*m_request));
+    }
+  }
+
+private:
+  void SendWhole(HttpResponse aResponse)
+  {
+    const bool close = m_context->m_registry->EndRequest(IdOf(*m_request));
+    restinio::response_builder_t<restinio::restinio_controlled_output_t>
+      builder = BuildHead<restinio::restinio_controlled_output_t>(*m_request,
+                                                                  aResponse);
+    if (m_request->header().method() != restinio::http_method_head()) {
+      builder.set_body(std::move(aResponse.m_body));
+    }
+    if (close) {
+      builder.connection_close();
+    }
+    builder.done();
+  }
+
+  void BeginStream(HttpResponse aResponse)
+  {
+    const std::shared_ptr<ResponseStream> stream =
+      std::make_shared<ResponseStream>(
+        m_context,
+        IdOf(*m_request),
+        BuildHead<restinio::chunked_output_t>(*m_request, aResponse));
+    stream->Begin(std::move(aResponse.m_body));
+    aResponse.m_onStream(stream);
+  }
+
+  /** Declared first: the connection in the request must go before it. */
+  ContextPtr m_context;
+  restinio::request_handle_t m_request;
+  std::atomic<bool> m_answered{ false };
+};
+
+std::string
+ToLower(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](char aChar) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
+  });
+  return aText;
+}
+
+/** @return the path with its escapes decoded. RESTinio decodes forms, where a
+ * plus means a space; in a path it means itself. */
+std::string
+DecodePath(std::string_view aPath)
+{
+  std::string path;
+  for (const char character : aPath) {
+    if (character == '+') {
+      path += "%2B";
+    } else {
+      path += character;
+    }
+  }
+  return restinio::utils::unescape_percent_encoding<
+    restinio::utils::relaxed_unescape_traits>(path);
+}
+
+/** @return the request in the interface's form; throws if its path or query
+ * isn't well formed. */
+HttpRequest
+ReadRequest(const restinio::request_t& aRequest)
+{
+  const restinio::http_request_header_t& header = aRequest.header();
+  HttpRequest request;
+  request.m_method = std::string(header.method().c_str());
+  request.m_path = DecodePath(header.path());
+  for (const auto& [name, value] :
+       restinio::parse_query<restinio::parse_query_traits::relaxed>(
+         header.query())) {
+    request.m_query.insert_or_assign(std::string(name), std::string(value));
+  }
+  header.for_each_field([&](const restinio::http_header_field_t& aField) {
+    const auto [field, isNew] =
+      request.m_headers.try_emplace(ToLower(aField.name()), aField.value());
+    if (!isNew) {
+      field->second += ", " + aField.value();
+    }
+  });
+  request.m_body = aRequest.body();
+  return request;
+}
+
+std::uint64_t
+HeadSize(const restinio::http_request_header_t& aHeader)
+{
+  std::uint64_t size = aHeader.request_target().size();
+  aHeader.for_each_field([&](const restinio::http_header_field_t& aField) {
+    size += aField.name().size() + aField.value().size();
+  });
+  return size;
+}
+
+/** @return the answer to a request that the handler shouldn't see. */
+std::optional<HttpResponse>
+RefuseBySize(const HttpServerOptions& aOptions,
+             const restinio::request_t& aRequest)
+{
+  if (aRequest.body().size() > aOptions.m_maxBodyBytes) {
+    return MakeErrorResponse(core::ErrorKind::BodyTooLarge, {});
+  }
+  if (HeadSize(aRequest.header()) > aOptions.m_maxHeaderBytes) {
+    HttpResponse response =
+      MakeErrorResponse(core::ErrorKind::MalformedRequest,
+                        { .m_detail = "the head is over the size limit" });
+    response.m_status = 431;
+    return response;
+  }
+  return std::nullopt;
+}
+
+void
+HandleRequest(const HttpServerOptions& aOptions,
+              const HttpHandler& aHandler,
+              const ContextPtr& aContext,
+              const restinio::request_handle_t& aRequest)
+{
+  const std::shared_ptr<Responder> responder =
+    std::make_shared<Responder>(aContext, aRequest);
+  std::optional<HttpResponse> refusal = RefuseBySize(aOptions, *aRequest);
+  if (refusal) {
+    responder->Respond(std::move(*refusal));
+    return;
+  }
+  HttpRequest request;
+  try {
+    request = ReadRequest(*aRequest);
+  } catch (const std::exception& error) {
+    responder->Respond(MakeErrorResponse(core::ErrorKind::MalformedRequest,
+                                         { .m_detail = error.what() }));
+    return;
+  }
+  try {
+    DisconnectHook hook =
+      aHandler(std::move(request), [responder](HttpResponse aResponse) {
+        responder->Respond(std::move(aResponse));
+      });
+    aContext->m_registry->SetHook(IdOf(*aRequest), std::move(hook));
+  } catch (const std::exception& error) {
+    responder->Respond(MakeErrorResponse(core::ErrorKind::Internal,
+                                         { .m_detail = error.what() }));
+  }
+}
+
+/** Without this, running out of files would end accepting for good. */
+std::size_t
+ClampConnections(std::size_t aWanted)
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return aWanted;
+  }
+  return std::min<std::size_t>(aWanted, limit.rlim_cur / 4 * 3);
+}
+
+class HttpServer : public IHttpServer
+{
+public:
+  HttpServer(const HttpServerOptions& aOptions, HttpHandler aHandler)
+    : m_options(aOptions)
+    , m_handler(std::move(aHandler))
+  {
+    m_context->m_registry = std::make_shared<ConnectionRegistry>(
+      ClampConnections(m_options.m_maxConnections));
+  }
+
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  ~HttpServer() override { Stop(); }
+
+  /** Throws if the address can't be bound. */
+  void Start()
+  {
+    m_server.emplace(restinio::external_io_context(m_context->m_ioContext),
+                     MakeSettings());
+    m_server->open_sync();
+    for (std::uint32_t i = 0; i < std::max(1U, m_options.m_threads); ++i) {
+      m_threads.emplace_back([this] { m_context->m_ioContext.run(); });
+    }
+  }
+
+  std::uint16_t Port() const override { return m_port; }
+
+  void StopAccepting() override
+  {
+    m_context->m_registry->Drain();
+    if (!m_stopped && !m_closing.exchange(true)) {
+      m_server->close_async([] {}, [](const std::exception_ptr& /*aError*/) {});
+    }
+  }
+
+  void Stop() override
+  {
+    if (m_stopped.exchange(true)) {
+      return;
+    }
+    m_context->m_ioContext.stop();
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_context->m_registry->Clear();
+  }
+
+private:
+  restinio::server_settings_t<ServerTraits> MakeSettings()
+  {
+    const std::size_t maxHead = 2UL * m_options.m_maxHeaderBytes;
+    restinio::server_settings_t<ServerTraits> settings(m_options.m_port);
+    settings.address(m_options.m_address)
+      .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
+        m_port = aAcceptor.local_endpoint().port();
+      })
+      .timer_manager(std::min<std::chrono::steady_clock::duration>(
+        kMaxTimerPeriod, m_options.m_readTimeout))
+      .read_next_http_message_timelimit(m_options.m_readTimeout)
+      .write_http_response_timelimit(kWriteTimeout)
+      .handle_request_timeout(kHandlingTimeout)
+      .max_pipelined_requests(kMaxPipelined)
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                  .max_url_size(maxHead)
+                                  .max_field_name_size(maxHead)
+                                  .max_field_value_size(maxHead)
+                                  .max_field_count(kMaxHeaderFields)
+                                  .max_body_size(2 * m_options.m_maxBodyBytes))
+      .socket_options_setter([](restinio::socket_options_t& aOptions) {
+        aOptions.set_option(asio::ip::tcp::no_delay(true));
+      })
+      .connection_state_listener(
+        std::make_shared<StateListener>(m_context->m_registry))
+      .ip_blocker(std::make_shared<ConnectionGuard>(m_context->m_registry))
+      .request_handler(
+        // Weak: the handler belongs to connections, which the context owns.
+        [options = m_options,
+         handler = m_handler,
+         weakContext = std::weak_ptr<ServerContext>(m_context)](
+          const restinio::request_handle_t& aRequest) {
+          const ContextPtr context = weakContext.lock();
+          if (aRequest->header().connection() ==
+              restinio::http_connection_header_t::upgrade) {
+            return restinio::request_rejected();
+          }
+          if (context && context->m_registry->BeginRequest(IdOf(*aRequest))) {
+            HandleRequest(options, handler, context, aRequest);
+          }
+          return restinio::request_accepted();
+        });
+    return settings;
+  }
+
+  const HttpServerOptions m_options;
+  const HttpHandler m_handler;
+  const ContextPtr m_context = std::make_shared<ServerContext>();
+  std::optional<Server> m_server;
+  std::uint16_t m_port = 0;
+  std::vector<std::thread> m_threads;
+  std::atomic<bool> m_closing{ false };
+  std::atomic<bool> m_stopped{ false };
+};
+
+} // namespace
+
+core::Result<std::unique_ptr<IHttpServer>>
+StartHttpServer(const HttpServerOptions& aOptions, HttpHandler aHandler)
+{
+  try {
+    std::unique_ptr<HttpServer> server =
+      std::make_unique<HttpServer>(aOptions, std::move(aHandler));
+    server->Start();
+    return std::unique_ptr<IHttpServer>(std::move(server));
+  } catch (const std::exception& error) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      aOptions.m_address + ":" +
+                        std::to_string(aOptions.m_port) + ": " + error.what());
+  }
+}
+
+} // namespace mulberrysail::network
--- /dev/null
+++ b/packages/network/internal/httptransfer.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "network/ihttpclient.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace mulberrysail::network {
+
+/** One call under way, as libcurl sees it. */
+class HttpTransfer
+{
+public:
+  using Clock = std::chrono::steady_clock;
+
+  HttpTransfer(HttpCall aCall,
+               HttpChunkHandler aOnChunk,
+               HttpCallback aCallback,
+               std::uint64_t aMaxBodyBytes);
+
+  HttpTransfer(const HttpTransfer&) = delete;
+  HttpTransfer& operator=(const HttpTransfer&) = delete;
+
+  /** Prepares the handle. @return null if there is no memory for it. */
+  CURL* Prepare();
+  CURL* Handle() const { return m_easy.get(); }
+
+  /** @return when the call ends by silence, if nothing comes before. */
+  Clock::time_point SilentAt() const;
+
+  /** Hands the outcome to the callback. Called once.
+   * @param aCode how libcurl ended the call.
+   * @param aWhy takes the place of libcurl's words, unless it is empty. */
+  void Finish(CURLcode aCode, std::string aWhy);
+
+private:
+  struct EasyDeleter
+  {
+    void operator()(CURL* aEasy) const { curl_easy_cleanup(aEasy); }
+  };
+  struct ListDeleter
+  {
+    void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+  };
+
+  static std::size_t OnData(char* aData,
+                            std::size_t aSize,
+                            std::size_t aCount,
+                            void* aSelf);
+  static int OnBeforeRequest(void* aSelf,
+                             char* aRemoteIp,
+                             char* aLocalIp,
+                             int aRemotePort,
+                             int aLocalPort);
+
+  void SetOptions();
+  void SetHeaders();
+  bool Take(std::string_view aData);
+  bool NothingSent() const;
+  bool EndIsMarked() const;
+
+  HttpCall m_call;
+  HttpChunkHandler m_onChunk;
+  HttpCallback m_callback;
+  std::uint64_t m_maxBodyBytes;
+  std::unique_ptr<curl_slist, ListDeleter> m_headers;
+  std::unique_ptr<CURL, EasyDeleter> m_easy;
+  std::string m_body;
+  std::string m_refusal;
+  Clock::time_point m_lastData = Clock::now();
+};
+
+} // namespace mulberrysail::network
--- /dev/null
+++ b/packages/network/tests/rawserver.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <asio.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace mulberrysail::network::tests {
+
+/** A socket of a test, with blocking calls. */
+class RawSocket
+{
+public:
+  explicit RawSocket(asio::ip::tcp::socket aSocket)
+    : m_socket(std::move(aSocket))
+  {
+  }
+
+  void Send(const std::string& aText)
+  {
+    asio::error_code ignored;
+    asio::write(m_socket, asio::buffer(aText), ignored);
+  }
+
+  /** @return what was received up to the end of @p aEnd; less at the end of
+   * the connection. */
+  std::string ReadUntil(const std::string& aEnd)
+  {
+    asio::error_code ignored;
+    std::size_t size =
+      asio::read_until(m_socket, asio::dynamic_buffer(m_input), aEnd, ignored);
+    size = size == 0 ? m_input.size() : size;
+    std::string text = m_input.substr(0, size);
+    m_input.erase(0, size);
+    return text;
+  }
+
+  /** @return all that comes before the other side closes. */
+  std::string ReadAll()
+  {
+    asio::error_code ignored;
+    asio::read(m_socket, asio::dynamic_buffer(m_input), ignored);
+    return std::exchange(m_input, std::string());
+  }
+
+  /** Ends the connection with a reset. */
+  void Reset()
+  {
+    m_socket.set_option(asio::socket_base::linger(true, 0));
+    m_socket.close();
+  }
+
+  void Close() { m_socket.close(); }
+
+private:
+  asio::ip::tcp::socket m_socket;
+  std::string m_input;
+};
+
+/** Accepts connections of a client under test. */
+class RawServer
+{
+public:
+  RawSocket Accept() { return RawSocket(m_acceptor.accept()); }
+
+  std::string Url() const
+  {
+    return "http://127.0.0.1:" +
+           std::to_string(m_acceptor.local_endpoint().port()) + "/";
+  }
+
+  /** @return the connection that waits to be accepted, if there is one. */
+  std::optional<RawSocket> TryAccept()
+  {
+    m_acceptor.non_blocking(true);
+    asio::ip::tcp::socket socket(m_context);
+    asio::error_code error;
+    m_acceptor.accept(socket, error);
+    m_acceptor.non_blocking(false);
+    if (error) {
+      return std::nullopt;
+    }
+    return RawSocket(std::move(socket));
+  }
+
+private:
+  asio::io_context m_context;
+  asio::ip::tcp::acceptor m_acceptor{
+    m_context,
+    asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)
+  };
+};
+
+/** Connects to a server under test. */
+inline RawSocket
+Connect(asio::io_context& aContext, std::uint16_t aPort)
+{
+  asio::ip::tcp::socket socket(aContext);
+  socket.connect({ asio::ip::address_v4::loopback(), aPort });
+  return RawSocket(std::move(socket));
+}
+
+} // namespace mulberrysail::network::tests
