Read configuration documents

Cause: cores and the daemon need the configuration that operators patch. Change: ParseConfiguration reads JSON with comments and lists every fault with its path; unknown fields are rejected, so that a misspelt one doesn't pass.

--- /dev/null
+++ b/packages/core/internal/configuration.cpp
@@ -0,0 +1,256 @@
+#include "core/types/configuration.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using nlohmann::json;
+
+/** One day; longer times are taken for mistakes. */
+constexpr std::uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::size_t kMaxNameLength = 64;
+
+using Faults = std::vector<std::string>;
+
+/** Reads the fields of one JSON object and collects their faults. */
+class ObjectReader
+{
+public:
+  /** @param aPath of the object, with a dot at its end unless it is the
+   * root. */
+  ObjectReader(const json& aObject, std::string aPath, Faults& aFaults)
+    : m_object(aObject)
+    , m_path(std::move(aPath))
+    , m_faults(aFaults)
+  {
+  }
+
+  void Read(const char* aName, Duration& aTarget)
+  {
+    const json* const value = Take(aName);
+    if (value == nullptr) {
+      return;
+    }
+    const std::uint64_t number = WholeNumber(*value);
+    if (number == 0) {
+      Fault(aName, "a positive whole number of milliseconds is expected");
+    } else if (number > kMaxMilliseconds) {
+      Fault(aName, "more than a day");
+    } else {
+      aTarget = std::chrono::milliseconds(number);
+    }
+  }
+
+  void ReadPositive(const char* aName, std::uint32_t& aTarget)
+  {
+    const json* const value = Take(aName);
+    if (value != nullptr) {
+      Store(aName, WholeNumber(*value), 1, "a positive whole number", aTarget);
+    }
+  }
+
+  void ReadCount(const char* aName, std::uint32_t& aTarget)
+  {
+    const json* const value = Take(aName);
+    if (value != nullptr) {
+      const bool zero = value->is_number_integer() && *value == 0;
+      Store(aName,
+            WholeNumber(*value),
+            zero ? 0 : 1,
+            "a whole number, zero or more,",
+            aTarget);
+    }
+  }
+
+  void Read(const char* aName, bool& aTarget)
+  {
+    const json* const value = Take(aName);
+    if (value == nullptr) {
+      return;
+    }
+    if (value->is_boolean()) {
+      aTarget = value->get<bool>();
+    } else {
+      Fault(aName, "true or false is expected");
+    }
+  }
+
+  /** @return the member, if it is there and an object. */
+  const json* ReadObject(const char* aName)
+  {
+    const json* const value = Take(aName);
+    if (value != nullptr && !value->is_object()) {
+      Fault(aName, "an object is expected");
+      return nullptr;
+    }
+    return value;
+  }
+
+  void RejectUnknown()
+  {
+    for (const auto& item : m_object.items()) {
+      if (!m_known.contains(item.key())) {
+        Fault(item.key(), "unknown field");
+      }
+    }
+  }
+
+private:
+  const json* Take(const char* aName)
+  {
+    m_known.insert(aName);
+    const auto member = m_object.find(aName);
+    return member == m_object.end() ? nullptr : &*member;
+  }
+
+  /** @return zero if the value is no positive whole number. */
+  static std::uint64_t WholeNumber(const json& aValue)
+  {
+    return aValue.is_number_unsigned() ? aValue.get<std::uint64_t>() : 0;
+  }
+
+  void Store(const char* aName,
+             std::uint64_t aNumber,
+             std::uint64_t aMin,
+             const std::string& aExpected,
+             std::uint32_t& aTarget)
+  {
+    if (aNumber < aMin || aNumber > std::numeric_limits<std::uint32_t>::max()) {
+      Fault(aName, aExpected + " of at most 32 bits is expected");
+    } else {
+      aTarget = static_cast<std::uint32_t>(aNumber);
+    }
+  }
+
+  void Fault(const std::string& aName, const std::string& aText)
+  {
+    m_faults.push_back(m_path + aName + ": " + aText);
+  }
+
+  const json& m_object;
+  const std::string m_path;
+  Faults& m_faults;
+  std::set<std::string, std::less<>> m_known;
+};
+
+bool
+IsName(std::string_view aName)
+{
+  constexpr std::string_view kAllowed =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.";
+  return !aName.empty() && aName.size() <= kMaxNameLength &&
+         aName.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
+ServiceConfig
+ReadService(const json& aObject, const std::string& aPath, Faults& aFaults)
+{
+  ServiceConfig service;
+  ObjectReader reader(aObject, aPath, aFaults);
+  reader.Read("expected_run_ms", service.m_expectedRun);
+  reader.Read("default_deadline_ms", service.m_defaultDeadline);
+  reader.ReadPositive("max_open", service.m_maxOpen);
+  reader.Read("admission", service.m_admission);
+  reader.Read("enabled", service.m_enabled);
+  reader.RejectUnknown();
+  return service;
+}
+
+TeamConfig
+ReadTeam(const json& aObject, const std::string& aPath, Faults& aFaults)
+{
+  TeamConfig team;
+  ObjectReader reader(aObject, aPath, aFaults);
+  reader.ReadPositive("weight", team.m_weight);
+  reader.ReadCount("max_open", team.m_maxOpen);
+  reader.RejectUnknown();
+  return team;
+}
+
+/** Reads an object whose members are all of one kind.
+ * @param aReadOne reads one of them. */
+template<typename Value, typename ReadOne>
+void
+ReadMembers(const json* aObject,
+            const std::string& aPath,
+            ReadOne aReadOne,
+            std::map<std::string, Value, std::less<>>& aTarget,
+            Faults& aFaults)
+{
+  if (aObject == nullptr) {
+    return;
+  }
+  for (const auto& item : aObject->items()) {
+    const std::string path = aPath + "." + item.key();
+    if (!IsName(item.key())) {
+      aFaults.push_back(path + ": a name has 1 to 64 letters, digits, '-', '_' "
+                               "or '.'");
+    } else if (!item.value().is_object()) {
+      aFaults.push_back(path + ": an object is expected");
+    } else {
+      aTarget.emplace(item.key(), aReadOne(item.value(), path + ".", aFaults));
+    }
+  }
+}
+
+std::string
+Join(const Faults& aFaults)
+{
+  std::string text;
+  for (const std::string& fault : aFaults) {
+    text += (text.empty() ? "" : "; ") + fault;
+  }
+  return text;
+}
+
+Configuration
+ReadDocument(const json& aRoot, Faults& aFaults)
+{
+  Configuration configuration;
+  ObjectReader reader(aRoot, "", aFaults);
+  ReadMembers(reader.ReadObject("services"),
+              "services",
+              ReadService,
+              configuration.m_services,
+              aFaults);
+  ReadMembers(reader.ReadObject("teams"),
+              "teams",
+              ReadTeam,
+              configuration.m_teams,
+              aFaults);
+  reader.RejectUnknown();
+  return configuration;
+}
+
+} // namespace
+
+Result<Configuration>
+ParseConfiguration(ConfigVersion aVersion, std::string_view aDocument)
+{
+  json root;
+  try {
+    root = json::parse(aDocument.begin(), aDocument.end(), nullptr, true, true);
+  } catch (const json::exception& error) {
+    return Fail(ErrorKind::InvalidPatch, error.what());
+  }
+  if (!root.is_object()) {
+    return Fail(ErrorKind::InvalidPatch, "the document: an object is expected");
+  }
+  Faults faults;
+  Configuration configuration = ReadDocument(root, faults);
+  if (!faults.empty()) {
+    return Fail(ErrorKind::InvalidPatch, Join(faults));
+  }
+  configuration.m_version = aVersion;
+  return configuration;
+}
+
+} // namespace mulberrysail::core
