--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -8,6 +8,7 @@
 #include "core/internal/agent/reporter.h"
 #include "core/internal/agent/runs.h"
 #include "core/internal/agent/starter.h"
+#include "core/internal/overloaded.h"
 
 #include <xxhash.h>
 
@@ -35,15 +36,6 @@
          kRunPrefixMask;
 }
 
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-  using Handlers::operator()...;
-};
-
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 Agent::Agent(ProcessId aSelf, AgentPolicy aPolicy, std::uint64_t aSeed)
@@ -279,7 +271,6 @@
   status.m_zone = m_board.m_policy.m_zone;
   status.m_httpAddress = m_board.m_policy.m_httpAddress;
   status.m_leaving = m_board.m_draining;
-  status.m_config = m_board.m_config.m_version;
   status.m_endpoint = m_board.m_endpoint.m_info;
   status.m_workers = LiveWorkers(m_board);
   status.m_load = CurrentLoad(m_board);
--- a/packages/core/internal/agent/attempt.h
+++ b/packages/core/internal/agent/attempt.h
@@ -17,7 +17,9 @@
   EntryIndex m_entry = 0;
   AttemptId m_attempt;
 
-  auto operator<=>(const AttemptKey&) const = default; // NOLINT: no pointer
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  auto operator<=>(const AttemptKey&) const =
+    default; // NOLINT(modernize-use-nullptr)
 };
 
 /** An attempt that waits or runs here. */
--- a/packages/core/internal/agent/keykeeper.h
+++ b/packages/core/internal/agent/keykeeper.h
@@ -14,7 +14,7 @@
   }
 
   /** @return whether an offer with this key must be refused. */
-  bool Superseded(const AttemptKey& aAttempt, const Offer& aOffer) const;
+  bool Superseded(const Offer& aOffer) const;
 
   /** Notes that an attempt with a key was taken in. */
   void Claim(const Attempt& aAttempt);
--- a/packages/core/tests/agentfixture.h
+++ b/packages/core/tests/agentfixture.h
@@ -50,6 +50,7 @@
   std::unique_ptr<IAgent> m_agent;
   Instant m_now{ std::chrono::seconds(100) };
   AgentCommands m_commands;
+  std::uint64_t m_offersMade = 0;
 
 private:
   template<typename T>
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -27,8 +27,19 @@
   std::string m_key;
   /** 1 for the first submission; 0 if the caller doesn't number them. */
   std::uint32_t m_submission = 0;
+  /** Orders claims of the same submission number by several entries; 0 for a
+   * first submission, which is placed without asking. */
+  std::uint64_t m_claim = 0;
 
   bool operator==(const CallerKey&) const = default;
+
+  /** @return whether this claim of the key yields to @p aOther. */
+  bool YieldsTo(const CallerKey& aOther) const
+  {
+    return m_submission != aOther.m_submission
+             ? m_submission < aOther.m_submission
+             : m_claim < aOther.m_claim;
+  }
 };
 
 /** One attempt to place a request or a task. */
@@ -56,6 +67,9 @@
 struct OfferBatch
 {
   Incarnation m_agentIncarnation;
+  /** Number of the last offer in it; the entry counts those that it sent to
+   * this incarnation, lost ones included. */
+  std::uint64_t m_sequence = 0;
   std::vector<Offer> m_offers;
 };
 
@@ -67,14 +81,16 @@
 };
 
 /** Asks what became of attempts; the agent refuses those that it doesn't
- * know, for good. */
+ * know, for good. Its answer carries its load also if the list is empty. */
 struct Reconcile
 {
   std::vector<AttemptId> m_attempts;
 };
 
-/** Asks whether an earlier submission of a key is held here. An agent that
- * has not seen it refuses earlier submissions from then on. */
+/** Asks whether another submission of a key is held here. An agent that has
+ * not seen one that started refuses, from then on, offers whose claim yields
+ * to this one. A query that itself yields to a claim made before is answered
+ * with Refused and the kind Superseded. */
 struct FenceQuery
 {
   FenceId m_fence;
@@ -114,8 +130,10 @@
   std::uint64_t m_sequence = 0;
   /** The agent's clock when the report was made. */
   Instant m_agentNow;
-  /** Offers that the agent had received from the addressed entry. */
+  /** The highest OfferBatch::m_sequence received from the addressed entry. */
   std::uint64_t m_offersSeen = 0;
+  /** The configuration in force at the agent. */
+  ConfigVersion m_config;
   std::uint32_t m_freeSlots = 0;
   std::uint32_t m_queuedRequests = 0;
   /** Expected run time of all queued requests. */
@@ -156,7 +174,6 @@
   std::string m_zone;
   /** Where workers and operators reach it over HTTP. */
   std::string m_httpAddress;
-  ConfigVersion m_config;
   bool m_leaving = false;
   /** The entry forgets the agent this long after its last message. */
   Duration m_leaseFor{};
@@ -207,8 +224,9 @@
 struct FenceReply
 {
   FenceId m_fence;
-  /** Refused: not seen, and fenced from now on. Running, Queued: its outcome
-   * follows in another FenceReply. */
+  /** Refused: not seen, and fenced from now on (or, with the kind Superseded,
+   * claimed by another). Running, Queued: its outcome follows in another
+   * FenceReply. */
   AttemptFate m_fate = AttemptFate::Refused;
   ErrorKind m_kind = ErrorKind::None;
   std::string m_output;
