Teams take turns; tests of the entry core

Cause: a test showed that a team within its share was refused because another one flooded the service: the check for a crowd looked at all arrivals alike. Change: a team's turn is how far it is ahead of the one furthest behind; that holds its work back in the order, and a team that is not ahead is not refused for the crowd. Sums over teams are kept for 20 ms instead of being computed for each request. Ruled out: ordering by the team's own virtual time alone: with one team it turns shortest-first into first-come.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -41,7 +41,8 @@
     aRequest.m_declaredRun.value_or(config.m_expectedRun);
   ServiceState& service = m_board.Service(aRequest.m_service);
   const Duration expected = service.m_runTimes.Expect(declared);
-  refusal = CheckRequestLoad(aTurn, aRequest.m_service, expected, deadline);
+  refusal = CheckRequestLoad(
+    aTurn, aRequest.m_service, aRequest.m_team, expected, deadline);
   service.m_arrivals.Add(aTurn.m_now, expected);
   if (refusal) {
     m_answers.Refuse(aTurn,
@@ -164,6 +165,7 @@
 std::optional<AdmissionController::Refusal>
 AdmissionController::CheckRequestLoad(EntryTurn& aTurn,
                                       const std::string& aService,
+                                      const std::string& aTeam,
                                       Duration aExpectedRun,
                                       Duration aDeadline)
 {
@@ -183,11 +185,15 @@
   const Duration backlog =
     Scaled(service.m_requests.m_queue.Work(), 1 / ownSlots);
   // While shorter work alone arrives faster than it can be done, longer work
-  // would wait until the crowd is gone, and then be refused late.
-  const bool starves =
+  // would wait until the crowd is gone, and then be refused late. A team that
+  // is not ahead of the others has its turn before the crowd.
+  const bool crowded =
     backlog > kCalmBacklog &&
     service.m_arrivals.SlotsNeeded(aTurn.m_now, aExpectedRun) > ownSlots;
-  if (ahead > Scaled(slack, kUsableSlack) || starves) {
+  const bool turnIsNear =
+    service.m_requests.m_turns.HasOthers(aTeam) &&
+    service.m_requests.m_turns.Ahead(aTurn.m_now, aTeam) < kCalmBacklog;
+  if (!turnIsNear && (crowded || ahead > Scaled(slack, kUsableSlack))) {
     return Refusal{ ErrorKind::DeadlineUnreachable,
                     "too much work is ahead of it",
                     m_answers.RetryAfter(backlog) };
--- a/packages/core/internal/entry/admissioncontroller.h
+++ b/packages/core/internal/entry/admissioncontroller.h
@@ -41,6 +41,7 @@
                                      std::size_t aItems);
   std::optional<Refusal> CheckRequestLoad(EntryTurn& aTurn,
                                           const std::string& aService,
+                                          const std::string& aTeam,
                                           Duration aExpectedRun,
                                           Duration aDeadline);
   std::optional<Refusal> CheckJobSize(const SubmitJob& aJob) const;
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -59,29 +59,19 @@
                             Duration aLength,
                             Duration aWork)
 {
-  // A team that asks for more than its share is ordered as if its work had
-  // come at the pace that its share allows.
   WaitPool& pool = m_board.PoolOf(aSubmission);
-  Instant& turn = pool.m_teamTurn[aSubmission.m_team];
-  turn = std::max(turn, aTurn.m_now);
-  double allWeights = 0;
-  double ownWeight = 1;
-  for (const auto& [name, at] : pool.m_teamTurn) {
-    const auto config = m_board.m_config.m_teams.find(name);
-    const double weight = config == m_board.m_config.m_teams.end()
-                            ? 1
-                            : std::max(config->second.m_weight, 1U);
-    allWeights += at >= aTurn.m_now ? weight : 0;
-    ownWeight = name == aSubmission.m_team ? weight : ownWeight;
-  }
+  const auto team = m_board.m_config.m_teams.find(aSubmission.m_team);
+  const std::uint32_t weight =
+    team == m_board.m_config.m_teams.end() ? 1 : team->second.m_weight;
   const double slots = std::max(1.0, pool.m_slots / m_board.Entries());
-  const Instant eligible = turn;
-  const double pace =
-    static_cast<double>(aWork.count()) / slots * allWeights / ownWeight;
-  turn += Duration(static_cast<Duration::rep>(pace));
-  const double age = static_cast<double>(eligible.time_since_epoch().count()) *
-                     m_board.m_policy.m_ageing;
-  return static_cast<std::int64_t>(age) + aLength.count();
+  const Duration work(
+    static_cast<Duration::rep>(static_cast<double>(aWork.count()) / slots));
+  const Duration ahead =
+    pool.m_turns.Book(aTurn.m_now, aSubmission.m_team, weight, work);
+  const double age =
+    static_cast<double>(aTurn.m_now.time_since_epoch().count()) *
+    m_board.m_policy.m_ageing;
+  return static_cast<std::int64_t>(age) + aLength.count() + ahead.count();
 }
 
 void
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -5,6 +5,7 @@
 #include "core/internal/entry/retrybudget.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/submission.h"
+#include "core/internal/entry/teamturns.h"
 #include "core/internal/entry/timerqueue.h"
 #include "core/internal/entry/waitqueue.h"
 #include "core/types/commands.h"
@@ -46,9 +47,7 @@
   WaitQueue m_queue;
   /** Slots of the endpoints, or cores of the workers, of all agents. */
   double m_slots = 0;
-  /** A team that has asked for more than its share gets its next turn at
-   * this instant. */
-  std::map<std::string, Instant, std::less<>> m_teamTurn;
+  TeamTurns m_turns;
 };
 
 /** State of one service at this entry. */
--- /dev/null
+++ b/packages/core/internal/entry/teamturns.cpp
@@ -0,0 +1,65 @@
+#include "core/internal/entry/teamturns.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(20);
+/** A team that asked for nothing for so long is not counted. */
+constexpr Duration kActiveFor = std::chrono::seconds(1);
+
+} // namespace
+
+void
+TeamTurns::Refresh(Instant aNow)
+{
+  std::erase_if(m_turns, [aNow](const auto& aTurn) {
+    return aTurn.second.m_usedUpTo + kActiveFor < aNow;
+  });
+  m_activeWeight = 0;
+  m_least = kNever;
+  for (const auto& [name, turn] : m_turns) {
+    m_activeWeight += turn.m_weight;
+    m_least = std::min(m_least, turn.m_usedUpTo);
+  }
+  m_refreshAt = aNow + kRefreshInterval;
+}
+
+Duration
+TeamTurns::Book(Instant aNow,
+                std::string_view aTeam,
+                std::uint32_t aWeight,
+                Duration aWork)
+{
+  auto found = m_turns.find(aTeam);
+  const bool isNew = found == m_turns.end();
+  if (isNew) {
+    found = m_turns.emplace(std::string(aTeam), Turn{ aNow, 1 }).first;
+  }
+  Turn& turn = found->second;
+  turn.m_weight = std::max(aWeight, 1U);
+  turn.m_usedUpTo = std::max(turn.m_usedUpTo, aNow);
+  if (isNew || aNow >= m_refreshAt) {
+    Refresh(aNow);
+  }
+  const Duration ahead = Ahead(aNow, aTeam);
+  const double pace =
+    static_cast<double>(aWork.count()) * m_activeWeight / turn.m_weight;
+  turn.m_usedUpTo += Duration(static_cast<Duration::rep>(pace));
+  return ahead;
+}
+
+Duration
+TeamTurns::Ahead(Instant aNow, std::string_view aTeam) const
+{
+  const auto found = m_turns.find(aTeam);
+  if (found == m_turns.end() || m_turns.size() < 2) {
+    return Duration::zero();
+  }
+  const Instant least = std::max(m_least, aNow);
+  return std::max(found->second.m_usedUpTo - least, Duration::zero());
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/internal/entry/teamturns.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/types/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace mulberrysail::core {
+
+/**
+ * Shares a pool between teams by their weights. Each team has an instant up to
+ * which its share is used up; one that asks for more runs ahead of the others
+ * and is held back by as much.
+ */
+class TeamTurns
+{
+public:
+  /**
+   * Books work for a team.
+   * @param aWork expected run time divided by the slots of the pool.
+   * @return by how much the team is ahead of the one that is furthest behind.
+   */
+  Duration Book(Instant aNow,
+                std::string_view aTeam,
+                std::uint32_t aWeight,
+                Duration aWork);
+
+  /** @return whether any other team is active. */
+  bool HasOthers(std::string_view aTeam) const
+  {
+    return m_turns.size() > (m_turns.contains(aTeam) ? 1U : 0U);
+  }
+
+  /** @return by how much the team is ahead now, without booking. */
+  Duration Ahead(Instant aNow, std::string_view aTeam) const;
+
+private:
+  struct Turn
+  {
+    Instant m_usedUpTo;
+    double m_weight = 1;
+  };
+
+  void Refresh(Instant aNow);
+
+  std::map<std::string, Turn, std::less<>> m_turns;
+  /** Sum of the weights, and the least instant, of the teams that are active;
+   * not computed anew for every request. */
+  double m_activeWeight = 0;
+  Instant m_least;
+  Instant m_refreshAt;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/entry_claim_test.cpp
@@ -0,0 +1,134 @@
+#include "core/tests/entryfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+class EntryClaimTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EntryClaimTest);
+  CPPUNIT_TEST(AFirstSubmissionAsksNobody);
+  CPPUNIT_TEST(AnUnnumberedOneRunsAfterAllSayNo);
+  CPPUNIT_TEST(AResubmissionGetsTheHeldAnswer);
+  CPPUNIT_TEST(AnAgentThatLeftMakesItUncertain);
+  CPPUNIT_TEST(AnEntryThatKnowsTooLittleSaysSo);
+  CPPUNIT_TEST(APeerTellsOfDepartures);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AFirstSubmissionAsksNobody()
+  {
+    EntryFixture entry;
+    entry.AddAgent("x", 1);
+    entry.KeyedRequest("k", 1);
+    CPPUNIT_ASSERT(entry.Sent<FenceQuery>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.Offers().size());
+  }
+
+  void AnUnnumberedOneRunsAfterAllSayNo()
+  {
+    EntryFixture entry;
+    entry.AddAgent("x", 1);
+    entry.AddAgent("y", 1);
+    entry.KeyedRequest("k", 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.Sent<FenceQuery>().size());
+    const auto queries = entry.Sent<FenceQuery>();
+    entry.Receive(queries[0].first, No(queries[0].second));
+    CPPUNIT_ASSERT(entry.Offers().empty());
+    entry.Receive(queries[1].first, No(queries[1].second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.Offers().size());
+    CPPUNIT_ASSERT(entry.Offers().front().m_offer.m_key->m_claim != 0);
+  }
+
+  void AResubmissionGetsTheHeldAnswer()
+  {
+    EntryFixture entry;
+    LearnThePast(entry);
+    const ProcessId agent = entry.AddAgent("x", 1);
+    const CallerToken caller = entry.KeyedRequest("k", 2);
+    FenceReply reply = No(entry.Sent<FenceQuery>().front().second);
+    reply.m_fate = AttemptFate::Running;
+    entry.Receive(agent, reply);
+    entry.Advance(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(!entry.AnswerOf(caller));
+    reply.m_fate = AttemptFate::Completed;
+    reply.m_output = "receipt";
+    entry.Receive(agent, reply);
+    CPPUNIT_ASSERT_EQUAL(std::string("receipt"),
+                         entry.AnswerOf(caller)->m_outputs.front());
+    CPPUNIT_ASSERT(entry.Offers().empty());
+  }
+
+  void AnAgentThatLeftMakesItUncertain()
+  {
+    EntryFixture entry;
+    LearnThePast(entry);
+    entry.AddAgent("x", 1);
+    Announce restarted;
+    restarted.m_leaseFor = std::chrono::hours(1);
+    restarted.m_endpoint = EndpointInfo{ "photo", 1, 64, false };
+    entry.Receive({ "x", { 2 } }, std::move(restarted));
+    const CallerToken caller = entry.KeyedRequest("k", 2);
+    const auto queries = entry.Sent<FenceQuery>();
+    entry.Receive(queries.front().first, No(queries.front().second));
+    ExpectUncertain(entry, caller);
+  }
+
+  void AnEntryThatKnowsTooLittleSaysSo()
+  {
+    EntryFixture entry;
+    const ProcessId agent = entry.AddAgent("x", 1);
+    const CallerToken caller = entry.KeyedRequest("k", 2);
+    entry.Receive(agent, No(entry.Sent<FenceQuery>().front().second));
+    ExpectUncertain(entry, caller);
+  }
+
+  void APeerTellsOfDepartures()
+  {
+    EntryFixture entry;
+    PeerHello hello;
+    hello.m_remembersFor = std::chrono::hours(1);
+    hello.m_departed.push_back({ { "gone", { 1 } },
+                                 "photo",
+                                 std::chrono::minutes(1),
+                                 std::chrono::minutes(30) });
+    entry.Receive({ "entry2", { 1 } }, hello);
+    const ProcessId agent = entry.AddAgent("x", 1);
+    const CallerToken caller = entry.KeyedRequest("k", 2);
+    entry.Receive(agent, No(entry.Sent<FenceQuery>().front().second));
+    ExpectUncertain(entry, caller);
+  }
+
+private:
+  static FenceReply No(const FenceQuery& aQuery)
+  {
+    FenceReply reply;
+    reply.m_fence = aQuery.m_fence;
+    return reply;
+  }
+
+  /** Makes the entry know that nobody left in the time that counts. */
+  static void LearnThePast(EntryFixture& aEntry)
+  {
+    PeerHello hello;
+    hello.m_remembersFor = std::chrono::hours(1);
+    aEntry.Receive({ "entry2", { 1 } }, hello);
+  }
+
+  static void ExpectUncertain(const EntryFixture& aEntry, CallerToken aCaller)
+  {
+    const std::optional<Answer> answer = aEntry.AnswerOf(aCaller);
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT(answer->m_kind == ErrorKind::RepeatUncertain);
+    CPPUNIT_ASSERT(answer->m_execution == Execution::MayHaveRun);
+    CPPUNIT_ASSERT(aEntry.Offers().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryClaimTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/entryfixture.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/ientry.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** An entry core with a clock that only the test moves. Its configuration has
+ * the service "photo" and the teams "a" (weight 1, at most 9 open) and "b". */
+class EntryFixture
+{
+public:
+  explicit EntryFixture(EntryPolicy aPolicy = {});
+
+  void Give(EntryEvent aEvent);
+  void Receive(const ProcessId& aFrom, Message aMessage);
+
+  /** Moves the clock, firing the timer whenever the entry asks for it. */
+  void Advance(Duration aBy);
+
+  /** Announces an agent whose endpoint serves "photo". */
+  ProcessId AddAgent(const std::string& aName, std::uint32_t aSlots);
+  ProcessId AddWorkerAgent(const std::string& aName, Resources aCapacity);
+
+  /** @return the caller token of a new request. */
+  CallerToken Request(Duration aRun, const std::string& aTeam = "b");
+  CallerToken KeyedRequest(const std::string& aKey, std::uint32_t aSubmission);
+
+  /** Reports @p aFate of an offer, with @p aFreeSlots free. */
+  void Report(const ProcessId& aAgent,
+              AttemptId aAttempt,
+              AttemptFate aFate,
+              std::uint32_t aFreeSlots,
+              ErrorKind aKind = ErrorKind::None);
+
+  /** An offer and the agent that it was sent to. */
+  struct SentOffer
+  {
+    ProcessId m_agent;
+    Offer m_offer;
+  };
+
+  std::vector<SentOffer> Offers() const;
+  std::optional<Answer> AnswerOf(CallerToken aCaller) const;
+
+  /** @return all messages of one kind, in order. */
+  template<typename T>
+  std::vector<std::pair<ProcessId, T>> Sent() const
+  {
+    std::vector<std::pair<ProcessId, T>> sent;
+    for (const EntryCommand& command : m_commands) {
+      const SendMessage* send = std::get_if<SendMessage>(&command);
+      if (send != nullptr && std::holds_alternative<T>(send->m_message)) {
+        sent.emplace_back(send->m_to, std::get<T>(send->m_message));
+      }
+    }
+    return sent;
+  }
+
+  void Forget() { m_commands.clear(); }
+
+  std::unique_ptr<IEntry> m_entry;
+  Instant m_now{ std::chrono::hours(1) };
+  EntryCommands m_commands;
+
+private:
+  Announce BaseAnnounce();
+
+  std::uint64_t m_nextCaller = 1;
+  std::uint64_t m_loadSequence = 0;
+  std::uint64_t m_lastOffersSeen = 0;
+};
+
+} // namespace mulberrysail::core
