--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -186,13 +186,12 @@
     Scaled(service.m_requests.m_queue.Work(), 1 / ownSlots);
   // While shorter work alone arrives faster than it can be done, longer work
   // would wait until the crowd is gone, and then be refused late. A team that
-  // is not ahead of the others has its turn before the crowd.
+  // is behind the one that makes the crowd has its turn before it.
   const bool crowded =
     backlog > kCalmBacklog &&
     service.m_arrivals.SlotsNeeded(aTurn.m_now, aExpectedRun) > ownSlots;
   const bool turnIsNear =
-    service.m_requests.m_turns.HasOthers(aTeam) &&
-    service.m_requests.m_turns.Ahead(aTurn.m_now, aTeam) < kCalmBacklog;
+    service.m_requests.m_turns.Behind(aTurn.m_now, aTeam) > kCalmBacklog;
   if (!turnIsNear && (crowded || ahead > Scaled(slack, kUsableSlack))) {
     return Refusal{ ErrorKind::DeadlineUnreachable,
                     "too much work is ahead of it",
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -66,12 +66,12 @@
   const double slots = std::max(1.0, pool.m_slots / m_board.Entries());
   const Duration work(
     static_cast<Duration::rep>(static_cast<double>(aWork.count()) / slots));
-  const Duration ahead =
+  const Duration behind =
     pool.m_turns.Book(aTurn.m_now, aSubmission.m_team, weight, work);
   const double age =
     static_cast<double>(aTurn.m_now.time_since_epoch().count()) *
     m_board.m_policy.m_ageing;
-  return static_cast<std::int64_t>(age) + aLength.count() + ahead.count();
+  return static_cast<std::int64_t>(age) + aLength.count() - behind.count();
 }
 
 void
--- a/packages/core/internal/entry/teamturns.cpp
+++ b/packages/core/internal/entry/teamturns.cpp
@@ -19,10 +19,10 @@
     return aTurn.second.m_usedUpTo + kActiveFor < aNow;
   });
   m_activeWeight = 0;
-  m_least = kNever;
+  m_furthest = aNow;
   for (const auto& [name, turn] : m_turns) {
     m_activeWeight += turn.m_weight;
-    m_least = std::min(m_least, turn.m_usedUpTo);
+    m_furthest = std::max(m_furthest, turn.m_usedUpTo);
   }
   m_refreshAt = aNow + kRefreshInterval;
 }
@@ -44,22 +44,21 @@
   if (isNew || aNow >= m_refreshAt) {
     Refresh(aNow);
   }
-  const Duration ahead = Ahead(aNow, aTeam);
+  const Duration behind = Behind(aNow, aTeam);
   const double pace =
     static_cast<double>(aWork.count()) * m_activeWeight / turn.m_weight;
   turn.m_usedUpTo += Duration(static_cast<Duration::rep>(pace));
-  return ahead;
+  m_furthest = std::max(m_furthest, turn.m_usedUpTo);
+  return behind;
 }
 
 Duration
-TeamTurns::Ahead(Instant aNow, std::string_view aTeam) const
+TeamTurns::Behind(Instant aNow, std::string_view aTeam) const
 {
   const auto found = m_turns.find(aTeam);
-  if (found == m_turns.end() || m_turns.size() < 2) {
-    return Duration::zero();
-  }
-  const Instant least = std::max(m_least, aNow);
-  return std::max(found->second.m_usedUpTo - least, Duration::zero());
+  const Instant own =
+    found == m_turns.end() ? aNow : std::max(found->second.m_usedUpTo, aNow);
+  return std::max(m_furthest - own, Duration::zero());
 }
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/teamturns.h
+++ b/packages/core/internal/entry/teamturns.h
@@ -11,8 +11,8 @@
 
 /**
  * Shares a pool between teams by their weights. Each team has an instant up to
- * which its share is used up; one that asks for more runs ahead of the others
- * and is held back by as much.
+ * which its share is used up; one that asks for less than another falls behind
+ * it and is preferred by as much.
  */
 class TeamTurns
 {
@@ -20,21 +20,15 @@
   /**
    * Books work for a team.
    * @param aWork expected run time divided by the slots of the pool.
-   * @return by how much the team is ahead of the one that is furthest behind.
+   * @return by how much the team is behind the one that is furthest ahead.
    */
   Duration Book(Instant aNow,
                 std::string_view aTeam,
                 std::uint32_t aWeight,
                 Duration aWork);
 
-  /** @return whether any other team is active. */
-  bool HasOthers(std::string_view aTeam) const
-  {
-    return m_turns.size() > (m_turns.contains(aTeam) ? 1U : 0U);
-  }
-
-  /** @return by how much the team is ahead now, without booking. */
-  Duration Ahead(Instant aNow, std::string_view aTeam) const;
+  /** @return by how much the team is behind now, without booking. */
+  Duration Behind(Instant aNow, std::string_view aTeam) const;
 
 private:
   struct Turn
@@ -46,10 +40,10 @@
   void Refresh(Instant aNow);
 
   std::map<std::string, Turn, std::less<>> m_turns;
-  /** Sum of the weights, and the least instant, of the teams that are active;
+  /** Sum of the weights, and the latest instant, of the teams that are active;
    * not computed anew for every request. */
   double m_activeWeight = 0;
-  Instant m_least;
+  Instant m_furthest;
   Instant m_refreshAt;
 };
 
