--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -55,6 +55,8 @@
   }
   m_board.m_now = std::max(m_board.m_now, aNow);
   m_board.m_commands = &aCommands;
+  AnswerKeeper(m_board).Purge();
+  KeyKeeper(m_board).Purge();
   std::visit([this](auto& aAny) { On(aAny); }, aEvent);
   Settle();
   m_board.m_commands = nullptr;
@@ -73,8 +75,6 @@
   starter.StartTasks();
   starter.RefuseExpired(m_board.m_now);
   RecordQueued();
-  AnswerKeeper(m_board).Purge();
-  KeyKeeper(m_board).Purge();
   Reporter(m_board).Flush();
 }
 
--- /dev/null
+++ b/packages/core/tests/agent_admission_test.cpp
@@ -0,0 +1,217 @@
+#include "core/tests/agentfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Resources kSmall{ 1000, 256, 0 };
+constexpr Resources kWorker{ 4000, 4096, 0 };
+
+/** Which offers are refused, and why. */
+class AgentAdmissionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AgentAdmissionTest);
+  CPPUNIT_TEST(OfferForAnotherLifeIsRefused);
+  CPPUNIT_TEST(LateOfferIsRefused);
+  CPPUNIT_TEST(RequestNeedsItsEndpoint);
+  CPPUNIT_TEST(QueueOfALapsedEndpointIsRefused);
+  CPPUNIT_TEST(FullQueueIsRefused);
+  CPPUNIT_TEST(TaskNeedsAWorkerThatCanHoldIt);
+  CPPUNIT_TEST(DuplicateNeverStartsAgain);
+  CPPUNIT_TEST(RefusedOfferStaysRefused);
+  CPPUNIT_TEST(SameIdOfAnotherEntryIsAnotherAttempt);
+  CPPUNIT_TEST(DuplicateOfAForgottenRunIsLost);
+  CPPUNIT_TEST(DrainRefusesNewAndQueuedAndFinishesTheRest);
+  CPPUNIT_TEST(NewLifeOfAnEntryEndsWhatItsFormerQueued);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void AssertRefused(const AgentFixture& aFixture,
+                            std::uint64_t aAttempt,
+                            ErrorKind aKind)
+  {
+    const std::optional<AttemptReport> report = aFixture.ReportOn(aAttempt);
+    CPPUNIT_ASSERT(report && report->m_fate == AttemptFate::Refused);
+    CPPUNIT_ASSERT_EQUAL(DescribeError(aKind).m_name,
+                         DescribeError(report->m_kind).m_name);
+  }
+
+public:
+  void OfferForAnotherLifeIsRefused()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.Receive(
+      fixture.m_entry,
+      OfferBatch{ Incarnation{ 6 }, 1, { fixture.RequestOffer(1) } });
+    AssertRefused(fixture, 1, ErrorKind::StaleIncarnation);
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+  }
+
+  void LateOfferIsRefused()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    Offer late = fixture.RequestOffer(1);
+    late.m_startBy = fixture.m_now - Duration(1);
+    Offer pointless = fixture.RequestOffer(2);
+    pointless.m_deadline = fixture.m_now - Duration(1);
+    fixture.MakeOffers({ late, pointless });
+    AssertRefused(fixture, 1, ErrorKind::AttemptExpired);
+    AssertRefused(fixture, 2, ErrorKind::DeadlinePassedQueued);
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+  }
+
+  void RequestNeedsItsEndpoint()
+  {
+    AgentFixture fixture;
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    AssertRefused(fixture, 1, ErrorKind::NoEndpoint);
+    fixture.AddEndpoint(1);
+    Offer other = fixture.RequestOffer(2);
+    other.m_service = "stock";
+    fixture.MakeOffers({ other });
+    AssertRefused(fixture, 2, ErrorKind::NoEndpoint);
+    fixture.Give(EndpointAnnounced{ { "photo", 1, 64, true }, "http://e" });
+    fixture.MakeOffers({ fixture.RequestOffer(3) });
+    AssertRefused(fixture, 3, ErrorKind::NoEndpoint);
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+  }
+
+  void QueueOfALapsedEndpointIsRefused()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1), fixture.RequestOffer(2) });
+    fixture.Advance(milliseconds(2500));
+    AssertRefused(fixture, 2, ErrorKind::NoEndpoint);
+    CPPUNIT_ASSERT(!fixture.Announcements().back().m_endpoint);
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+  }
+
+  void FullQueueIsRefused()
+  {
+    AgentPolicy policy;
+    policy.m_maxQueuedRequests = 1;
+    policy.m_maxQueuedTasks = 1;
+    AgentFixture fixture(policy);
+    fixture.AddEndpoint(1);
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.MakeOffers({ fixture.RequestOffer(2), fixture.RequestOffer(3) });
+    AssertRefused(fixture, 3, ErrorKind::QueueFull);
+    fixture.MakeOffers({ fixture.TaskOffer(4, 9, kSmall) });
+    fixture.MakeOffers({ fixture.TaskOffer(5, 9, kSmall) });
+    fixture.MakeOffers({ fixture.TaskOffer(6, 9, kSmall) });
+    AssertRefused(fixture, 6, ErrorKind::QueueFull);
+    CPPUNIT_ASSERT(!fixture.ReportOn(2) && !fixture.ReportOn(5));
+  }
+
+  void TaskNeedsAWorkerThatCanHoldIt()
+  {
+    AgentFixture fixture;
+    fixture.MakeOffers({ fixture.TaskOffer(1, 9, kSmall) });
+    AssertRefused(fixture, 1, ErrorKind::NoEndpoint);
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers({ fixture.TaskOffer(2, 9, kWorker) });
+    AssertRefused(fixture, 2, ErrorKind::Unsatisfiable);
+  }
+
+  void DuplicateNeverStartsAgain()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(2);
+    const Offer offer = fixture.RequestOffer(1);
+    fixture.MakeOffers({ offer, offer });
+    fixture.MakeOffers({ offer });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.MakeOffers({ offer });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Reports().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("output"), fixture.Reports()[1].m_output);
+  }
+
+  void RefusedOfferStaysRefused()
+  {
+    AgentFixture fixture;
+    const Offer offer = fixture.RequestOffer(1);
+    fixture.MakeOffers({ offer });
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ offer });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Reports().size());
+  }
+
+  void SameIdOfAnotherEntryIsAnotherAttempt()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(2);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.Receive({ "entry2", Incarnation{ 3 } },
+                    OfferBatch{ fixture.m_self.m_incarnation,
+                                1,
+                                { fixture.RequestOffer(1) } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+  }
+
+  void DuplicateOfAForgottenRunIsLost()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    const Offer offer = fixture.RequestOffer(1);
+    fixture.MakeOffers({ offer });
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.Advance(minutes(1));
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ offer });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Lost);
+  }
+
+  void DrainRefusesNewAndQueuedAndFinishesTheRest()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers({ fixture.RequestOffer(1), fixture.RequestOffer(2) });
+    fixture.MakeOffers(
+      { fixture.TaskOffer(3, 9, kSmall), fixture.TaskOffer(4, 9, kSmall) });
+    fixture.Give(DrainRequested{});
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_leaving);
+    AssertRefused(fixture, 2, ErrorKind::Draining);
+    AssertRefused(fixture, 4, ErrorKind::Draining);
+    fixture.MakeOffers({ fixture.RequestOffer(5) });
+    AssertRefused(fixture, 5, ErrorKind::Draining);
+    CPPUNIT_ASSERT(!fixture.m_agent->Idle());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT(!fixture.m_agent->Idle());
+    fixture.Finish(fixture.Starts()[1].m_run);
+    CPPUNIT_ASSERT(fixture.m_agent->Idle());
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+    CPPUNIT_ASSERT(fixture.ReportOn(3)->m_fate == AttemptFate::Completed);
+  }
+
+  void NewLifeOfAnEntryEndsWhatItsFormerQueued()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1), fixture.RequestOffer(2) });
+    fixture.Receive({ "entry1", Incarnation{ 4 } }, EntryHello{});
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentAdmissionTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/agent_reconcile_test.cpp
@@ -0,0 +1,168 @@
+#include "core/tests/agentfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Resources kSmall{ 1000, 256, 0 };
+
+/** Attempts that are taken back or asked about. */
+class AgentReconcileTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AgentReconcileTest);
+  CPPUNIT_TEST(QueuedAttemptIsRevoked);
+  CPPUNIT_TEST(RevokedBeforeItsOfferNeverStarts);
+  CPPUNIT_TEST(RunningTaskIsStoppedOnceAndReportedAtItsEnd);
+  CPPUNIT_TEST(RunningRequestIsNotStopped);
+  CPPUNIT_TEST(ReconcileTellsEachFate);
+  CPPUNIT_TEST(UnknownAttemptIsRefusedForGood);
+  CPPUNIT_TEST(TombstoneOutlivesItsRecord);
+  CPPUNIT_TEST(ForgottenRunIsNeverCalledRefused);
+  CPPUNIT_TEST(OutputsAreDroppedBeforeFates);
+  CPPUNIT_TEST(EmptyReconcileIsAnsweredWithTheLoad);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void QueuedAttemptIsRevoked()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1), fixture.RequestOffer(2) });
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 2 } }, true });
+    CPPUNIT_ASSERT(fixture.ReportOn(2)->m_fate == AttemptFate::Revoked);
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
+  void RevokedBeforeItsOfferNeverStarts()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Revoked);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+  }
+
+  void RunningTaskIsStoppedOnceAndReportedAtItsEnd()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers({ fixture.TaskOffer(1, 9, kSmall) });
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, false });
+    CPPUNIT_ASSERT(fixture.Stops().empty());
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
+    CPPUNIT_ASSERT(fixture.Stops()[0].m_run == fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT(!fixture.ReportOn(1));
+    fixture.Finish(fixture.Starts()[0].m_run, RunOutcome::Failed);
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Failed);
+  }
+
+  void RunningRequestIsNotStopped()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    CPPUNIT_ASSERT(fixture.Stops().empty());
+  }
+
+  void ReconcileTellsEachFate()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(2);
+    fixture.MakeOffers({ fixture.RequestOffer(1),
+                         fixture.RequestOffer(2),
+                         fixture.RequestOffer(3) });
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.MakeOffers({ fixture.RequestOffer(4) });
+    fixture.Forget();
+    fixture.Receive(
+      fixture.m_entry,
+      Reconcile{
+        { AttemptId{ 1 }, AttemptId{ 2 }, AttemptId{ 4 }, AttemptId{ 5 } } });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::string("output"), fixture.ReportOn(1)->m_output);
+    CPPUNIT_ASSERT(fixture.ReportOn(2)->m_fate == AttemptFate::Running);
+    CPPUNIT_ASSERT(fixture.ReportOn(4)->m_fate == AttemptFate::Queued);
+    CPPUNIT_ASSERT(fixture.ReportOn(5)->m_fate == AttemptFate::Refused);
+  }
+
+  void UnknownAttemptIsRefusedForGood()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.Receive(fixture.m_entry, Reconcile{ { AttemptId{ 1 } } });
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+  }
+
+  void TombstoneOutlivesItsRecord()
+  {
+    AgentFixture fixture;
+    fixture.Receive(fixture.m_entry, Reconcile{ { AttemptId{ 1 } } });
+    fixture.Advance(minutes(5));
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Refused);
+    fixture.MakeOffers({ fixture.RequestOffer(2) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
+  void ForgottenRunIsNeverCalledRefused()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.Advance(minutes(5));
+    fixture.Forget();
+    fixture.Receive(fixture.m_entry, Reconcile{ { AttemptId{ 1 } } });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Lost);
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Lost);
+  }
+
+  void OutputsAreDroppedBeforeFates()
+  {
+    AgentPolicy policy;
+    policy.m_memoryLimit = 4096;
+    AgentFixture fixture(policy);
+    fixture.AddEndpoint(1);
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      fixture.MakeOffers({ fixture.RequestOffer(i) });
+      fixture.Finish(fixture.Starts().back().m_run,
+                     RunOutcome::Completed,
+                     std::string(1000, 'x'));
+    }
+    fixture.Forget();
+    fixture.Receive(fixture.m_entry,
+                    Reconcile{ { AttemptId{ 1 }, AttemptId{ 3 } } });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Lost);
+    CPPUNIT_ASSERT(fixture.ReportOn(3)->m_fate == AttemptFate::Completed);
+  }
+
+  void EmptyReconcileIsAnsweredWithTheLoad()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(3);
+    fixture.Forget();
+    fixture.Receive(fixture.m_entry, Reconcile{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Messages());
+    CPPUNIT_ASSERT(fixture.Reports().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentReconcileTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/agent_report_test.cpp
@@ -0,0 +1,234 @@
+#include "core/tests/agentfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/** What entries are told, and with how few messages. */
+class AgentReportTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AgentReportTest);
+  CPPUNIT_TEST(EntryIsGreetedOnFirstContactAndAfterALinkReset);
+  CPPUNIT_TEST(HeartbeatsOnlyInSilence);
+  CPPUNIT_TEST(HeartbeatsEndWithTheEntry);
+  CPPUNIT_TEST(OutcomesTravelTogetherWithTheLoad);
+  CPPUNIT_TEST(LoadReportsRise);
+  CPPUNIT_TEST(LoadIsPushedOnlyToSubscribers);
+  CPPUNIT_TEST(LoadIsPushedAtIntervals);
+  CPPUNIT_TEST(UnsentReportsAreSentLater);
+  CPPUNIT_TEST(ConfigurationNeverGoesBack);
+  CPPUNIT_TEST(RendezvousMovesFewKeys);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::vector<ReportBatch> Batches(const AgentFixture& aFixture)
+  {
+    std::vector<ReportBatch> batches;
+    for (const AgentCommand& command : aFixture.m_commands) {
+      const SendMessage* send = std::get_if<SendMessage>(&command);
+      if (send == nullptr) {
+        continue;
+      }
+      if (const ReportBatch* batch =
+            std::get_if<ReportBatch>(&send->m_message)) {
+        batches.push_back(*batch);
+      }
+    }
+    return batches;
+  }
+
+  static void TakeSlot(AgentFixture& aFixture,
+                       const ProcessId& aEntry,
+                       std::uint64_t aAttempt)
+  {
+    aFixture.Receive(aEntry,
+                     OfferBatch{ aFixture.m_self.m_incarnation,
+                                 aAttempt,
+                                 { aFixture.RequestOffer(aAttempt) } });
+  }
+
+  static std::size_t SentTo(const AgentFixture& aFixture,
+                            const ProcessId& aEntry)
+  {
+    std::size_t count = 0;
+    for (const AgentCommand& command : aFixture.m_commands) {
+      const SendMessage* send = std::get_if<SendMessage>(&command);
+      count += send != nullptr && send->m_to == aEntry ? 1 : 0;
+    }
+    return count;
+  }
+
+public:
+  void EntryIsGreetedOnFirstContactAndAfterALinkReset()
+  {
+    AgentFixture fixture;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Announcements().size());
+    fixture.Receive({ "entry2", Incarnation{ 1 } }, EntryHello{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Announcements().size());
+    fixture.Receive({ "entry2", Incarnation{ 1 } }, EntryHello{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Announcements().size());
+    fixture.Give(LinkReset{ { "entry2", Incarnation{ 1 } } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, fixture.Announcements().size());
+  }
+
+  void HeartbeatsOnlyInSilence()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.Forget();
+    fixture.Advance(milliseconds(1500));
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.Forget();
+    fixture.AddEndpoint(1);
+    fixture.Advance(milliseconds(1999));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.Messages());
+    fixture.Advance(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Announcements().size());
+  }
+
+  void HeartbeatsEndWithTheEntry()
+  {
+    AgentFixture fixture;
+    fixture.Give(PeersChanged{});
+    fixture.Advance(seconds(6));
+    fixture.Forget();
+    fixture.Advance(minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.Messages());
+  }
+
+  void OutcomesTravelTogetherWithTheLoad()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    Offer late = fixture.RequestOffer(2);
+    late.m_startBy = fixture.m_now + milliseconds(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1), late });
+    fixture.Forget();
+    fixture.m_now += milliseconds(2);
+    fixture.Give(RunFinished{ RunId{}, RunOutcome::Lost, {} });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Messages());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Reports().size());
+    const LoadReport load = Batches(fixture).at(0).m_load;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, load.m_offersSeen);
+    CPPUNIT_ASSERT(load.m_agentNow == fixture.m_now);
+  }
+
+  void LoadReportsRise()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    std::uint64_t last = fixture.Announcements().back().m_load.m_sequence;
+    for (int i = 0; i < 3; ++i) {
+      fixture.Receive(fixture.m_entry, Reconcile{});
+      const std::uint64_t next = Batches(fixture).back().m_load.m_sequence;
+      CPPUNIT_ASSERT(next > last);
+      last = next;
+    }
+  }
+
+  void LoadIsPushedOnlyToSubscribers()
+  {
+    AgentFixture fixture;
+    const ProcessId idle{ "entry2", Incarnation{ 1 } };
+    const ProcessId busy{ "entry3", Incarnation{ 1 } };
+    fixture.AddEndpoint(1);
+    fixture.Receive(idle, EntryHello{});
+    fixture.Receive(busy, EntryHello{});
+    fixture.Receive(fixture.m_entry, EntryHello{ {}, false, seconds(1) });
+    fixture.Advance(milliseconds(60));
+    fixture.Forget();
+    TakeSlot(fixture, busy, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, SentTo(fixture, fixture.m_entry));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, SentTo(fixture, busy));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SentTo(fixture, idle));
+    const RunId run = fixture.Starts().at(0).m_run;
+    // The subscription ends; the one that came with the offer holds.
+    fixture.Advance(seconds(1));
+    fixture.Forget();
+    fixture.Finish(run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, SentTo(fixture, fixture.m_entry));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, SentTo(fixture, busy));
+  }
+
+  void LoadIsPushedAtIntervals()
+  {
+    AgentFixture fixture;
+    const ProcessId busy{ "entry2", Incarnation{ 1 } };
+    fixture.AddEndpoint(1);
+    fixture.Receive(fixture.m_entry, EntryHello{ {}, false, seconds(2) });
+    fixture.Receive(busy, EntryHello{});
+    fixture.Advance(milliseconds(50));
+    fixture.Forget();
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+      TakeSlot(fixture, busy, i);
+      fixture.Advance(milliseconds(2));
+      fixture.Finish(fixture.Starts().back().m_run);
+      fixture.Advance(milliseconds(3));
+    }
+    const std::size_t pushed = SentTo(fixture, fixture.m_entry);
+    CPPUNIT_ASSERT(pushed >= 1 && pushed <= 3);
+  }
+
+  void UnsentReportsAreSentLater()
+  {
+    AgentFixture fixture;
+    fixture.AddEndpoint(1);
+    fixture.MakeOffers({ fixture.RequestOffer(1) });
+    fixture.Finish(fixture.Starts()[0].m_run);
+    const ReportBatch lost = Batches(fixture).back();
+    fixture.Forget();
+    fixture.Give(SendFailed{ fixture.m_entry, lost });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.Messages());
+    CPPUNIT_ASSERT(!fixture.m_agent->Idle());
+    fixture.Give(LinkReset{ fixture.m_entry });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+    CPPUNIT_ASSERT(fixture.m_agent->Idle());
+  }
+
+  void ConfigurationNeverGoesBack()
+  {
+    AgentFixture fixture;
+    fixture.Receive(fixture.m_entry,
+                    ConfigUpdate{ ConfigVersion{ 5 }, "five" });
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_load.m_config ==
+                   ConfigVersion{ 5 });
+    fixture.Receive(fixture.m_entry,
+                    ConfigUpdate{ ConfigVersion{ 4 }, "four" });
+    CPPUNIT_ASSERT(fixture.m_agent->Status().m_load.m_config ==
+                   ConfigVersion{ 5 });
+    fixture.Forget();
+    fixture.Receive(fixture.m_entry, ConfigRequest{ ConfigVersion{ 3 } });
+    const SendMessage* send =
+      std::get_if<SendMessage>(&fixture.m_commands.back());
+    CPPUNIT_ASSERT(send != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("five"),
+                         std::get<ConfigUpdate>(send->m_message).m_document);
+  }
+
+  void RendezvousMovesFewKeys()
+  {
+    std::vector<std::string> names;
+    for (int i = 0; i < 10; ++i) {
+      names.push_back("agent" + std::to_string(i));
+    }
+    std::vector<std::string> fewer(names.begin(), names.end() - 1);
+    for (int i = 0; i < 200; ++i) {
+      const std::string key = "worker" + std::to_string(i);
+      const std::string before = names[RendezvousRank(key, names)[0]];
+      const std::string after = fewer[RendezvousRank(key, fewer)[0]];
+      CPPUNIT_ASSERT(before == after || before == names.back());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentReportTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/agent_worker_test.cpp
@@ -0,0 +1,275 @@
+#include "core/tests/agentfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Resources kWorker{ 4000, 4096, 1 };
+constexpr Resources kSmall{ 1000, 256, 0 };
+
+/** Where tasks go, and which workers get none. */
+class AgentWorkerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AgentWorkerTest);
+  CPPUNIT_TEST(TasksWaitForRoom);
+  CPPUNIT_TEST(TaskGoesWhereItFitsBest);
+  CPPUNIT_TEST(LongestTaskOfAJobGoesFirst);
+  CPPUNIT_TEST(SmallerJobGoesFirst);
+  CPPUNIT_TEST(RoomFollowsUsageWithinBounds);
+  CPPUNIT_TEST(ReportedUsageTakesRoomAtOnce);
+  CPPUNIT_TEST(ForeignUsageTakesRoom);
+  CPPUNIT_TEST(LeavingWorkerGetsNothingNew);
+  CPPUNIT_TEST(LapsedWorkerGetsNothingNew);
+  CPPUNIT_TEST(FailuresOfTwoJobsQuarantine);
+  CPPUNIT_TEST(OneJobAloneHasToFailLonger);
+  CPPUNIT_TEST(QuarantineEndsWithAProbeAndSlowReturn);
+  CPPUNIT_TEST(FailedProbeDoublesThePause);
+  CPPUNIT_TEST(OtherWorkersArePreferredAfterAFailure);
+  CPPUNIT_TEST(StoppedTaskIsNoFailureOfTheWorker);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void Report(AgentFixture& aFixture,
+                     const std::string& aName,
+                     std::vector<TaskUsage> aUsage,
+                     bool aLeaving = false)
+  {
+    aFixture.Give(WorkerAnnounced{ { aName, "rack1", kWorker, false },
+                                   "http://" + aName,
+                                   aLeaving,
+                                   std::move(aUsage) });
+  }
+
+  /** Runs one task after the other to the given end. */
+  static void RunTasks(AgentFixture& aFixture,
+                       std::uint64_t aFirst,
+                       std::uint64_t aCount,
+                       bool aSameJob,
+                       RunOutcome aOutcome)
+  {
+    for (std::uint64_t i = aFirst; i < aFirst + aCount; ++i) {
+      aFixture.MakeOffers({ aFixture.TaskOffer(i, aSameJob ? 1 : i, kSmall) });
+      aFixture.Finish(aFixture.Starts().back().m_run, aOutcome);
+    }
+  }
+
+  static bool Quarantined(const AgentFixture& aFixture)
+  {
+    return aFixture.m_agent->Status().m_workers.at(0).m_quarantined;
+  }
+
+public:
+  void TasksWaitForRoom()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", { 2000, 400, 0 });
+    fixture.MakeOffers(
+      { fixture.TaskOffer(1, 5, kSmall), fixture.TaskOffer(2, 5, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+  }
+
+  void TaskGoesWhereItFitsBest()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", { 8000, 8192, 0 });
+    fixture.AddWorker("w2", kSmall);
+    fixture.MakeOffers({ fixture.TaskOffer(1, 5, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::string("w2"),
+                         fixture.Starts()[0].m_target.m_name);
+  }
+
+  void LongestTaskOfAJobGoesFirst()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    Offer brief = fixture.TaskOffer(1, 5, kSmall);
+    Offer lengthy = fixture.TaskOffer(2, 5, kSmall);
+    lengthy.m_expectedRun = seconds(2);
+    lengthy.m_payload = "long";
+    fixture.MakeOffers({ brief, lengthy });
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), fixture.Starts()[0].m_payload);
+  }
+
+  void SmallerJobGoesFirst()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    Offer single = fixture.TaskOffer(3, 6, kSmall);
+    single.m_payload = "single";
+    fixture.MakeOffers({ fixture.TaskOffer(1, 5, kSmall),
+                         fixture.TaskOffer(2, 5, kSmall),
+                         single });
+    CPPUNIT_ASSERT_EQUAL(std::string("single"), fixture.Starts()[0].m_payload);
+  }
+
+  void RoomFollowsUsageWithinBounds()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    for (std::uint64_t i = 1; i <= 60; ++i) {
+      fixture.MakeOffers({ fixture.TaskOffer(i, i, kSmall) });
+      const RunId run = fixture.Starts().back().m_run;
+      Report(fixture, "w1", { { run, { 100, 256, 0 } } });
+      fixture.Finish(run);
+    }
+    Report(fixture, "w1", {});
+    fixture.Forget();
+    std::vector<Offer> offers;
+    for (std::uint64_t i = 100; i < 130; ++i) {
+      offers.push_back(fixture.TaskOffer(i, i, kSmall));
+    }
+    fixture.MakeOffers(offers);
+    // A quarter of what is declared at the least: 16 of 1000 in 4000.
+    CPPUNIT_ASSERT(fixture.Starts().size() > 10);
+    CPPUNIT_ASSERT(fixture.Starts().size() <= 16);
+  }
+
+  void ReportedUsageTakesRoomAtOnce()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    fixture.MakeOffers({ fixture.TaskOffer(1, 5, kSmall) });
+    Report(fixture, "w1", { { fixture.Starts()[0].m_run, { 4000, 256, 0 } } });
+    fixture.MakeOffers({ fixture.TaskOffer(2, 6, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+  }
+
+  void ForeignUsageTakesRoom()
+  {
+    AgentFixture fixture;
+    Report(fixture, "w1", { { RunId{ 4711 }, { 3500, 256, 0 } } });
+    fixture.MakeOffers({ fixture.TaskOffer(1, 5, kSmall) });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    Report(fixture, "w1", {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
+  void LeavingWorkerGetsNothingNew()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers(
+      { fixture.TaskOffer(1, 5, kSmall), fixture.TaskOffer(2, 5, kSmall) });
+    Report(fixture, "w1", {}, true);
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_workers.empty());
+    CPPUNIT_ASSERT(fixture.ReportOn(2)->m_kind == ErrorKind::NoEndpoint);
+    CPPUNIT_ASSERT(!fixture.ReportOn(1));
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+  }
+
+  void LapsedWorkerGetsNothingNew()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    fixture.MakeOffers({ fixture.TaskOffer(1, 5, kSmall) });
+    fixture.Advance(seconds(6));
+    fixture.MakeOffers({ fixture.TaskOffer(2, 5, kSmall) });
+    CPPUNIT_ASSERT(fixture.ReportOn(2)->m_kind == ErrorKind::NoEndpoint);
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+  }
+
+  void FailuresOfTwoJobsQuarantine()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    RunTasks(fixture, 1, 2, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    RunTasks(fixture, 3, 1, false, RunOutcome::Lost);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_workers[0].m_quarantined);
+    fixture.MakeOffers({ fixture.TaskOffer(9, 9, kSmall) });
+    CPPUNIT_ASSERT(fixture.ReportOn(9)->m_kind == ErrorKind::NoEndpoint);
+  }
+
+  void OneJobAloneHasToFailLonger()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    RunTasks(fixture, 1, 5, true, RunOutcome::Failed);
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    RunTasks(fixture, 6, 1, true, RunOutcome::Failed);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+  }
+
+  void QuarantineEndsWithAProbeAndSlowReturn()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    fixture.Advance(seconds(5));
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    fixture.AddWorker("w1", kWorker);
+    fixture.Forget();
+    std::vector<Offer> offers;
+    for (std::uint64_t i = 10; i < 20; ++i) {
+      offers.push_back(fixture.TaskOffer(i, i, kSmall));
+    }
+    fixture.MakeOffers(offers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    // A quarter, a half, then all of four cores.
+    fixture.Finish(fixture.Starts()[0].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[1].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[2].m_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 7 }, fixture.Starts().size());
+  }
+
+  void FailedProbeDoublesThePause()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    fixture.Advance(seconds(5));
+    RunTasks(fixture, 4, 1, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+    fixture.AddWorker("w1", kWorker);
+    fixture.Advance(seconds(5));
+    fixture.AddWorker("w1", kWorker);
+    fixture.Advance(seconds(5) - Duration(1));
+    CPPUNIT_ASSERT(Quarantined(fixture));
+    fixture.Advance(Duration(1));
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+  }
+
+  void OtherWorkersArePreferredAfterAFailure()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kSmall);
+    fixture.AddWorker("w2", kWorker);
+    RunTasks(fixture, 1, 1, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT_EQUAL(std::string("w1"),
+                         fixture.Starts()[0].m_target.m_name);
+    RunTasks(fixture, 2, 1, false, RunOutcome::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::string("w2"),
+                         fixture.Starts()[1].m_target.m_name);
+  }
+
+  void StoppedTaskIsNoFailureOfTheWorker()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorker);
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+      fixture.MakeOffers({ fixture.TaskOffer(i, i, kSmall) });
+      fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ i } }, true });
+      fixture.Finish(fixture.Starts().back().m_run, RunOutcome::Failed);
+    }
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentWorkerTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
