A new life of an agent says that its memory of keys is whole

remembersFor was cut to the agent's uptime, so that every resubmission would have been called uncertain for as long as keys are remembered after any agent had joined. What an earlier life held is counted by the entries as a departure; only what this life forgot for lack of memory shortens it.

--- a/packages/core/internal/agent/keykeeper.cpp
+++ b/packages/core/internal/agent/keykeeper.cpp
@@ -282,9 +282,11 @@
 Duration
 KeyKeeper::RemembersFor() const
 {
-  const Instant since =
-    std::max(m_board.m_startedAt, m_board.m_keys.m_completeSince);
-  return std::min(m_board.m_policy.m_keyMemory, m_board.m_now - since);
+  const Duration memory = m_board.m_policy.m_keyMemory;
+  // What came since this life began is known, however short it has been.
+  return m_board.m_keys.m_completeSince == Instant()
+           ? memory
+           : std::min(memory, m_board.m_now - m_board.m_keys.m_completeSince);
 }
 
 } // namespace mulberrysail::core::agent
