Store adapter for the JSON gateway of etcd v3

Cause: configuration and the list of entries live in the platform's store. Change: MakeEtcdStore implements IStore over the HTTP client. Reads try every member in turn. A write goes to another member only while nothing of it was sent; it is Uncertain when its answer is lost or is a server error, and NotWritten when nothing was sent or the store rejected it.

--- a/packages/network/internal/httpclient.cpp
+++ b/packages/network/internal/httpclient.cpp
@@ -87,19 +87,24 @@
 
   void Enqueue(TransferPtr aTransfer)
   {
-    {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      if (!m_stopping) {
-        m_queue.push_back(std::move(aTransfer));
-      }
-    }
-    if (aTransfer) {
+    if (!AddToQueue(aTransfer)) {
       aTransfer->Finish(CURLE_ABORTED_BY_CALLBACK, "the client has stopped");
       return;
     }
     curl_multi_wakeup(m_multi.get());
   }
 
+  /** @return false if the client has stopped; then nothing is taken. */
+  bool AddToQueue(TransferPtr& aTransfer)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_stopping) {
+      return false;
+    }
+    m_queue.push_back(std::move(aTransfer));
+    return true;
+  }
+
   void Run()
   {
     while (TakeQueue()) {
--- a/packages/network/internal/httptransfer.cpp
+++ b/packages/network/internal/httptransfer.cpp
@@ -80,7 +80,8 @@
   // An empty field takes out what libcurl would send by itself.
   m_call.m_headers.insert_or_assign("Expect", "");
   for (const auto& [name, value] : m_call.m_headers) {
-    const std::string line = name + ": " + value;
+    std::string line = name;
+    line.append(": ").append(value);
     curl_slist* const longer = curl_slist_append(m_headers.get(), line.c_str());
     if (longer != nullptr) {
       static_cast<void>(m_headers.release());
--- /dev/null
+++ b/packages/platform/internal/base64.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mulberrysail::platform {
+
+std::string
+EncodeBase64(std::string_view aData);
+
+/** @return the data, unless the text isn't well formed. */
+std::optional<std::string>
+DecodeBase64(std::string_view aText);
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/internal/etcdjson.cpp
@@ -0,0 +1,240 @@
+#include "platform/internal/etcdjson.h"
+
+#include "platform/internal/base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <stdexcept>
+
+namespace mulberrysail::platform::etcd {
+
+namespace {
+
+using nlohmann::json;
+
+/** @return the first key after all that begin with @p aPrefix. */
+std::string
+PrefixEnd(std::string aPrefix)
+{
+  while (!aPrefix.empty() && aPrefix.back() == '\xff') {
+    aPrefix.pop_back();
+  }
+  if (aPrefix.empty()) {
+    return std::string(1, '\0');
+  }
+  aPrefix.back() = static_cast<char>(aPrefix.back() + 1);
+  return aPrefix;
+}
+
+json
+KeyRange(const std::string& aKey, bool aPrefix)
+{
+  json range = { { "key", EncodeBase64(aKey) } };
+  if (aPrefix) {
+    range["range_end"] = EncodeBase64(PrefixEnd(aKey));
+  }
+  return range;
+}
+
+json
+Put(const std::string& aKey,
+    const std::string& aValue,
+    std::optional<std::int64_t> aLease)
+{
+  json put = { { "key", EncodeBase64(aKey) },
+               { "value", EncodeBase64(aValue) } };
+  if (aLease) {
+    put["lease"] = std::to_string(*aLease);
+  }
+  return put;
+}
+
+/** Throws if the field is there and no number. */
+std::int64_t
+Number(const json& aObject, const char* aName)
+{
+  const auto field = aObject.find(aName);
+  if (field == aObject.end()) {
+    return 0;
+  }
+  if (field->is_number_integer()) {
+    return field->get<std::int64_t>();
+  }
+  const std::string& text = field->get_ref<const std::string&>();
+  std::int64_t number = 0;
+  const std::from_chars_result result =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+    throw std::invalid_argument(std::string(aName) + " is no number");
+  }
+  return number;
+}
+
+std::string
+Bytes(const json& aObject, const char* aName)
+{
+  const auto field = aObject.find(aName);
+  if (field == aObject.end()) {
+    return {};
+  }
+  std::optional<std::string> data =
+    DecodeBase64(field->get_ref<const std::string&>());
+  if (!data) {
+    throw std::invalid_argument(std::string(aName) + " is not base64");
+  }
+  return std::move(*data);
+}
+
+StoredValue
+Value(const json& aObject)
+{
+  return { Bytes(aObject, "key"),
+           Bytes(aObject, "value"),
+           Number(aObject, "mod_revision") };
+}
+
+/** Runs @p aRead on the parsed text; what it throws becomes an error. */
+template<typename T, typename Reader>
+core::Result<T>
+Parse(std::string_view aText, Reader aRead)
+{
+  try {
+    return aRead(json::parse(aText));
+  } catch (const std::exception& error) {
+    return core::Fail(core::ErrorKind::StoreUnavailable,
+                      std::string("the store's answer can't be read: ") +
+                        error.what());
+  }
+}
+
+void
+ReadEvents(const json& aResult,
+           const std::function<void(StoredValue)>& aOnChange)
+{
+  for (const json& event : aResult.value("events", json::array())) {
+    StoredValue value = Value(event.at("kv"));
+    if (event.value("type", "PUT") == "DELETE") {
+      value.m_value.clear();
+      value.m_modRevision = 0;
+    }
+    aOnChange(std::move(value));
+  }
+}
+
+} // namespace
+
+std::string
+RangeRequest(const std::string& aKey, bool aPrefix)
+{
+  return KeyRange(aKey, aPrefix).dump();
+}
+
+std::string
+PutRequest(const std::string& aKey,
+           const std::string& aValue,
+           std::optional<std::int64_t> aLease)
+{
+  return Put(aKey, aValue, aLease).dump();
+}
+
+std::string
+CompareAndSwapRequest(const std::string& aKey,
+                      std::int64_t aModRevision,
+                      const std::string& aValue,
+                      std::optional<std::int64_t> aLease)
+{
+  const json compare = { { "key", EncodeBase64(aKey) },
+                         { "target", "MOD" },
+                         { "result", "EQUAL" },
+                         { "mod_revision", std::to_string(aModRevision) } };
+  const json put = { { "request_put", Put(aKey, aValue, aLease) } };
+  return json{
+    { "compare", json::array({ compare }) }, { "success", json::array({ put }) }
+  }.dump();
+}
+
+std::string
+GrantRequest(std::chrono::seconds aTtl)
+{
+  return json{ { "TTL", std::to_string(aTtl.count()) } }.dump();
+}
+
+std::string
+LeaseRequest(std::int64_t aLease)
+{
+  return json{ { "ID", std::to_string(aLease) } }.dump();
+}
+
+std::string
+WatchRequest(const std::string& aPrefix, std::int64_t aFromRevision)
+{
+  json create = KeyRange(aPrefix, true);
+  create["start_revision"] = std::to_string(aFromRevision);
+  create["progress_notify"] = true;
+  return json{ { "create_request", create } }.dump();
+}
+
+core::Result<StoreRead>
+ReadRange(std::string_view aText)
+{
+  return Parse<StoreRead>(aText, [](const json& aRoot) {
+    StoreRead read;
+    read.m_revision = Number(aRoot.at("header"), "revision");
+    if (read.m_revision == 0) {
+      throw std::invalid_argument("no revision");
+    }
+    for (const json& value : aRoot.value("kvs", json::array())) {
+      read.m_values.push_back(Value(value));
+    }
+    return read;
+  });
+}
+
+core::Result<bool>
+ReadTransaction(std::string_view aText)
+{
+  return Parse<bool>(aText, [](const json& aRoot) {
+    // Without the header it isn't etcd that answered.
+    aRoot.at("header");
+    return aRoot.value("succeeded", false);
+  });
+}
+
+core::Result<std::int64_t>
+ReadGrant(std::string_view aText)
+{
+  return Parse<std::int64_t>(aText, [](const json& aRoot) {
+    const std::int64_t lease = Number(aRoot, "ID");
+    if (lease == 0) {
+      throw std::invalid_argument("no lease was granted");
+    }
+    return lease;
+  });
+}
+
+core::Result<bool>
+ReadKeepAlive(std::string_view aText)
+{
+  return Parse<bool>(aText, [](const json& aRoot) {
+    return Number(aRoot.at("result"), "TTL") > 0;
+  });
+}
+
+core::Result<void>
+ReadWatch(std::string_view aText,
+          const std::function<void(StoredValue)>& aOnChange)
+{
+  return Parse<void>(aText, [&](const json& aRoot) -> core::Result<void> {
+    const auto result = aRoot.find("result");
+    if (result == aRoot.end() || result->value("canceled", false)) {
+      return core::Fail(core::ErrorKind::StoreUnavailable,
+                        "the store cancelled the watch: " +
+                          std::string(aText.substr(0, 200)));
+    }
+    ReadEvents(*result, aOnChange);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  });
+}
+
+} // namespace mulberrysail::platform::etcd
--- /dev/null
+++ b/packages/platform/internal/etcdstore.cpp
@@ -0,0 +1,283 @@
+#include "platform/etcdstore.h"
+
+#include "platform/internal/etcdjson.h"
+#include "platform/internal/watchreader.h"
+
+#include <atomic>
+#include <utility>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+using network::HttpFate;
+using network::HttpOutcome;
+
+constexpr int kOk = 200;
+constexpr int kTimeoutStatus = 408;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+/** Whether a call may be made to another member after it failed. */
+enum class Repeat : std::uint8_t
+{
+  Always,
+  IfNeverSent,
+};
+
+/** Shared with calls that are still open when the store is dropped. */
+class Members : public std::enable_shared_from_this<Members>
+{
+public:
+  Members(EtcdOptions aOptions, network::IHttpClient& aClient)
+    : m_options(std::move(aOptions))
+    , m_client(aClient)
+  {
+  }
+
+  void Ask(const std::string& aPath,
+           const std::string& aBody,
+           Repeat aRepeat,
+           network::HttpCallback aCallback)
+  {
+    Try({ aPath, aBody, aRepeat, std::move(aCallback), m_preferred.load() }, 0);
+  }
+
+  void Watch(const std::string& aBody,
+             std::function<void(StoredValue)> aOnChange,
+             std::function<void(core::Error)> aOnEnd)
+  {
+    const std::size_t member = m_preferred.load();
+    network::HttpCall call = MakeCall(member, "/v3/watch", aBody);
+    call.m_timeout = std::chrono::milliseconds(0);
+    call.m_silenceTimeout = m_options.m_watchSilence;
+    const std::shared_ptr<WatchReader> reader =
+      std::make_shared<WatchReader>(std::move(aOnChange));
+    m_calls.fetch_add(1);
+    m_client.Stream(
+      std::move(call),
+      [reader](std::string_view aPart) { return reader->Take(aPart); },
+      [self = shared_from_this(), reader, member, onEnd = std::move(aOnEnd)](
+        const HttpOutcome& aOutcome) {
+        self->m_preferred.store(member + 1);
+        onEnd(reader->End().value_or(Unavailable(aOutcome)));
+      });
+  }
+
+  std::uint64_t Calls() const { return m_calls.load(); }
+
+  static core::Error Unavailable(const HttpOutcome& aOutcome)
+  {
+    constexpr std::size_t kMaxDetail = 200;
+    if (aOutcome.m_fate != HttpFate::Answered) {
+      return { core::ErrorKind::StoreUnavailable, aOutcome.m_detail };
+    }
+    return { core::ErrorKind::StoreUnavailable,
+             "the store answered " + std::to_string(aOutcome.m_status) + " " +
+               aOutcome.m_body.substr(0, kMaxDetail) };
+  }
+
+private:
+  struct Question
+  {
+    std::string m_path;
+    std::string m_body;
+    Repeat m_repeat;
+    network::HttpCallback m_callback;
+    std::size_t m_firstMember;
+  };
+
+  void Try(Question aQuestion, std::size_t aTried)
+  {
+    const std::size_t member = aQuestion.m_firstMember + aTried;
+    network::HttpCall call =
+      MakeCall(member, aQuestion.m_path, aQuestion.m_body);
+    m_calls.fetch_add(1);
+    m_client.Call(
+      std::move(call),
+      [self = shared_from_this(),
+       question = std::move(aQuestion),
+       member,
+       tried = aTried + 1](HttpOutcome aOutcome) mutable {
+        const bool answered =
+          aOutcome.m_fate == HttpFate::Answered && aOutcome.m_status == kOk;
+        self->m_preferred.store(answered ? member : member + 1);
+        const bool repeatable = question.m_repeat == Repeat::Always ||
+                                aOutcome.m_fate == HttpFate::NeverSent;
+        if (!answered && repeatable && tried < self->m_options.m_urls.size()) {
+          self->Try(std::move(question), tried);
+          return;
+        }
+        question.m_callback(std::move(aOutcome));
+      });
+  }
+
+  network::HttpCall MakeCall(std::size_t aMember,
+                             const std::string& aPath,
+                             const std::string& aBody) const
+  {
+    network::HttpCall call;
+    call.m_url = m_options.m_urls[aMember % m_options.m_urls.size()] + aPath;
+    call.m_body = aBody;
+    call.m_timeout = m_options.m_timeout;
+    call.m_connectTimeout = m_options.m_connectTimeout;
+    return call;
+  }
+
+  const EtcdOptions m_options;
+  network::IHttpClient& m_client;
+  /** Counts on over the members; the last one that answered. */
+  std::atomic<std::size_t> m_preferred{ 0 };
+  std::atomic<std::uint64_t> m_calls{ 0 };
+};
+
+/** @return what is known of a write that got no positive answer. */
+WriteOutcome
+FailedWrite(const HttpOutcome& aOutcome)
+{
+  const bool rejected = aOutcome.m_fate == HttpFate::Answered &&
+                        aOutcome.m_status >= kFirstClientError &&
+                        aOutcome.m_status < kFirstServerError &&
+                        aOutcome.m_status != kTimeoutStatus;
+  return rejected || aOutcome.m_fate == HttpFate::NeverSent
+           ? WriteOutcome::NotWritten
+           : WriteOutcome::Uncertain;
+}
+
+bool
+IsOk(const HttpOutcome& aOutcome)
+{
+  return aOutcome.m_fate == HttpFate::Answered && aOutcome.m_status == kOk;
+}
+
+/** Reads the body of a good answer with @p aRead. */
+template<typename T>
+core::Result<T>
+ReadAnswer(const HttpOutcome& aOutcome,
+           core::Result<T> (*aRead)(std::string_view))
+{
+  if (!IsOk(aOutcome)) {
+    return BOOST_OUTCOME_V2_NAMESPACE::failure(Members::Unavailable(aOutcome));
+  }
+  return aRead(aOutcome.m_body);
+}
+
+class EtcdStore : public IStore
+{
+public:
+  explicit EtcdStore(std::shared_ptr<Members> aMembers)
+    : m_members(std::move(aMembers))
+  {
+  }
+
+  void Read(const std::string& aKey,
+            bool aPrefix,
+            std::function<void(core::Result<StoreRead>)> aCallback) override
+  {
+    m_members->Ask(
+      "/v3/kv/range",
+      etcd::RangeRequest(aKey, aPrefix),
+      Repeat::Always,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        callback(ReadAnswer(aOutcome, etcd::ReadRange));
+      });
+  }
+
+  void CompareAndSwap(const std::string& aKey,
+                      std::int64_t aModRevision,
+                      const std::string& aValue,
+                      std::optional<std::int64_t> aLease,
+                      std::function<void(WriteOutcome)> aCallback) override
+  {
+    m_members->Ask(
+      "/v3/kv/txn",
+      etcd::CompareAndSwapRequest(aKey, aModRevision, aValue, aLease),
+      Repeat::IfNeverSent,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        if (!IsOk(aOutcome)) {
+          callback(FailedWrite(aOutcome));
+          return;
+        }
+        const core::Result<bool> swapped =
+          etcd::ReadTransaction(aOutcome.m_body);
+        callback(swapped.has_error() ? WriteOutcome::Uncertain
+                 : swapped.value()   ? WriteOutcome::Written
+                                     : WriteOutcome::Conflict);
+      });
+  }
+
+  void Put(const std::string& aKey,
+           const std::string& aValue,
+           std::optional<std::int64_t> aLease,
+           std::function<void(WriteOutcome)> aCallback) override
+  {
+    m_members->Ask(
+      "/v3/kv/put",
+      etcd::PutRequest(aKey, aValue, aLease),
+      Repeat::IfNeverSent,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        callback(IsOk(aOutcome) ? WriteOutcome::Written
+                                : FailedWrite(aOutcome));
+      });
+  }
+
+  void GrantLease(
+    std::chrono::seconds aTtl,
+    std::function<void(core::Result<std::int64_t>)> aCallback) override
+  {
+    // A second grant leaves a lease that nobody keeps, which lapses.
+    m_members->Ask(
+      "/v3/lease/grant",
+      etcd::GrantRequest(aTtl),
+      Repeat::Always,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        callback(ReadAnswer(aOutcome, etcd::ReadGrant));
+      });
+  }
+
+  void KeepLease(std::int64_t aLease,
+                 std::function<void(core::Result<bool>)> aCallback) override
+  {
+    m_members->Ask(
+      "/v3/lease/keepalive",
+      etcd::LeaseRequest(aLease),
+      Repeat::Always,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        callback(ReadAnswer(aOutcome, etcd::ReadKeepAlive));
+      });
+  }
+
+  void RevokeLease(std::int64_t aLease) override
+  {
+    m_members->Ask("/v3/lease/revoke",
+                   etcd::LeaseRequest(aLease),
+                   Repeat::IfNeverSent,
+                   [](const HttpOutcome& /*aOutcome*/) {});
+  }
+
+  void Watch(const std::string& aPrefix,
+             std::int64_t aFromRevision,
+             std::function<void(StoredValue)> aOnChange,
+             std::function<void(core::Error)> aOnEnd) override
+  {
+    m_members->Watch(etcd::WatchRequest(aPrefix, aFromRevision),
+                     std::move(aOnChange),
+                     std::move(aOnEnd));
+  }
+
+  std::uint64_t Calls() const override { return m_members->Calls(); }
+
+private:
+  std::shared_ptr<Members> m_members;
+};
+
+} // namespace
+
+std::unique_ptr<IStore>
+MakeEtcdStore(EtcdOptions aOptions, network::IHttpClient& aClient)
+{
+  return std::make_unique<EtcdStore>(
+    std::make_shared<Members>(std::move(aOptions), aClient));
+}
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/internal/watchreader.cpp
@@ -0,0 +1,46 @@
+#include "platform/internal/watchreader.h"
+
+#include "platform/internal/etcdjson.h"
+
+#include <utility>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+/** Holds several values of a megabyte in base64. */
+constexpr std::size_t kMaxLineBytes = 8UL << 20U;
+
+} // namespace
+
+WatchReader::WatchReader(std::function<void(StoredValue)> aOnChange)
+  : m_onChange(std::move(aOnChange))
+{
+}
+
+bool
+WatchReader::Take(std::string_view aPart)
+{
+  m_buffer += aPart;
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  while ((end = m_buffer.find('\n', begin)) != std::string::npos) {
+    const std::string_view line =
+      std::string_view(m_buffer).substr(begin, end - begin);
+    begin = end + 1;
+    const core::Result<void> read = etcd::ReadWatch(line, m_onChange);
+    if (read.has_error()) {
+      m_end = read.error();
+      return false;
+    }
+  }
+  m_buffer.erase(0, begin);
+  if (m_buffer.size() > kMaxLineBytes) {
+    m_end = core::Error{ core::ErrorKind::StoreUnavailable,
+                         "a message of the watch is too long" };
+    return false;
+  }
+  return true;
+}
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/internal/watchreader.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "platform/istore.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mulberrysail::platform {
+
+/** Takes the messages of one watch, a line each, out of the parts in which
+ * they arrive. */
+class WatchReader
+{
+public:
+  explicit WatchReader(std::function<void(StoredValue)> aOnChange);
+
+  /** @return false if the watch is over. */
+  bool Take(std::string_view aPart);
+
+  /** @return why the watch is over, if its messages tell. */
+  const std::optional<core::Error>& End() const { return m_end; }
+
+private:
+  std::function<void(StoredValue)> m_onChange;
+  std::string m_buffer;
+  std::optional<core::Error> m_end;
+};
+
+} // namespace mulberrysail::platform
