--- /dev/null
+++ b/packages/platform/internal/backoff.cpp
@@ -0,0 +1,36 @@
+#include "platform/internal/backoff.h"
+
+#include <algorithm>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+constexpr core::Duration kFirst = std::chrono::milliseconds(100);
+constexpr core::Duration kLast = std::chrono::seconds(5);
+
+} // namespace
+
+Backoff::Backoff(std::uint32_t aSeed)
+  : m_random(aSeed)
+  , m_limit(kFirst)
+{
+}
+
+core::Duration
+Backoff::Next()
+{
+  std::uniform_int_distribution<core::Duration::rep> spread(m_limit.count() / 2,
+                                                            m_limit.count());
+  const core::Duration delay(spread(m_random));
+  m_limit = std::min(2 * m_limit, kLast);
+  return delay;
+}
+
+void
+Backoff::Reset()
+{
+  m_limit = kFirst;
+}
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/internal/storewatcher.cpp
@@ -0,0 +1,107 @@
+#include "platform/internal/storewatcher.h"
+
+#include <utility>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+/** A watch that lasted so long was a good one. */
+constexpr core::Duration kGoodWatch = std::chrono::seconds(1);
+
+} // namespace
+
+StoreWatcher::StoreWatcher(IStore& aStore,
+                           ITimer& aTimer,
+                           std::string aPrefix,
+                           std::uint32_t aSeed,
+                           WatcherHooks aHooks)
+  : m_store(aStore)
+  , m_timer(aTimer)
+  , m_prefix(std::move(aPrefix))
+  , m_backoff(aSeed)
+  , m_hooks(std::move(aHooks))
+{
+}
+
+void
+StoreWatcher::Start()
+{
+  if (m_stopped) {
+    return;
+  }
+  m_store.Read(m_prefix,
+               true,
+               [weak = weak_from_this()](const core::Result<StoreRead>& aRead) {
+                 const std::shared_ptr<StoreWatcher> self = weak.lock();
+                 if (self && !self->m_stopped) {
+                   self->OnRead(aRead);
+                 }
+               });
+}
+
+void
+StoreWatcher::Stop()
+{
+  m_stopped = true;
+}
+
+void
+StoreWatcher::OnRead(const core::Result<StoreRead>& aRead)
+{
+  SetAvailable(aRead.has_value());
+  if (aRead.has_error()) {
+    StartLater();
+    return;
+  }
+  m_hooks.m_onSnapshot(aRead.value());
+  m_watchBegin = m_timer.Now();
+  m_store.Watch(
+    m_prefix,
+    aRead.value().m_revision + 1,
+    [weak = weak_from_this()](const StoredValue& aValue) {
+      const std::shared_ptr<StoreWatcher> self = weak.lock();
+      if (self && !self->m_stopped) {
+        self->m_hooks.m_onChange(aValue);
+      }
+    },
+    [weak = weak_from_this()](const core::Error& /*aError*/) {
+      const std::shared_ptr<StoreWatcher> self = weak.lock();
+      if (self && !self->m_stopped) {
+        self->OnEnd();
+      }
+    });
+}
+
+void
+StoreWatcher::OnEnd()
+{
+  if (m_timer.Now() - m_watchBegin >= kGoodWatch) {
+    m_backoff.Reset();
+  }
+  StartLater();
+}
+
+void
+StoreWatcher::StartLater()
+{
+  m_timer.After(m_backoff.Next(), [weak = weak_from_this()] {
+    const std::shared_ptr<StoreWatcher> self = weak.lock();
+    if (self) {
+      self->Start();
+    }
+  });
+}
+
+void
+StoreWatcher::SetAvailable(bool aAvailable)
+{
+  if (aAvailable == std::exchange(m_available, aAvailable)) {
+    return;
+  }
+  if (m_hooks.m_onAvailable) {
+    m_hooks.m_onAvailable(aAvailable);
+  }
+}
+
+} // namespace mulberrysail::platform
