--- a/packages/platform/ientrydirectory.h
+++ b/packages/platform/ientrydirectory.h
@@ -36,7 +36,8 @@
    * the store has never answered. */
   virtual std::vector<EntryRecord> Entries() const = 0;
 
-  /** Takes this entry out of the store, so that others learn of it at once. */
+  /** Takes this entry out of the store, so that others learn of it at once.
+   * The call is on its way when this returns. */
   virtual void Leave() = 0;
 
   /** No hook is called any more once this has returned, but from a call that
@@ -56,7 +57,7 @@
   std::uint32_t m_seed = 0;
 };
 
-/** Gets the whole list each time it changes. */
+/** Gets the whole list each time it changes; the fallback isn't told. */
 using EntriesHook = std::function<void(std::vector<EntryRecord>)>;
 
 /**
--- /dev/null
+++ b/packages/platform/internal/configservice.cpp
@@ -0,0 +1,212 @@
+#include "platform/iconfigservice.h"
+
+#include "core/types/configuration.h"
+#include "platform/internal/patchoperation.h"
+#include "platform/internal/storedconfig.h"
+#include "platform/internal/storewatcher.h"
+
+#include <deque>
+#include <mutex>
+#include <utility>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+constexpr std::size_t kMaxIdLength = 128;
+
+class ConfigService
+  : public IConfigService
+  , public std::enable_shared_from_this<ConfigService>
+{
+public:
+  ConfigService(IStore& aStore,
+                ITimer& aTimer,
+                std::uint32_t aSeed,
+                ConfigHooks aHooks)
+    : m_store(aStore)
+    , m_timer(aTimer)
+    , m_seed(aSeed)
+    , m_hooks(std::move(aHooks))
+  {
+  }
+
+  ConfigService(const ConfigService&) = delete;
+  ConfigService& operator=(const ConfigService&) = delete;
+
+  ~ConfigService() override { ConfigService::Stop(); }
+
+  void Start()
+  {
+    const std::weak_ptr<ConfigService> weak = weak_from_this();
+    WatcherHooks hooks;
+    hooks.m_onSnapshot = [weak](const StoreRead& aRead) {
+      for (const StoredValue& value : aRead.m_values) {
+        Take(weak, value);
+      }
+    };
+    hooks.m_onChange = [weak](const StoredValue& aValue) {
+      Take(weak, aValue);
+    };
+    hooks.m_onAvailable = [weak](bool aAvailable) {
+      const std::shared_ptr<ConfigService> self = weak.lock();
+      if (self && self->m_hooks.m_onAvailable) {
+        self->m_hooks.m_onAvailable(aAvailable);
+      }
+    };
+    m_watcher = std::make_shared<StoreWatcher>(
+      m_store, m_timer, std::string(kConfigKey), m_seed, std::move(hooks));
+    m_watcher->Start();
+  }
+
+  std::optional<core::ConfigChanged> Current() const override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_current;
+  }
+
+  void Patch(ConfigPatch aPatch, PatchCallback aCallback) override
+  {
+    if (aPatch.m_id.empty() || aPatch.m_id.size() > kMaxIdLength) {
+      aCallback(core::Fail(core::ErrorKind::InvalidPatch,
+                           "id: 1 to 128 bytes are expected"));
+      return;
+    }
+    std::optional<StoredConfig> known;
+    core::ConfigVersion inForce;
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      known = m_known;
+      inForce = m_current ? m_current->m_configuration.m_version : inForce;
+    }
+    const std::shared_ptr<PatchOperation> operation =
+      std::make_shared<PatchOperation>(
+        m_store,
+        m_timer,
+        m_seed,
+        std::move(aPatch),
+        inForce,
+        [self = shared_from_this(), callback = std::move(aCallback)](
+          const core::Result<StoredConfig>& aStored,
+          core::ConfigVersion aVersion) {
+          if (aStored.has_error()) {
+            callback(
+              core::Fail(aStored.error().m_kind, aStored.error().m_detail));
+            return;
+          }
+          self->Accept(aStored.value().m_version, aStored.value().m_document);
+          callback(aVersion);
+        });
+    operation->Start(known);
+  }
+
+  void Offer(core::ConfigVersion aVersion, std::string aDocument) override
+  {
+    Accept(aVersion, std::move(aDocument));
+  }
+
+  void Stop() override
+  {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_stopped = true;
+    }
+    if (m_watcher) {
+      m_watcher->Stop();
+    }
+  }
+
+private:
+  /** Takes what the store holds, or held a while ago. */
+  static void Take(const std::weak_ptr<ConfigService>& aWeak,
+                   const StoredValue& aValue)
+  {
+    const std::shared_ptr<ConfigService> self = aWeak.lock();
+    if (!self || aValue.m_key != kConfigKey || aValue.m_modRevision == 0) {
+      return;
+    }
+    const core::Result<StoredConfig> stored = ReadStoredConfig(aValue);
+    if (stored.has_error()) {
+      return;
+    }
+    self->Remember(stored.value());
+    self->Accept(stored.value().m_version, stored.value().m_document);
+  }
+
+  void Remember(const StoredConfig& aStored)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (!m_known || m_known->m_modRevision < aStored.m_modRevision) {
+      m_known = aStored;
+    }
+  }
+
+  void Accept(core::ConfigVersion aVersion, std::string aDocument)
+  {
+    const core::Result<core::Configuration> parsed =
+      core::ParseConfiguration(aVersion, aDocument);
+    if (parsed.has_error()) {
+      return;
+    }
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      if (m_stopped ||
+          (m_current && aVersion <= m_current->m_configuration.m_version)) {
+        return;
+      }
+      m_current = core::ConfigChanged{ parsed.value(), std::move(aDocument) };
+      m_undelivered.push_back(*m_current);
+    }
+    Deliver();
+  }
+
+  /** Hands changes to the hook in their order, whatever threads they came
+   * from: one thread delivers for all. */
+  void Deliver()
+  {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    if (m_delivering) {
+      return;
+    }
+    m_delivering = true;
+    while (!m_undelivered.empty() && !m_stopped) {
+      core::ConfigChanged change = std::move(m_undelivered.front());
+      m_undelivered.pop_front();
+      lock.unlock();
+      if (m_hooks.m_onChange) {
+        m_hooks.m_onChange(std::move(change));
+      }
+      lock.lock();
+    }
+    m_delivering = false;
+  }
+
+  IStore& m_store;
+  ITimer& m_timer;
+  const std::uint32_t m_seed;
+  const ConfigHooks m_hooks;
+  std::shared_ptr<StoreWatcher> m_watcher;
+  mutable std::mutex m_mutex;
+  bool m_stopped = false;
+  bool m_delivering = false;
+  std::optional<core::ConfigChanged> m_current;
+  /** As last seen in the store. */
+  std::optional<StoredConfig> m_known;
+  std::deque<core::ConfigChanged> m_undelivered;
+};
+
+} // namespace
+
+std::shared_ptr<IConfigService>
+StartConfigService(IStore& aStore,
+                   ITimer& aTimer,
+                   std::uint32_t aSeed,
+                   ConfigHooks aHooks)
+{
+  const std::shared_ptr<ConfigService> service =
+    std::make_shared<ConfigService>(aStore, aTimer, aSeed, std::move(aHooks));
+  service->Start();
+  return service;
+}
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/internal/patchoperation.cpp
@@ -0,0 +1,171 @@
+#include "platform/internal/patchoperation.h"
+
+#include <utility>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+/** About 3 s in all, beside the time that the store takes. */
+constexpr int kMaxRetries = 5;
+
+StoredValue
+FindValue(const StoreRead& aRead)
+{
+  for (const StoredValue& value : aRead.m_values) {
+    if (value.m_key == kConfigKey) {
+      return value;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+PatchOperation::PatchOperation(IStore& aStore,
+                               ITimer& aTimer,
+                               std::uint32_t aSeed,
+                               ConfigPatch aPatch,
+                               core::ConfigVersion aInForce,
+                               PatchDone aDone)
+  : m_store(aStore)
+  , m_timer(aTimer)
+  , m_backoff(aSeed)
+  , m_patch(std::move(aPatch))
+  , m_atLeast(aInForce)
+  , m_done(std::move(aDone))
+{
+}
+
+void
+PatchOperation::Start(const std::optional<StoredConfig>& aKnown)
+{
+  if (!aKnown || aKnown->m_version < m_atLeast) {
+    Read();
+    return;
+  }
+  const PatchFate fate = FindPatch(*aKnown, m_patch.m_base, m_patch.m_id);
+  if (fate == PatchFate::Accepted || fate == PatchFate::Open) {
+    Decide(*aKnown);
+  } else {
+    // What is known may be old, and a rejection must not be wrong.
+    Read();
+  }
+}
+
+void
+PatchOperation::Read()
+{
+  m_store.Read(
+    std::string(kConfigKey),
+    false,
+    [self = shared_from_this()](const core::Result<StoreRead>& aRead) {
+      self->OnRead(aRead);
+    });
+}
+
+void
+PatchOperation::OnRead(const core::Result<StoreRead>& aRead)
+{
+  if (aRead.has_error()) {
+    Retry(aRead.error().m_detail);
+    return;
+  }
+  const core::Result<StoredConfig> stored =
+    ReadStoredConfig(FindValue(aRead.value()));
+  if (stored.has_error()) {
+    Fail(core::ErrorKind::Internal, stored.error().m_detail);
+  } else if (stored.value().m_version < m_atLeast) {
+    Retry("the store's configuration is older than one seen before");
+  } else {
+    Decide(stored.value());
+  }
+}
+
+void
+PatchOperation::Decide(const StoredConfig& aStored)
+{
+  m_atLeast = aStored.m_version;
+  switch (FindPatch(aStored, m_patch.m_base, m_patch.m_id)) {
+    case PatchFate::Accepted:
+      m_done(aStored, *AcceptedVersion(aStored, m_patch.m_id));
+      return;
+    case PatchFate::Open:
+      Swap(aStored);
+      return;
+    case PatchFate::Overtaken:
+      // It has not been accepted and never will be, whatever is on its way.
+      m_uncertain = false;
+      Fail(core::ErrorKind::VersionConflict,
+           "the newest version is " +
+             std::to_string(aStored.m_version.m_value));
+      return;
+    case PatchFate::Forgotten:
+      m_uncertain = true;
+      Fail(core::ErrorKind::VersionConflict,
+           "the patch is older than the history of the newest version, " +
+             std::to_string(aStored.m_version.m_value));
+      return;
+  }
+}
+
+void
+PatchOperation::Swap(const StoredConfig& aStored)
+{
+  const core::Result<StoredConfig> next =
+    ApplyPatch(aStored, m_patch.m_id, m_patch.m_patch);
+  if (next.has_error()) {
+    Fail(next.error().m_kind, next.error().m_detail);
+    return;
+  }
+  m_store.CompareAndSwap(
+    std::string(kConfigKey),
+    aStored.m_modRevision,
+    WriteStoredConfig(next.value()),
+    std::nullopt,
+    [self = shared_from_this(), next = next.value()](WriteOutcome aOutcome) {
+      self->OnSwap(aOutcome, next);
+    });
+}
+
+void
+PatchOperation::OnSwap(WriteOutcome aOutcome, const StoredConfig& aNext)
+{
+  switch (aOutcome) {
+    case WriteOutcome::Written:
+      m_done(aNext, aNext.m_version);
+      return;
+    case WriteOutcome::Conflict:
+      // Whose write it was, the history tells.
+      Retry("the configuration changes too often");
+      return;
+    case WriteOutcome::NotWritten:
+      Retry("the store can't be reached");
+      return;
+    case WriteOutcome::Uncertain:
+      m_uncertain = true;
+      Retry("the store's answer was lost");
+      return;
+  }
+}
+
+void
+PatchOperation::Retry(const std::string& aDetail)
+{
+  if (++m_retries > kMaxRetries) {
+    Fail(core::ErrorKind::StoreUnavailable, aDetail);
+    return;
+  }
+  m_timer.After(m_backoff.Next(),
+                [self = shared_from_this()] { self->Read(); });
+}
+
+void
+PatchOperation::Fail(core::ErrorKind aKind, const std::string& aDetail)
+{
+  m_done(
+    core::Fail(m_uncertain ? core::ErrorKind::PatchUncertain : aKind, aDetail),
+    {});
+}
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/tests/configservice_test.cpp
@@ -0,0 +1,310 @@
+#include "platform/iconfigservice.h"
+
+#include "platform/internal/storedconfig.h"
+#include "platform/tests/fakestore.h"
+#include "platform/tests/faketimer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::platform {
+
+namespace {
+
+using core::ConfigVersion;
+using core::ErrorKind;
+using tests::FakeStore;
+using tests::FakeTimer;
+using tests::WriteFault;
+
+const std::string kPatchA = R"({"services":{"a":{"max_open":5}}})";
+const std::string kPatchB = R"({"services":{"b":{}}})";
+
+/** One process with its configuration. */
+struct Process
+{
+  Process(FakeStore& aStore, FakeTimer& aTimer)
+    : m_service(StartConfigService(
+        aStore,
+        aTimer,
+        1,
+        { [this](const core::ConfigChanged& aChange) {
+           m_versions.push_back(aChange.m_configuration.m_version.m_value);
+         },
+          [this](bool aAvailable) { m_available.push_back(aAvailable); } }))
+  {
+  }
+
+  std::vector<std::uint64_t> m_versions;
+  std::vector<bool> m_available;
+  std::shared_ptr<IConfigService> m_service;
+};
+
+class ConfigServiceTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ConfigServiceTest);
+  CPPUNIT_TEST(AcceptedPatchIsInForceEverywhere);
+  CPPUNIT_TEST(PatchCostsOneCall);
+  CPPUNIT_TEST(SameIdGivesTheFirstAnswer);
+  CPPUNIT_TEST(RacingPatchesHaveOneWinner);
+  CPPUNIT_TEST(InvalidPatchWritesNothing);
+  CPPUNIT_TEST(LostAnswerIsSettledByReadingBack);
+  CPPUNIT_TEST(LostWriteIsTriedAgain);
+  CPPUNIT_TEST(DelayedWriteCannotTakeEffectLater);
+  CPPUNIT_TEST(LostAnswerOfAnOvertakenPatchIsAConflict);
+  CPPUNIT_TEST(UnsettledPatchStaysUncertain);
+  CPPUNIT_TEST(UnreachableStoreIsNotUncertain);
+  CPPUNIT_TEST(ForgottenPatchIsUncertain);
+  CPPUNIT_TEST(StaleReadsAndEventsNeverRevert);
+  CPPUNIT_TEST(OfferIsTakenWhileTheStoreIsDown);
+  CPPUNIT_TEST(WatchIsOpenedAgainWithFewCalls);
+  CPPUNIT_TEST(OutageIsToldOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    m_store = std::make_unique<FakeStore>();
+    m_timer = std::make_unique<FakeTimer>();
+    m_one = std::make_unique<Process>(*m_store, *m_timer);
+    m_two = std::make_unique<Process>(*m_store, *m_timer);
+  }
+
+  void AcceptedPatchIsInForceEverywhere()
+  {
+    CPPUNIT_ASSERT(!m_one->m_service->Current());
+    CPPUNIT_ASSERT(Patch(*m_one, 0, "p1", kPatchA).value() ==
+                   ConfigVersion{ 1 });
+    CPPUNIT_ASSERT(Patch(*m_two, 1, "p2", kPatchB).value() ==
+                   ConfigVersion{ 2 });
+    for (const Process* process : { m_one.get(), m_two.get() }) {
+      CPPUNIT_ASSERT(
+        (process->m_versions == std::vector<std::uint64_t>{ 1, 2 }));
+      const core::ConfigChanged current = process->m_service->Current().value();
+      CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"services":{"a":{"max_open":5},"b":{}}})"),
+        current.m_document);
+      CPPUNIT_ASSERT_EQUAL(
+        5U, current.m_configuration.m_services.at("a").m_maxOpen);
+    }
+  }
+
+  void PatchCostsOneCall()
+  {
+    Patch(*m_one, 0, "p1", kPatchA).value();
+    const std::uint64_t before = m_store->Calls();
+    Patch(*m_two, 1, "p2", kPatchB).value();
+    CPPUNIT_ASSERT_EQUAL(before + 1, m_store->Calls());
+  }
+
+  void SameIdGivesTheFirstAnswer()
+  {
+    Patch(*m_one, 0, "p1", kPatchA).value();
+    Patch(*m_one, 1, "p2", kPatchB).value();
+    CPPUNIT_ASSERT(Patch(*m_two, 0, "p1", kPatchA).value() ==
+                   ConfigVersion{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, m_store->m_written.size());
+  }
+
+  void RacingPatchesHaveOneWinner()
+  {
+    m_store->m_beforeWrite = [this] {
+      Patch(*m_two, 0, "p2", kPatchB).value();
+    };
+    ExpectError(ErrorKind::VersionConflict, Patch(*m_one, 0, "p1", kPatchA));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_store->m_written.size());
+    ExpectError(ErrorKind::VersionConflict, Patch(*m_one, 7, "p3", kPatchA));
+  }
+
+  void InvalidPatchWritesNothing()
+  {
+    for (const std::string patch :
+         { "", "3", "null", R"({"services":{"a":{"max_open":"x"}}})" }) {
+      ExpectError(ErrorKind::InvalidPatch, Patch(*m_one, 0, "p1", patch));
+    }
+    ExpectError(ErrorKind::InvalidPatch, Patch(*m_one, 0, "", kPatchA));
+    ExpectError(
+      ErrorKind::InvalidPatch,
+      Patch(*m_one,
+            0,
+            "p1",
+            R"({"services":{")" + std::string(70, 'x') + R"(":{}}})"));
+    CPPUNIT_ASSERT(m_store->m_written.empty());
+  }
+
+  void LostAnswerIsSettledByReadingBack()
+  {
+    m_store->m_watchesWork = false;
+    m_store->m_faults = { WriteFault::LostAfterEffect };
+    CPPUNIT_ASSERT(Patch(*m_one, 0, "p1", kPatchA).value() ==
+                   ConfigVersion{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_store->m_written.size());
+  }
+
+  void LostWriteIsTriedAgain()
+  {
+    m_store->m_faults = { WriteFault::LostBeforeEffect };
+    CPPUNIT_ASSERT(Patch(*m_one, 0, "p1", kPatchA).value() ==
+                   ConfigVersion{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_store->m_written.size());
+  }
+
+  void DelayedWriteCannotTakeEffectLater()
+  {
+    m_store->m_faults = { WriteFault::Delayed };
+    Patch(*m_one, 0, "p1", kPatchA).value();
+    Patch(*m_one, 1, "p2", kPatchB).value();
+    m_store->ApplyDelayed();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, m_store->m_written.size());
+    CPPUNIT_ASSERT((m_two->m_versions == std::vector<std::uint64_t>{ 1, 2 }));
+  }
+
+  void LostAnswerOfAnOvertakenPatchIsAConflict()
+  {
+    m_store->m_watchesWork = false;
+    m_store->m_faults = { WriteFault::LostBeforeEffect };
+    std::optional<core::Result<ConfigVersion>> result;
+    Begin(*m_one, 0, "p1", kPatchA, result);
+    Patch(*m_two, 0, "p2", kPatchB).value();
+    m_timer->Advance(std::chrono::minutes(1));
+    ExpectError(ErrorKind::VersionConflict, result.value());
+  }
+
+  void UnsettledPatchStaysUncertain()
+  {
+    m_store->m_faults = { WriteFault::LostAfterEffect };
+    std::optional<core::Result<ConfigVersion>> result;
+    m_store->m_watchesWork = false;
+    Begin(*m_one, 0, "p1", kPatchA, result);
+    m_store->m_down = true;
+    m_timer->Advance(std::chrono::minutes(1));
+    ExpectError(ErrorKind::PatchUncertain, result.value());
+    m_store->m_down = false;
+    CPPUNIT_ASSERT(Patch(*m_two, 0, "p1", kPatchA).value() ==
+                   ConfigVersion{ 1 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_store->m_written.size());
+  }
+
+  void UnreachableStoreIsNotUncertain()
+  {
+    m_store->m_down = true;
+    ExpectError(ErrorKind::StoreUnavailable, Patch(*m_one, 0, "p1", kPatchA));
+  }
+
+  void ForgottenPatchIsUncertain()
+  {
+    for (std::uint64_t base = 0; base < 66; ++base) {
+      Patch(*m_one, base, "p" + std::to_string(base), kPatchA).value();
+    }
+    ExpectError(ErrorKind::PatchUncertain, Patch(*m_one, 0, "p0", kPatchA));
+    ExpectError(ErrorKind::VersionConflict, Patch(*m_one, 2, "x", kPatchA));
+    CPPUNIT_ASSERT(Patch(*m_one, 2, "p2", kPatchA).value() ==
+                   ConfigVersion{ 3 });
+  }
+
+  void StaleReadsAndEventsNeverRevert()
+  {
+    Patch(*m_one, 0, "p1", kPatchA).value();
+    const StoredValue old = m_store->m_values.begin()->second;
+    Patch(*m_one, 1, "p2", kPatchB).value();
+    m_store->Tell(old);
+    m_store->m_staleReads = 2;
+    m_store->EndWatches();
+    m_timer->Advance(std::chrono::seconds(1));
+    CPPUNIT_ASSERT((m_two->m_versions == std::vector<std::uint64_t>{ 1, 2 }));
+    m_store->m_staleReads = 1;
+    m_store->m_faults = { WriteFault::LostAfterEffect };
+    CPPUNIT_ASSERT(Patch(*m_two, 2, "p3", kPatchB).value() ==
+                   ConfigVersion{ 3 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, m_store->m_written.size());
+  }
+
+  void OfferIsTakenWhileTheStoreIsDown()
+  {
+    m_store->m_down = true;
+    m_one->m_service->Offer(ConfigVersion{ 4 }, kPatchA);
+    m_one->m_service->Offer(ConfigVersion{ 3 }, kPatchB);
+    m_one->m_service->Offer(ConfigVersion{ 5 }, "not a document");
+    CPPUNIT_ASSERT((m_one->m_versions == std::vector<std::uint64_t>{ 4 }));
+    CPPUNIT_ASSERT_EQUAL(kPatchA, m_one->m_service->Current()->m_document);
+    // The store is behind what is in force: nothing can be based on it.
+    m_store->m_down = false;
+    ExpectError(ErrorKind::StoreUnavailable, Patch(*m_one, 0, "p1", kPatchB));
+  }
+
+  void WatchIsOpenedAgainWithFewCalls()
+  {
+    m_two->m_service->Stop();
+    m_timer->Advance(std::chrono::minutes(10));
+    const std::uint64_t before = m_store->Calls();
+    m_store->EndWatches();
+    m_timer->Advance(std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(before + 2, m_store->Calls());
+    // Watches that end at once aren't opened more and more.
+    for (int i = 0; i < 60; ++i) {
+      m_store->EndWatches();
+      m_timer->Advance(std::chrono::milliseconds(500));
+    }
+    CPPUNIT_ASSERT(m_store->Calls() - before < 40);
+  }
+
+  void OutageIsToldOnce()
+  {
+    m_store->m_down = true;
+    m_store->EndWatches();
+    m_timer->Advance(std::chrono::minutes(1));
+    const std::uint64_t during = m_store->Calls();
+    CPPUNIT_ASSERT(during < 60);
+    m_store->m_down = false;
+    m_timer->Advance(std::chrono::seconds(6));
+    CPPUNIT_ASSERT((m_one->m_available == std::vector<bool>{ false, true }));
+    Patch(*m_two, 0, "p1", kPatchA).value();
+    CPPUNIT_ASSERT((m_one->m_versions == std::vector<std::uint64_t>{ 1 }));
+  }
+
+private:
+  static void Begin(Process& aProcess,
+                    std::uint64_t aBase,
+                    const std::string& aId,
+                    const std::string& aPatch,
+                    std::optional<core::Result<ConfigVersion>>& aResult)
+  {
+    aProcess.m_service->Patch({ { aBase }, aId, aPatch },
+                              [&](core::Result<ConfigVersion> aVersion) {
+                                CPPUNIT_ASSERT(!aResult);
+                                aResult = std::move(aVersion);
+                              });
+  }
+
+  core::Result<ConfigVersion> Patch(Process& aProcess,
+                                    std::uint64_t aBase,
+                                    const std::string& aId,
+                                    const std::string& aPatch)
+  {
+    std::optional<core::Result<ConfigVersion>> result;
+    Begin(aProcess, aBase, aId, aPatch, result);
+    if (!result) {
+      m_timer->Advance(std::chrono::minutes(1));
+    }
+    return result.value();
+  }
+
+  static void ExpectError(ErrorKind aKind,
+                          const core::Result<ConfigVersion>& aResult)
+  {
+    CPPUNIT_ASSERT(aResult.has_error());
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(core::DescribeError(aKind).m_name),
+      std::string(core::DescribeError(aResult.error().m_kind).m_name));
+  }
+
+  std::unique_ptr<FakeStore> m_store;
+  std::unique_ptr<FakeTimer> m_timer;
+  std::unique_ptr<Process> m_one;
+  std::unique_ptr<Process> m_two;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigServiceTest);
+
+} // namespace
+
+} // namespace mulberrysail::platform
--- /dev/null
+++ b/packages/platform/tests/fakestore.h
@@ -0,0 +1,239 @@
+#pragma once
+
+#include "platform/istore.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace mulberrysail::platform::tests {
+
+/** What befalls a write. */
+enum class WriteFault : std::uint8_t
+{
+  None,
+  LostAfterEffect,
+  LostBeforeEffect,
+  /** Lost, and takes effect when the test says so. */
+  Delayed,
+  NotSent,
+};
+
+/** A store in memory that answers at once, with the faults that a test lays
+ * out. */
+class FakeStore : public IStore
+{
+public:
+  void Read(const std::string& aKey,
+            bool aPrefix,
+            std::function<void(core::Result<StoreRead>)> aCallback) override
+  {
+    ++m_calls;
+    if (m_down) {
+      aCallback(core::Fail(core::ErrorKind::StoreUnavailable, "down"));
+      return;
+    }
+    const bool stale = m_staleReads > 0;
+    m_staleReads -= stale ? 1 : 0;
+    StoreRead read;
+    read.m_revision = m_revision;
+    for (const auto& [key, value] : stale ? m_before : m_values) {
+      if (key == aKey || (aPrefix && key.starts_with(aKey))) {
+        read.m_values.push_back(value);
+      }
+    }
+    aCallback(read);
+  }
+
+  void CompareAndSwap(const std::string& aKey,
+                      std::int64_t aModRevision,
+                      const std::string& aValue,
+                      std::optional<std::int64_t> aLease,
+                      std::function<void(WriteOutcome)> aCallback) override
+  {
+    Write(
+      [this, aKey, aModRevision, aValue, aLease] {
+        const auto found = m_values.find(aKey);
+        const std::int64_t revision =
+          found == m_values.end() ? 0 : found->second.m_modRevision;
+        if (revision != aModRevision) {
+          return WriteOutcome::Conflict;
+        }
+        Store(aKey, aValue, aLease);
+        return WriteOutcome::Written;
+      },
+      aCallback);
+  }
+
+  void Put(const std::string& aKey,
+           const std::string& aValue,
+           std::optional<std::int64_t> aLease,
+           std::function<void(WriteOutcome)> aCallback) override
+  {
+    Write(
+      [this, aKey, aValue, aLease] {
+        if (aLease && !m_leases.contains(*aLease)) {
+          return WriteOutcome::NotWritten;
+        }
+        Store(aKey, aValue, aLease);
+        return WriteOutcome::Written;
+      },
+      aCallback);
+  }
+
+  void GrantLease(
+    std::chrono::seconds /*aTtl*/,
+    std::function<void(core::Result<std::int64_t>)> aCallback) override
+  {
+    ++m_calls;
+    if (m_down) {
+      aCallback(core::Fail(core::ErrorKind::StoreUnavailable, "down"));
+      return;
+    }
+    m_leases.insert(++m_lastLease);
+    aCallback(m_lastLease);
+  }
+
+  void KeepLease(std::int64_t aLease,
+                 std::function<void(core::Result<bool>)> aCallback) override
+  {
+    ++m_calls;
+    if (m_down) {
+      aCallback(core::Fail(core::ErrorKind::StoreUnavailable, "down"));
+      return;
+    }
+    aCallback(m_leases.contains(aLease));
+  }
+
+  void RevokeLease(std::int64_t aLease) override
+  {
+    ++m_calls;
+    Lapse(aLease);
+  }
+
+  void Watch(const std::string& aPrefix,
+             std::int64_t /*aFromRevision*/,
+             std::function<void(StoredValue)> aOnChange,
+             std::function<void(core::Error)> aOnEnd) override
+  {
+    ++m_calls;
+    m_watches.push_back({ aPrefix, std::move(aOnChange), std::move(aOnEnd) });
+  }
+
+  std::uint64_t Calls() const override { return m_calls; }
+
+  /** Ends a lease with its keys. */
+  void Lapse(std::int64_t aLease)
+  {
+    m_leases.erase(aLease);
+    for (auto value = m_values.begin(); value != m_values.end();) {
+      const std::string key = value->first;
+      const bool gone = m_leaseOf[key] == aLease;
+      value = gone ? m_values.erase(value) : std::next(value);
+      if (gone) {
+        Tell({ key, "", 0 });
+      }
+    }
+  }
+
+  void ApplyDelayed()
+  {
+    const std::deque<std::function<WriteOutcome()>> delayed =
+      std::exchange(m_delayed, {});
+    for (const std::function<WriteOutcome()>& write : delayed) {
+      write();
+    }
+  }
+
+  /** Tells a change to all watches, whether it is new or not. */
+  void Tell(const StoredValue& aValue)
+  {
+    const std::vector<Watcher> watches = m_watches;
+    for (const Watcher& watcher : watches) {
+      if (m_watchesWork && aValue.m_key.starts_with(watcher.m_prefix)) {
+        watcher.m_onChange(aValue);
+      }
+    }
+  }
+
+  void EndWatches()
+  {
+    const std::vector<Watcher> watches = std::exchange(m_watches, {});
+    for (const Watcher& watcher : watches) {
+      watcher.m_onEnd({ core::ErrorKind::StoreUnavailable, "ended" });
+    }
+  }
+
+  bool m_down = false;
+  bool m_watchesWork = true;
+  /** Reads that show the store as it was before the last write. */
+  int m_staleReads = 0;
+  /** For the next writes in turn. */
+  std::deque<WriteFault> m_faults;
+  /** Called before each write reaches the store. */
+  std::function<void()> m_beforeWrite;
+  std::map<std::string, StoredValue> m_values;
+  std::set<std::int64_t> m_leases;
+  std::vector<std::string> m_written;
+
+private:
+  struct Watcher
+  {
+    std::string m_prefix;
+    std::function<void(StoredValue)> m_onChange;
+    std::function<void(core::Error)> m_onEnd;
+  };
+
+  void Write(const std::function<WriteOutcome()>& aWrite,
+             const std::function<void(WriteOutcome)>& aCallback)
+  {
+    ++m_calls;
+    if (m_beforeWrite) {
+      std::exchange(m_beforeWrite, nullptr)();
+    }
+    WriteFault fault = m_down ? WriteFault::NotSent : WriteFault::None;
+    if (!m_faults.empty()) {
+      fault = m_faults.front();
+      m_faults.pop_front();
+    }
+    switch (fault) {
+      case WriteFault::None:
+        aCallback(aWrite());
+        return;
+      case WriteFault::LostAfterEffect:
+        aWrite();
+        break;
+      case WriteFault::LostBeforeEffect:
+        break;
+      case WriteFault::Delayed:
+        m_delayed.push_back(aWrite);
+        break;
+      case WriteFault::NotSent:
+        aCallback(WriteOutcome::NotWritten);
+        return;
+    }
+    aCallback(WriteOutcome::Uncertain);
+  }
+
+  void Store(const std::string& aKey,
+             const std::string& aValue,
+             std::optional<std::int64_t> aLease)
+  {
+    m_before = m_values;
+    m_values[aKey] = { aKey, aValue, ++m_revision };
+    m_leaseOf[aKey] = aLease.value_or(0);
+    m_written.push_back(aValue);
+    Tell(m_values[aKey]);
+  }
+
+  std::uint64_t m_calls = 0;
+  std::int64_t m_revision = 1;
+  std::int64_t m_lastLease = 0;
+  std::map<std::string, StoredValue> m_before;
+  std::map<std::string, std::int64_t> m_leaseOf;
+  std::deque<std::function<WriteOutcome()>> m_delayed;
+  std::vector<Watcher> m_watches;
+};
+
+} // namespace mulberrysail::platform::tests
--- /dev/null
+++ b/packages/platform/tests/faketimer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "platform/itimer.h"
+
+#include <map>
+#include <utility>
+
+namespace mulberrysail::platform::tests {
+
+/** A timer whose time the test moves. */
+class FakeTimer : public ITimer
+{
+public:
+  core::Instant Now() const override { return m_now; }
+
+  void After(core::Duration aDelay, std::function<void()> aCallback) override
+  {
+    m_waiting.emplace(m_now + aDelay, std::move(aCallback));
+  }
+
+  /** Calls what falls due meanwhile, at its time. */
+  void Advance(core::Duration aTime)
+  {
+    const core::Instant end = m_now + aTime;
+    while (!m_waiting.empty() && m_waiting.begin()->first <= end) {
+      const auto first = m_waiting.begin();
+      m_now = first->first;
+      const std::function<void()> callback = std::move(first->second);
+      m_waiting.erase(first);
+      callback();
+    }
+    m_now = end;
+  }
+
+private:
+  core::Instant m_now{};
+  std::multimap<core::Instant, std::function<void()>> m_waiting;
+};
+
+} // namespace mulberrysail::platform::tests
