Protocol follows the core's messages

Cause: the codec was written before offers got a running number, claims an order, and the configuration's version its place in the load report. Change: three fields more and one less on the wire; samples carry them.

--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -70,7 +70,7 @@
 core::CallerKey
 ReadKey(const wire::CallerKey& aFrom)
 {
-  return { aFrom.key(), aFrom.submission() };
+  return { aFrom.key(), aFrom.submission(), aFrom.claim() };
 }
 
 core::LoadReport
@@ -80,6 +80,7 @@
   load.m_sequence = aFrom.sequence();
   load.m_agentNow = InstantFrom(aFrom.agent_now());
   load.m_offersSeen = aFrom.offers_seen();
+  load.m_config = { aFrom.config() };
   load.m_freeSlots = aFrom.free_slots();
   load.m_queuedRequests = aFrom.queued_requests();
   load.m_queuedRequestWork = DurationFrom(aFrom.queued_request_work());
@@ -165,7 +166,6 @@
   core::Announce announce;
   announce.m_zone = aFrom.zone();
   announce.m_httpAddress = aFrom.http_address();
-  announce.m_config = { aFrom.config() };
   announce.m_leaving = aFrom.leaving();
   announce.m_leaseFor = DurationFrom(aFrom.lease_for());
   if (aFrom.has_endpoint()) {
@@ -234,6 +234,7 @@
 {
   core::OfferBatch batch;
   batch.m_agentIncarnation = { aFrom.agent_incarnation() };
+  batch.m_sequence = aFrom.sequence();
   batch.m_offers.reserve(static_cast<std::size_t>(aFrom.offers_size()));
   for (wire::Offer& offer : *aFrom.mutable_offers()) {
     batch.m_offers.push_back(ReadOffer(offer));
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -33,6 +33,7 @@
 {
   aTo.set_key(aFrom.m_key);
   aTo.set_submission(aFrom.m_submission);
+  aTo.set_claim(aFrom.m_claim);
 }
 
 void
@@ -59,6 +60,7 @@
   aTo.set_sequence(aFrom.m_sequence);
   aTo.set_agent_now(ToWire(aFrom.m_agentNow));
   aTo.set_offers_seen(aFrom.m_offersSeen);
+  aTo.set_config(aFrom.m_config.m_value);
   aTo.set_free_slots(aFrom.m_freeSlots);
   aTo.set_queued_requests(aFrom.m_queuedRequests);
   aTo.set_queued_request_work(ToWire(aFrom.m_queuedRequestWork));
@@ -119,6 +121,7 @@
   {
     wire::OfferBatch& to = *m_envelope.mutable_offer_batch();
     to.set_agent_incarnation(aFrom.m_agentIncarnation.m_value);
+    to.set_sequence(aFrom.m_sequence);
     for (const core::Offer& offer : aFrom.m_offers) {
       Write(offer, *to.add_offers());
     }
@@ -175,7 +178,6 @@
     wire::Announce& to = *m_envelope.mutable_announce();
     to.set_zone(aFrom.m_zone);
     to.set_http_address(aFrom.m_httpAddress);
-    to.set_config(aFrom.m_config.m_value);
     to.set_leaving(aFrom.m_leaving);
     to.set_lease_for(ToWire(aFrom.m_leaseFor));
     if (aFrom.m_endpoint) {
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -18,7 +18,7 @@
 core::LoadReport
 SampleLoad()
 {
-  return { 7, At(3s), 21, 5, 6, 900ms, { 1500, 64, 1 }, 8, 4s };
+  return { 7, At(3s), 21, { 4 }, 5, 6, 900ms, { 1500, 64, 1 }, 8, 4s };
 }
 
 core::Offer
@@ -33,7 +33,7 @@
            300ms,
            { 500, 128, 2 },
            { 1ULL << 54U },
-           core::CallerKey{ "slip-7", 2 },
+           core::CallerKey{ "slip-7", 2, 5 },
            std::string("\0payload\xff", 9) };
 }
 
@@ -42,7 +42,6 @@
 {
   return { "manila-1",
            "http://127.0.0.1:9000",
-           { 4 },
            true,
            6s,
            core::EndpointInfo{ "stock-check", 8, 64, true },
@@ -56,6 +55,7 @@
   return std::tie(aLoad.m_sequence,
                   aLoad.m_agentNow,
                   aLoad.m_offersSeen,
+                  aLoad.m_config,
                   aLoad.m_freeSlots,
                   aLoad.m_queuedRequests,
                   aLoad.m_queuedRequestWork,
@@ -117,6 +117,7 @@
 Same(const core::OfferBatch& aLeft, const core::OfferBatch& aRight)
 {
   return aLeft.m_agentIncarnation == aRight.m_agentIncarnation &&
+         aLeft.m_sequence == aRight.m_sequence &&
          SameList(aLeft.m_offers, aRight.m_offers);
 }
 
@@ -167,7 +168,6 @@
 {
   return aLeft.m_zone == aRight.m_zone &&
          aLeft.m_httpAddress == aRight.m_httpAddress &&
-         aLeft.m_config == aRight.m_config &&
          aLeft.m_leaving == aRight.m_leaving &&
          aLeft.m_leaseFor == aRight.m_leaseFor &&
          aLeft.m_endpoint == aRight.m_endpoint &&
@@ -205,10 +205,10 @@
 SampleMessages()
 {
   return {
-    core::OfferBatch{ { 9 }, { SampleOffer() } },
+    core::OfferBatch{ { 9 }, 21, { SampleOffer() } },
     core::RevokeBatch{ { { 11 }, { 12 } }, true },
     core::Reconcile{ { { 11 } } },
-    core::FenceQuery{ { 3 }, "stock-check", { "slip-7", 2 }, 10min },
+    core::FenceQuery{ { 3 }, "stock-check", { "slip-7", 2, 5 }, 10min },
     core::EntryHello{ { 4 }, true, 2s },
     core::ConfigUpdate{ { 5 }, "{}" },
     core::ConfigRequest{ { 4 } },
