--- a/tests/support/clusterlayout.cpp
+++ b/tests/support/clusterlayout.cpp
@@ -218,7 +218,9 @@
 ClusterLayout::AddDaemon(const std::string& aName, json aSettings)
 {
   aSettings["name"] = aName;
-  aSettings["zone"] = "zone-a";
+  const std::uint32_t number =
+    static_cast<std::uint32_t>(std::stoul(aName.substr(aName.rfind('-') + 1)));
+  aSettings["zone"] = Numbered("zone", number % m_options.m_zones);
   const std::string path = m_directory + "/" + aName + ".json";
   std::ofstream(path) << aSettings.dump(2) << '\n';
   Add(aName, "mulberrysaild", { "--settings=" + path });
--- a/tests/support/clusterlayout.h
+++ b/tests/support/clusterlayout.h
@@ -27,6 +27,8 @@
   std::uint32_t m_workerMemoryMb = 32768;
   /** Puts a proxy into each link; see ClusterLayout. */
   bool m_proxies = false;
+  /** Member N is in zone N modulo this number. */
+  std::uint32_t m_zones = 1;
   /** JSON merge patches of the settings. */
   nlohmann::json m_entrySettings = nlohmann::json::object();
   nlohmann::json m_agentSettings = nlohmann::json::object();
