--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -151,7 +151,7 @@
   for (std::uint32_t i = 0; i < aSubmission.m_items.size(); ++i) {
     WorkItem& item = aSubmission.m_items[i];
     if (item.m_state == WorkState::Waiting) {
-      queue.Erase({ item.m_order, { aSubmission.m_id, i } },
+      queue.Erase({ *item.m_order, { aSubmission.m_id, i } },
                   item.m_expectedRun);
     }
     if (item.m_state == WorkState::Offered) {
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -88,8 +88,7 @@
   item.m_state = WorkState::Waiting;
   item.m_order = aOrder;
   const WorkRef work{ aSubmission.m_id, aIndex };
-  m_board.QueueOf(aSubmission)
-    .Insert({ item.m_order, work }, item.m_expectedRun);
+  m_board.QueueOf(aSubmission).Insert({ aOrder, work }, item.m_expectedRun);
   m_board.m_timers.Add(std::max(item.m_startBy - kUrgentBefore, aTurn.m_now),
                        StartByTimer{ work });
 }
@@ -102,10 +101,11 @@
     return;
   }
   WorkItem& item = submission->m_items.at(aWork.m_index);
-  std::int64_t order = item.m_order;
-  if (order == 0) {
-    order = OrderOf(aTurn, *submission, item.m_expectedRun, item.m_expectedRun);
-  }
+  // What was refused keeps the place that it had.
+  const std::int64_t order =
+    item.m_order
+      ? *item.m_order
+      : OrderOf(aTurn, *submission, item.m_expectedRun, item.m_expectedRun);
   Wait(aTurn, *submission, aWork.m_index, order);
 }
 
@@ -299,9 +299,9 @@
     return;
   }
   WaitQueue& queue = m_board.QueueOf(*submission);
-  queue.Erase({ item.m_order, aWork }, item.m_expectedRun);
+  queue.Erase({ *item.m_order, aWork }, item.m_expectedRun);
   item.m_order = kUrgentOrder + item.m_startBy.time_since_epoch().count();
-  queue.Insert({ item.m_order, aWork }, item.m_expectedRun);
+  queue.Insert({ *item.m_order, aWork }, item.m_expectedRun);
   m_board.m_timers.Add(item.m_startBy, StartByTimer{ aWork });
   Dispatch(aTurn, queue);
 }
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -31,8 +31,8 @@
   Duration m_expectedRun{};
   std::string m_payload;
   WorkState m_state = WorkState::Waiting;
-  /** Its place in the order of the wait queue. */
-  std::int64_t m_order = 0;
+  /** Its place in the order of the wait queue, once it had one. */
+  std::optional<std::int64_t> m_order;
   /** The last instant at which a start still makes sense. */
   Instant m_startBy;
   /** The open attempt, if it is offered. */
