--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -37,6 +37,9 @@
   PlacementPolicy m_placement = ReportedLoadPlacement{};
   /** Offers that may wait at an agent beyond its free slots. */
   std::uint32_t m_agentQueueDepth = 4;
+  /** Waiting work is promoted by its age: this share of the time waited is
+   * taken off its expected run time in the order of the queue. */
+  double m_ageing = 0.2;
   /** Retries allowed per hundred first attempts. */
   std::uint32_t m_retryBudgetPercent = 20;
   /** One way between zones; what placing in the own zone saves. */
@@ -45,6 +48,9 @@
   std::uint32_t m_keyCandidates = 4;
   /** How long answers of caller keys, and departed agents, are remembered. */
   Duration m_keyMemory = std::chrono::minutes(10);
+  /** How long agents refuse earlier claims of a key; longer than any deadline,
+   * after which an offer lapses by itself. */
+  Duration m_fenceMemory = std::chrono::minutes(2);
   Duration m_heartbeat = std::chrono::seconds(2);
   /** How long one offer asks for load reports. */
   Duration m_subscription = std::chrono::seconds(2);
