Claims of a caller key count every agent that may hold it

- An agent whose endpoint had lapsed, or served another service by then, was not asked though it held the key.
All that ever served it are.
- An entry that was new, or cut off from an agent, didn't know of agents that its peers had used.
Entries now tell their peers of the agents that they meet, and of all they know when a link opens; what a peer knows and this entry hasn't heard counts as departed until it announces itself.
- The candidates of a key were reckoned from one entry's view, while another had chosen from fewer agents.
All agents of the service are asked and all departures count.
Ruled out: ranking unreachable agents too, since views differ between entries in more ways than that.
- An older submission, refused or not sent at first, was placed again at an agent that joined after the newer one's claim had asked them all.
A submission with a key now goes only to agents that served when it was admitted.

The cost is two messages for each agent of the service on a resubmission, and 'may have run' for all resubmissions while a departure is remembered.

--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -5,6 +5,7 @@
 #include "core/types/time.h"
 
 #include <deque>
+#include <map>
 #include <string>
 #include <unordered_set>
 
@@ -25,6 +26,9 @@
   ProcessId m_id;
   Announce m_announced;
   Instant m_joinedAt;
+  /** All services that its endpoint has had, and since when: it may hold
+   * caller keys of them. */
+  std::map<std::string, Instant, std::less<>> m_served;
   /** When the last message came from it. */
   Instant m_heardAt;
   /** Its clock less ours, never more than the truth: the message that told
--- a/packages/core/internal/entry/claimcontroller.cpp
+++ b/packages/core/internal/entry/claimcontroller.cpp
@@ -1,7 +1,5 @@
 #include "core/internal/entry/claimcontroller.h"
 
-#include "core/internal/rendezvous.h"
-
 #include <algorithm>
 
 namespace mulberrysail::core {
@@ -12,15 +10,6 @@
 /** How long an agent may take to say whether it holds a key. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(1000);
 
-struct Candidate
-{
-  std::uint64_t m_score = 0;
-  ProcessId m_agent;
-  bool m_present = false;
-  /** Whether it was there during all the time that keys are remembered. */
-  bool m_throughout = false;
-};
-
 } // namespace
 
 bool
@@ -83,48 +72,25 @@
                            const std::string& aService,
                            const CallerKey& aKey) const
 {
+  // Which agents another entry knew, and could reach, when it chose one for
+  // an earlier submission can't be told from here, so each one counts.
   const Instant since = aTurn.m_now - m_board.m_policy.m_keyMemory;
-  std::vector<Candidate> candidates;
-  for (const auto& [id, agent] : m_board.m_agents) {
-    const bool serves = agent.m_announced.m_endpoint &&
-                        agent.m_announced.m_endpoint->m_service == aService;
-    if (serves) {
-      candidates.push_back({ RendezvousScore(aKey.m_key, id.m_name),
-                             id,
-                             true,
-                             agent.m_joinedAt <= since });
-    }
-  }
-  for (const DepartedRecord& record : m_board.m_departed) {
-    if (record.m_agent.m_service == aService && record.m_departedAt > since) {
-      const ProcessId& id = record.m_agent.m_agent;
-      candidates.push_back(
-        { RendezvousScore(aKey.m_key, id.m_name), id, false, false });
-    }
-  }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return aLeft.m_score > aRight.m_score;
-            });
-  // Whoever was among the best at some time has fewer than the full number
-  // of better ones that were there all the time.
   AskedSet asked;
-  std::uint32_t throughout = 0;
-  for (const Candidate& candidate : candidates) {
-    if (throughout >= m_board.m_policy.m_keyCandidates) {
-      break;
-    }
-    if (candidate.m_present) {
-      asked.m_present.push_back(candidate.m_agent);
-    } else {
-      asked.m_anyDeparted = true;
+  for (const auto& [id, agent] : m_board.m_agents) {
+    if (agent.m_served.contains(aService)) {
+      asked.m_present.push_back(id);
     }
-    throughout += candidate.m_throughout ? 1 : 0;
   }
   const bool memoryTooShort = aKey.m_submission > kFirstSubmission &&
                               m_board.m_departuresKnownSince > since;
-  asked.m_anyDeparted = asked.m_anyDeparted || memoryTooShort;
+  asked.m_anyDeparted =
+    memoryTooShort ||
+    std::any_of(m_board.m_departed.begin(),
+                m_board.m_departed.end(),
+                [&](const DepartedRecord& aRecord) {
+                  return aRecord.m_agent.m_service == aService &&
+                         aRecord.m_departedAt > since;
+                });
   return asked;
 }
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -35,19 +35,23 @@
 } // namespace
 
 std::vector<AgentRecord*>
-KeyCandidates(EntryBoard& aBoard,
-              const std::string& aService,
-              const CallerKey& aKey)
+KeyCandidates(EntryBoard& aBoard, const Submission& aSubmission)
 {
-  std::vector<AgentRecord*> agents = aBoard.Service(aService).m_agents;
+  const CallerKey& key = *aSubmission.m_key;
+  std::vector<AgentRecord*> agents =
+    aBoard.Service(aSubmission.m_service).m_agents;
+  std::erase_if(agents, [&](const AgentRecord* aAgent) {
+    return aAgent->m_served.at(aSubmission.m_service) >
+           aSubmission.m_admittedAt;
+  });
   const std::size_t count =
     std::min<std::size_t>(aBoard.m_policy.m_keyCandidates, agents.size());
   std::partial_sort(agents.begin(),
                     agents.begin() + static_cast<std::ptrdiff_t>(count),
                     agents.end(),
                     [&](const AgentRecord* aLeft, const AgentRecord* aRight) {
-                      return RendezvousScore(aKey.m_key, aLeft->m_id.m_name) >
-                             RendezvousScore(aKey.m_key, aRight->m_id.m_name);
+                      return RendezvousScore(key.m_key, aLeft->m_id.m_name) >
+                             RendezvousScore(key.m_key, aRight->m_id.m_name);
                     });
   agents.resize(count);
   return agents;
@@ -208,7 +212,7 @@
     agent = m_placement.PickForTask(item);
   } else if (confined) {
     const std::vector<AgentRecord*> candidates =
-      KeyCandidates(m_board, submission.m_service, *submission.m_key);
+      KeyCandidates(m_board, submission);
     agent = m_placement.PickForRequest(submission, item, &candidates);
   } else {
     agent = m_placement.PickForRequest(submission, item, nullptr);
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -82,12 +82,12 @@
 };
 
 /**
- * @return the agents among which the key's first placement is chosen: the
- * best by rendezvous hashing of those that serve @p aService now.
+ * @return the agents among which a submission with a caller key is placed: the
+ * best by rendezvous hashing of those that serve its service now and did when
+ * it was admitted. One that came later may not have been asked by whoever
+ * claimed the key since.
  */
 std::vector<AgentRecord*>
-KeyCandidates(EntryBoard& aBoard,
-              const std::string& aService,
-              const CallerKey& aKey);
+KeyCandidates(EntryBoard& aBoard, const Submission& aSubmission);
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -18,6 +18,21 @@
          aLeft.m_workers == aRight.m_workers;
 }
 
+/** @return the agent as one that may be gone, for each of its services. */
+std::vector<DepartedAgent>
+Remember(const EntryTurn& aTurn, const AgentRecord& aAgent)
+{
+  std::vector<DepartedAgent> remembered;
+  remembered.reserve(aAgent.m_served.size());
+  for (const auto& [service, since] : aAgent.m_served) {
+    remembered.push_back({ aAgent.m_id,
+                           service,
+                           Duration::zero(),
+                           aTurn.m_now - aAgent.m_joinedAt });
+  }
+  return remembered;
+}
+
 std::string
 ServiceOf(const AgentRecord& aAgent)
 {
@@ -59,6 +74,9 @@
     aTurn.Record(EventCode::AgentJoined, 0, aFrom.m_name);
     m_board.m_timers.Add(aTurn.m_now + aAnnounce.m_leaseFor,
                          AgentLeaseTimer{ aFrom });
+    std::erase_if(m_board.m_departed, [&](const DepartedRecord& aRecord) {
+      return aRecord.m_agent.m_agent == aFrom;
+    });
   }
   AgentRecord& agent = m_board.m_agents.at(aFrom);
   const bool wasReachable = agent.m_reachable;
@@ -70,7 +88,15 @@
   agent.m_heardAt = aTurn.m_now;
   agent.m_reachable = true;
   agent.m_announced = std::move(aAnnounce);
+  const bool serves =
+    agent.m_announced.m_endpoint &&
+    agent.m_served.emplace(agent.m_announced.m_endpoint->m_service, aTurn.m_now)
+      .second;
   OnLoad(aTurn, aFrom, agent.m_announced.m_load);
+  if (serves) {
+    // A peer that can't hear the agent has to know that it may hold keys.
+    TellPeers(aTurn);
+  }
   if (changed) {
     RebuildIndex();
     m_dispatch.DispatchAll(aTurn);
@@ -96,12 +122,9 @@
 {
   aTurn.Record(EventCode::AgentForgotten, 0, aAgent.m_id.m_name);
   aAgent.m_reachable = false;
-  DepartedRecord record;
-  record.m_agent.m_agent = aAgent.m_id;
-  record.m_agent.m_service = ServiceOf(aAgent);
-  record.m_agent.m_wasMemberFor = aTurn.m_now - aAgent.m_joinedAt;
-  record.m_departedAt = aTurn.m_now;
-  m_board.m_departed.push_back(std::move(record));
+  for (DepartedAgent& departed : Remember(aTurn, aAgent)) {
+    m_board.m_departed.push_back({ std::move(departed), aTurn.m_now });
+  }
   while (!m_board.m_departed.empty() &&
          m_board.m_departed.front().m_departedAt +
              m_board.m_policy.m_keyMemory <
@@ -259,6 +282,11 @@
     departed.m_age = aTurn.m_now - record.m_departedAt;
     hello.m_departed.push_back(std::move(departed));
   }
+  for (const auto& [id, agent] : m_board.m_agents) {
+    for (DepartedAgent& present : Remember(aTurn, agent)) {
+      hello.m_departed.push_back(std::move(present));
+    }
+  }
   return hello;
 }
 
@@ -268,14 +296,21 @@
                                   const PeerHello& aHello)
 {
   for (const DepartedAgent& departed : aHello.m_departed) {
-    const bool known =
-      std::any_of(m_board.m_departed.begin(),
-                  m_board.m_departed.end(),
-                  [&](const DepartedRecord& aRecord) {
-                    return aRecord.m_agent.m_agent == departed.m_agent;
-                  });
-    if (!known) {
-      m_board.m_departed.push_back({ departed, aTurn.m_now - departed.m_age });
+    if (m_board.m_agents.contains(departed.m_agent)) {
+      continue;
+    }
+    const auto known =
+      std::find_if(m_board.m_departed.begin(),
+                   m_board.m_departed.end(),
+                   [&](const DepartedRecord& aRecord) {
+                     return aRecord.m_agent.m_agent == departed.m_agent &&
+                            aRecord.m_agent.m_service == departed.m_service;
+                   });
+    const Instant departedAt = aTurn.m_now - departed.m_age;
+    if (known == m_board.m_departed.end()) {
+      m_board.m_departed.push_back({ departed, departedAt });
+    } else {
+      known->m_departedAt = std::max(known->m_departedAt, departedAt);
     }
   }
   m_board.m_departuresKnownSince = std::min(
@@ -302,6 +337,15 @@
   for (auto& [id, agent] : m_board.m_agents) {
     SyncConfig(aTurn, agent);
   }
+  TellPeers(aTurn);
+}
+
+void
+MembershipController::TellPeers(EntryTurn& aTurn) const
+{
+  if (m_board.m_shard != 0) {
+    return;
+  }
   const PeerHello hello = MakePeerHello(aTurn);
   for (const ProcessId& peer : m_board.m_peers) {
     aTurn.Send(peer, hello);
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -45,6 +45,7 @@
 private:
   bool IsPeer(const ProcessId& aProcess) const;
   PeerHello MakePeerHello(EntryTurn& aTurn) const;
+  void TellPeers(EntryTurn& aTurn) const;
   void EndEarlierLives(EntryTurn& aTurn, const ProcessId& aNew);
   void Depart(EntryTurn& aTurn, AgentRecord& aAgent);
   void SyncConfig(EntryTurn& aTurn, AgentRecord& aAgent);
--- a/packages/core/tests/entry_claim_test.cpp
+++ b/packages/core/tests/entry_claim_test.cpp
@@ -16,6 +16,11 @@
   CPPUNIT_TEST(AnEntryThatKnowsTooLittleSaysSo);
   CPPUNIT_TEST(APeerTellsOfDepartures);
   CPPUNIT_TEST(AnAgentThatForgotKeysMakesItUncertain);
+  CPPUNIT_TEST(AnAgentThatOnlyAPeerKnowsMakesItUncertain);
+  CPPUNIT_TEST(AnAgentWithoutItsEndpointIsAskedToo);
+  CPPUNIT_TEST(AllAgentsAreAskedAndAllDeparturesCount);
+  CPPUNIT_TEST(AnAgentThatCameLaterIsNotUsed);
+  CPPUNIT_TEST(PeersAreToldOfAgents);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +119,95 @@
     ExpectUncertain(entry, caller);
   }
 
+  void AnAgentThatOnlyAPeerKnowsMakesItUncertain()
+  {
+    EntryFixture entry;
+    PeerHello hello;
+    hello.m_remembersFor = std::chrono::hours(1);
+    hello.m_departed.push_back(
+      { { "x", { 1 } }, "photo", {}, std::chrono::hours(1) });
+    hello.m_departed.push_back(
+      { { "unheard", { 1 } }, "photo", {}, std::chrono::hours(1) });
+    entry.Receive({ "entry2", { 1 } }, hello);
+    const ProcessId agent = entry.AddAgent("x", 1);
+    const CallerToken caller = entry.KeyedRequest("k", 2);
+    entry.Receive(agent, No(entry.Sent<FenceQuery>().front().second));
+    ExpectUncertain(entry, caller);
+    // Once it is heard it can be asked.
+    const ProcessId heard = entry.AddAgent("unheard", 1);
+    entry.Forget();
+    entry.KeyedRequest("l", 2);
+    const auto queries = entry.Sent<FenceQuery>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), queries.size());
+    entry.Receive(heard, No(queries[0].second));
+    entry.Receive(agent, No(queries[0].second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.Offers().size());
+  }
+
+  void AnAgentWithoutItsEndpointIsAskedToo()
+  {
+    EntryFixture entry;
+    LearnThePast(entry);
+    const ProcessId agent = entry.AddAgent("x", 1);
+    Announce lapsed;
+    lapsed.m_leaseFor = std::chrono::hours(1);
+    entry.Receive(agent, std::move(lapsed));
+    entry.AddAgent("y", 1);
+    entry.KeyedRequest("k", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.Sent<FenceQuery>().size());
+  }
+
+  void AllAgentsAreAskedAndAllDeparturesCount()
+  {
+    EntryPolicy policy;
+    policy.m_keyCandidates = 1;
+    EntryFixture entry(policy);
+    LearnThePast(entry);
+    entry.AddAgent("x", 1);
+    entry.AddAgent("y", 1);
+    entry.AddAgent("z", 1);
+    entry.KeyedRequest("k", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), entry.Sent<FenceQuery>().size());
+    Announce restarted;
+    restarted.m_leaseFor = std::chrono::hours(1);
+    restarted.m_endpoint = EndpointInfo{ "photo", 1, 64, false };
+    entry.Receive({ "z", { 2 } }, restarted);
+    entry.Forget();
+    const CallerToken caller = entry.KeyedRequest("l", 2);
+    for (const auto& [agent, query] : entry.Sent<FenceQuery>()) {
+      entry.Receive(agent, No(query));
+    }
+    ExpectUncertain(entry, caller);
+  }
+
+  void AnAgentThatCameLaterIsNotUsed()
+  {
+    EntryFixture entry;
+    const ProcessId full = entry.AddAgent("x", 1);
+    entry.KeyedRequest("k", 1);
+    const AttemptId first = entry.Offers().front().m_offer.m_attempt;
+    entry.Advance(std::chrono::milliseconds(1));
+    entry.AddAgent("y", 1);
+    entry.Forget();
+    entry.Report(
+      full, first, AttemptFate::Refused, 1, ErrorKind::ConnectFailed);
+    entry.Advance(std::chrono::seconds(1));
+    for (const EntryFixture::SentOffer& offer : entry.Offers()) {
+      CPPUNIT_ASSERT_EQUAL(full.m_name, offer.m_agent.m_name);
+    }
+  }
+
+  void PeersAreToldOfAgents()
+  {
+    EntryFixture entry;
+    entry.Give(PeersChanged{ { { "entry2", { 1 } } } });
+    entry.AddAgent("x", 1);
+    const auto hellos = entry.Sent<PeerHello>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), hellos.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("x"),
+                         hellos[0].second.m_departed.at(0).m_agent.m_name);
+  }
+
 private:
   static FenceReply No(const FenceQuery& aQuery)
   {
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -234,12 +234,13 @@
   Duration m_remembersFor{};
 };
 
-/** An agent that left or died, as entries remember it. */
+/** An agent that left or died, or, for all that the addressed entry knows, may
+ * have; as entries remember it. */
 struct DepartedAgent
 {
   ProcessId m_agent;
   std::string m_service;
-  /** How long ago. */
+  /** How long ago; zero if it is present at the sender. */
   Duration m_age{};
   /** How long it had been a member. */
   Duration m_wasMemberFor{};
