Unnumbered submissions need a known past too

Like a numbered resubmission it is now answered 'may have run' until the entry's memory reaches back far enough.

The price: in the first ten minutes of entries that have all started anew, unnumbered submissions of work that isn't repeatable are not run. Callers that number theirs aren't affected, as the first needs no past.

AnUnnumberedOneRunsAfterAllSayNo asserted a run at an entry that knew no past, which was wrong for this reason: it now learns it first, and a new test asserts that without it nothing runs.

--- a/packages/core/internal/entry/claimcontroller.cpp
+++ b/packages/core/internal/entry/claimcontroller.cpp
@@ -30,7 +30,7 @@
   Claim claim;
   claim.m_work = { aSubmission.m_id, 0 };
   claim.m_key = key;
-  const AskedSet asked = WhomToAsk(aTurn, aSubmission.m_service, key);
+  const AskedSet asked = WhomToAsk(aTurn, aSubmission.m_service);
   claim.m_asked.insert(asked.m_present.begin(), asked.m_present.end());
   claim.m_uncertain = asked.m_anyDeparted;
   aSubmission.m_items.front().m_state = WorkState::Claiming;
@@ -68,9 +68,7 @@
 }
 
 ClaimController::AskedSet
-ClaimController::WhomToAsk(EntryTurn& aTurn,
-                           const std::string& aService,
-                           const CallerKey& aKey) const
+ClaimController::WhomToAsk(EntryTurn& aTurn, const std::string& aService) const
 {
   // Which agents another entry knew, and could reach, when it chose one for
   // an earlier submission can't be told from here, so each one counts.
@@ -81,8 +79,7 @@
       asked.m_present.push_back(id);
     }
   }
-  const bool memoryTooShort = aKey.m_submission > kFirstSubmission &&
-                              m_board.m_departuresKnownSince > since;
+  const bool memoryTooShort = m_board.m_departuresKnownSince > since;
   asked.m_anyDeparted =
     memoryTooShort ||
     std::any_of(m_board.m_departed.begin(),
--- a/packages/core/internal/entry/claimcontroller.h
+++ b/packages/core/internal/entry/claimcontroller.h
@@ -43,9 +43,7 @@
     bool m_anyDeparted = false;
   };
 
-  AskedSet WhomToAsk(EntryTurn& aTurn,
-                     const std::string& aService,
-                     const CallerKey& aKey) const;
+  AskedSet WhomToAsk(EntryTurn& aTurn, const std::string& aService) const;
   void SupersedeOwn(EntryTurn& aTurn, const Submission& aNewer);
   void Settle(EntryTurn& aTurn, FenceId aFence);
   void Uncertain(EntryTurn& aTurn, FenceId aFence, std::string aDetail);
--- a/packages/core/tests/entry_claim_test.cpp
+++ b/packages/core/tests/entry_claim_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(EntryClaimTest);
   CPPUNIT_TEST(AFirstSubmissionAsksNobody);
   CPPUNIT_TEST(AnUnnumberedOneRunsAfterAllSayNo);
+  CPPUNIT_TEST(AnUnnumberedOneNeedsAKnownPast);
   CPPUNIT_TEST(AResubmissionGetsTheHeldAnswer);
   CPPUNIT_TEST(AnAgentThatLeftMakesItUncertain);
   CPPUNIT_TEST(AnEntryThatKnowsTooLittleSaysSo);
@@ -36,6 +37,7 @@
   void AnUnnumberedOneRunsAfterAllSayNo()
   {
     EntryFixture entry;
+    LearnThePast(entry);
     entry.AddAgent("x", 1);
     entry.AddAgent("y", 1);
     entry.KeyedRequest("k", 0);
@@ -48,6 +50,15 @@
     CPPUNIT_ASSERT(entry.Offers().front().m_offer.m_key->m_claim != 0);
   }
 
+  void AnUnnumberedOneNeedsAKnownPast()
+  {
+    EntryFixture entry;
+    const ProcessId agent = entry.AddAgent("x", 1);
+    const CallerToken caller = entry.KeyedRequest("k", 0);
+    entry.Receive(agent, No(entry.Sent<FenceQuery>().front().second));
+    ExpectUncertain(entry, caller);
+  }
+
   void AResubmissionGetsTheHeldAnswer()
   {
     EntryFixture entry;
