--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
   libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler
   prometheus-cpp-dev libcurl4-openssl-dev libcxxopts-dev
   libgoogle-glog-dev libboost1.81-dev libcppunit-dev
-  nlohmann-json3-dev libxxhash-dev
+  nlohmann-json3-dev libxxhash-dev curl
 )
 missing=()
 for package in "${packages[@]}"; do
