A fresh system knows that its past is empty

Change: an entry that finds no configuration in the store knows that nothing can have been submitted: there was no service. It costs no call. Ruled out: a marker of its own in the store; it would say the same. Seen: the core and platform suites pass, a test more in each.

--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -188,6 +188,12 @@
   m_membership.OnPeersChanged(aTurn, std::move(aEvent));
 }
 
+void
+Entry::On(EntryTurn& aTurn, const PastIsEmpty& /*aEvent*/)
+{
+  m_board.m_departuresKnownSince = aTurn.m_now - m_board.m_policy.m_keyMemory;
+}
+
 Instant
 Entry::NextWake() const
 {
--- a/packages/core/tests/entry_claim_test.cpp
+++ b/packages/core/tests/entry_claim_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(AFirstSubmissionAsksNobody);
   CPPUNIT_TEST(AnUnnumberedOneRunsAfterAllSayNo);
   CPPUNIT_TEST(AnUnnumberedOneNeedsAKnownPast);
+  CPPUNIT_TEST(AnEmptyPastIsKnown);
   CPPUNIT_TEST(AResubmissionGetsTheHeldAnswer);
   CPPUNIT_TEST(AnAgentThatLeftMakesItUncertain);
   CPPUNIT_TEST(AnEntryThatKnowsTooLittleSaysSo);
@@ -59,6 +60,16 @@
     ExpectUncertain(entry, caller);
   }
 
+  void AnEmptyPastIsKnown()
+  {
+    EntryFixture entry;
+    entry.Give(PastIsEmpty{});
+    const ProcessId agent = entry.AddAgent("x", 1);
+    entry.KeyedRequest("k", 0);
+    entry.Receive(agent, No(entry.Sent<FenceQuery>().front().second));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), entry.Offers().size());
+  }
+
   void AResubmissionGetsTheHeldAnswer()
   {
     EntryFixture entry;
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -101,6 +101,11 @@
   std::vector<ProcessId> m_entries;
 };
 
+/** Nothing was submitted before this process began, through any entry: the
+ * store had no configuration, so there was no service to submit to. */
+struct PastIsEmpty
+{};
+
 using EntryEvent = std::variant<MessageReceived,
                                 SendFailed,
                                 LinkReset,
@@ -111,7 +116,8 @@
                                 SubmitJob,
                                 CancelSubmission,
                                 CallerGone,
-                                PeersChanged>;
+                                PeersChanged,
+                                PastIsEmpty>;
 
 // ---- agent ----
 
--- a/packages/platform/iconfigservice.h
+++ b/packages/platform/iconfigservice.h
@@ -54,6 +54,9 @@
   std::function<void(core::ConfigChanged)> m_onChange;
   /** The store has stopped answering, or answers again. */
   std::function<void(bool aAvailable)> m_onAvailable;
+  /** The store has answered that there is no configuration, and none was ever
+   * known here. */
+  std::function<void()> m_onAbsent;
 };
 
 /**
--- a/packages/platform/internal/configservice.cpp
+++ b/packages/platform/internal/configservice.cpp
@@ -5,6 +5,7 @@
 #include "platform/internal/storedconfig.h"
 #include "platform/internal/storewatcher.h"
 
+#include <algorithm>
 #include <deque>
 #include <mutex>
 #include <utility>
@@ -44,6 +45,7 @@
       for (const StoredValue& value : aRead.m_values) {
         Take(weak, value);
       }
+      TellIfAbsent(weak, aRead);
     };
     hooks.m_onChange = [weak](const StoredValue& aValue) {
       Take(weak, aValue);
@@ -133,6 +135,19 @@
     self->Accept(stored.value().m_version, stored.value().m_document);
   }
 
+  static void TellIfAbsent(const std::weak_ptr<ConfigService>& aWeak,
+                           const StoreRead& aRead)
+  {
+    const std::shared_ptr<ConfigService> self = aWeak.lock();
+    const bool present = std::any_of(
+      aRead.m_values.begin(),
+      aRead.m_values.end(),
+      [](const StoredValue& aValue) { return aValue.m_key == kConfigKey; });
+    if (self && !present && !self->Current() && self->m_hooks.m_onAbsent) {
+      self->m_hooks.m_onAbsent();
+    }
+  }
+
   void Remember(const StoredConfig& aStored)
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/packages/platform/tests/configservice_test.cpp
+++ b/packages/platform/tests/configservice_test.cpp
@@ -30,12 +30,14 @@
         { [this](const core::ConfigChanged& aChange) {
            m_versions.push_back(aChange.m_configuration.m_version.m_value);
          },
-          [this](bool aAvailable) { m_available.push_back(aAvailable); } }))
+          [this](bool aAvailable) { m_available.push_back(aAvailable); },
+          [this] { ++m_absences; } }))
   {
   }
 
   std::vector<std::uint64_t> m_versions;
   std::vector<bool> m_available;
+  int m_absences = 0;
   std::shared_ptr<IConfigService> m_service;
 };
 
@@ -58,6 +60,7 @@
   CPPUNIT_TEST(OfferIsTakenWhileTheStoreIsDown);
   CPPUNIT_TEST(WatchIsOpenedAgainWithFewCalls);
   CPPUNIT_TEST(OutageIsToldOnce);
+  CPPUNIT_TEST(AbsenceIsToldOnlyBeforeTheFirst);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +72,14 @@
     m_two = std::make_unique<Process>(*m_store, *m_timer);
   }
 
+  void AbsenceIsToldOnlyBeforeTheFirst()
+  {
+    CPPUNIT_ASSERT_EQUAL(1, m_one->m_absences);
+    Patch(*m_one, 0, "p1", kPatchA).value();
+    const Process late(*m_store, *m_timer);
+    CPPUNIT_ASSERT_EQUAL(0, late.m_absences);
+  }
+
   void AcceptedPatchIsInForceEverywhere()
   {
     CPPUNIT_ASSERT(!m_one->m_service->Current());
