Settings of both roles, checked whole at the start

Cause: operators need every fault of a settings file named at once, and the page of settings must not drift from the code. Change: one table of fields gives the reader, the checks and docs/SETTINGS.md; samples of an entry and an agent.

--- /dev/null
+++ b/packages/daemon/settings/settingsreader.cpp
@@ -0,0 +1,418 @@
+#include "daemon/settings/settingsreader.h"
+
+#include "daemon/settings/settingfield.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <limits>
+#include <sstream>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+using nlohmann::json;
+
+/** Puts one JSON value into a slot. @return whether it has the form. */
+class SlotReader
+{
+public:
+  explicit SlotReader(const json& aValue)
+    : m_value(aValue)
+  {
+  }
+
+  bool operator()(bool* aTarget) const
+  {
+    if (!m_value.is_boolean()) {
+      return false;
+    }
+    *aTarget = m_value.get<bool>();
+    return true;
+  }
+
+  bool operator()(std::optional<std::uint64_t>* aTarget) const
+  {
+    if (!m_value.is_number_unsigned()) {
+      return false;
+    }
+    *aTarget = m_value.get<std::uint64_t>();
+    return true;
+  }
+
+  template<typename Number>
+  bool operator()(const NumberSlot<Number>& aSlot) const
+  {
+    const std::optional<std::uint64_t> number =
+      WholeNumber(aSlot.m_least, aSlot.m_most);
+    if (!number) {
+      return false;
+    }
+    *aSlot.m_value = static_cast<Number>(*number);
+    return true;
+  }
+
+  bool operator()(const NumberSlot<double>& aSlot) const
+  {
+    if (!m_value.is_number()) {
+      return false;
+    }
+    const double number = m_value.get<double>();
+    if (!(number >= aSlot.m_least && number <= aSlot.m_most)) {
+      return false;
+    }
+    *aSlot.m_value = number;
+    return true;
+  }
+
+  bool operator()(const DurationSlot& aSlot) const
+  {
+    const std::optional<std::uint64_t> units =
+      WholeNumber(aSlot.m_least, aSlot.m_most);
+    if (!units) {
+      return false;
+    }
+    *aSlot.m_value = aSlot.m_unit * static_cast<core::Duration::rep>(*units);
+    return true;
+  }
+
+  bool operator()(const TextSlot& aSlot) const
+  {
+    if (!IsText(m_value, aSlot.m_form)) {
+      return false;
+    }
+    *aSlot.m_value = m_value.get<std::string>();
+    return true;
+  }
+
+  bool operator()(const TextListSlot& aSlot) const
+  {
+    if (!m_value.is_array()) {
+      return false;
+    }
+    const auto ok = [&](const json& aItem) {
+      return IsText(aItem, aSlot.m_form);
+    };
+    if (!std::all_of(m_value.begin(), m_value.end(), ok)) {
+      return false;
+    }
+    *aSlot.m_values = m_value.get<std::vector<std::string>>();
+    return true;
+  }
+
+  template<typename Enum>
+  bool operator()(const ChoiceSlot<Enum>& aSlot) const
+  {
+    const std::span<const std::string_view> names = ChoiceNames(Enum{});
+    const auto name =
+      std::find_if(names.begin(), names.end(), [this](std::string_view aName) {
+        return m_value == aName;
+      });
+    if (name == names.end()) {
+      return false;
+    }
+    *aSlot.m_value = static_cast<Enum>(name - names.begin());
+    return true;
+  }
+
+private:
+  static bool IsText(const json& aValue, TextForm aForm)
+  {
+    return aValue.is_string() &&
+           HasForm(aValue.get_ref<const std::string&>(), aForm);
+  }
+
+  std::optional<std::uint64_t> WholeNumber(std::uint64_t aLeast,
+                                           std::uint64_t aMost) const
+  {
+    if (!m_value.is_number_unsigned()) {
+      return std::nullopt;
+    }
+    const std::uint64_t number = m_value.get<std::uint64_t>();
+    if (number < aLeast || number > aMost) {
+      return std::nullopt;
+    }
+    return number;
+  }
+
+  const json& m_value;
+};
+
+/** @return the value at a dotted path, or nullptr. */
+const json*
+FindPath(const json& aDocument, std::string_view aPath)
+{
+  const json* value = &aDocument;
+  while (!aPath.empty()) {
+    const std::size_t dot = std::min(aPath.find('.'), aPath.size());
+    const std::string name(aPath.substr(0, dot));
+    if (!value->is_object() || !value->contains(name)) {
+      return nullptr;
+    }
+    value = &(*value)[name];
+    aPath.remove_prefix(std::min(dot + 1, aPath.size()));
+  }
+  return value;
+}
+
+/** Checks a document and fills in the settings, noting every fault. */
+class SettingsReader
+{
+public:
+  explicit SettingsReader(const json& aDocument)
+    : m_document(aDocument)
+  {
+  }
+
+  core::Result<Settings> Read()
+  {
+    // Until the role is known, no other field can be judged.
+    ReadField(SettingFields().front());
+    if (m_faults.empty()) {
+      RejectUnknown(m_document, "");
+      ReadFields();
+      CheckTogether();
+    }
+    if (!m_faults.empty()) {
+      return core::Fail(core::ErrorKind::InvalidSettings, m_faults);
+    }
+    ChoosePlacement();
+    m_settings.m_entryPolicy.m_zone = m_settings.m_zone;
+    m_settings.m_agentPolicy.m_zone = m_settings.m_zone;
+    return std::move(m_settings);
+  }
+
+private:
+  void AddFault(std::string_view aPath, std::string_view aFault)
+  {
+    m_faults += m_faults.empty() ? "" : "\n";
+    m_faults += std::string(aPath) + ": " + std::string(aFault);
+  }
+
+  void ReadFields()
+  {
+    for (const SettingField& field : SettingFields().subspan(1)) {
+      if (IsForRole(field, m_settings.m_role)) {
+        ReadField(field);
+      }
+    }
+  }
+
+  void ReadField(const SettingField& aField)
+  {
+    const Slot slot = aField.m_slot(m_settings);
+    const json* value = FindPath(m_document, aField.m_path);
+    if (value == nullptr) {
+      if (aField.m_required) {
+        AddFault(aField.m_path, "required: " + DescribeForm(slot));
+      }
+      return;
+    }
+    if (!std::visit(SlotReader(*value), slot)) {
+      AddFault(aField.m_path, "expected " + DescribeForm(slot));
+    }
+  }
+
+  void RejectUnknown(const json& aObject, const std::string& aPrefix)
+  {
+    for (auto item = aObject.begin(); item != aObject.end(); ++item) {
+      const std::string path = aPrefix + item.key();
+      if (IsGroup(path)) {
+        if (item->is_object()) {
+          RejectUnknown(*item, path + ".");
+        } else {
+          AddFault(path, "expected an object");
+        }
+      } else if (!IsField(path)) {
+        AddFault(path, "there is no such field for this role");
+      }
+    }
+  }
+
+  bool IsField(std::string_view aPath) const
+  {
+    return std::any_of(SettingFields().begin(),
+                       SettingFields().end(),
+                       [&](const SettingField& aField) {
+                         return aField.m_path == aPath &&
+                                IsForRole(aField, m_settings.m_role);
+                       });
+  }
+
+  static bool IsGroup(const std::string& aPath)
+  {
+    return std::any_of(SettingFields().begin(),
+                       SettingFields().end(),
+                       [&](const SettingField& aField) {
+                         return aField.m_path.starts_with(aPath + ".");
+                       });
+  }
+
+  void CheckTogether()
+  {
+    const bool agent = m_settings.m_role == Role::Agent;
+    if (agent && m_settings.m_entries.empty() &&
+        m_settings.m_storeUrls.empty()) {
+      AddFault("entries", "an agent needs `entries` or `store.urls`");
+    }
+    CheckAdvertised(m_settings.m_http.m_address,
+                    m_settings.m_advertise.m_httpUrl,
+                    "advertise.http_url");
+    if (!agent) {
+      CheckAdvertised(m_settings.m_messages.m_address,
+                      m_settings.m_advertise.m_messageUrl,
+                      "advertise.message_url");
+    }
+  }
+
+  void CheckAdvertised(std::string_view aListen,
+                       std::string_view aUrl,
+                       std::string_view aPath)
+  {
+    const bool any = aListen == "0.0.0.0" || aListen == "::";
+    if (any && aUrl.empty()) {
+      AddFault(aPath, "required as it listens on every address");
+    }
+  }
+
+  void ChoosePlacement()
+  {
+    const PlacementSettings& placement = m_settings.m_placement;
+    core::PlacementPolicy& policy = m_settings.m_entryPolicy.m_placement;
+    switch (placement.m_kind) {
+      case PlacementKind::ReportedLoad:
+        policy = placement.m_reportedLoad;
+        return;
+      case PlacementKind::Random:
+        policy = core::RandomPlacement{};
+        return;
+      case PlacementKind::Probe:
+        policy = placement.m_probe;
+        return;
+    }
+  }
+
+  const json& m_document;
+  Settings m_settings;
+  std::string m_faults;
+};
+
+/** Writes the value of a slot as it would stand in the file. */
+struct SlotWriter
+{
+  std::string operator()(const bool* aValue) const
+  {
+    return *aValue ? "true" : "false";
+  }
+  std::string operator()(const std::optional<std::uint64_t>* /*aValue*/) const
+  {
+    return "";
+  }
+  template<typename Number>
+  std::string operator()(const NumberSlot<Number>& aSlot) const
+  {
+    return json(*aSlot.m_value).dump();
+  }
+  std::string operator()(const DurationSlot& aSlot) const
+  {
+    return std::to_string(*aSlot.m_value / aSlot.m_unit);
+  }
+  std::string operator()(const TextSlot& aSlot) const
+  {
+    return aSlot.m_value->empty() ? "" : "\"" + *aSlot.m_value + "\"";
+  }
+  std::string operator()(const TextListSlot& /*aSlot*/) const { return "[]"; }
+  template<typename Enum>
+  std::string operator()(const ChoiceSlot<Enum>& aSlot) const
+  {
+    const std::size_t index = static_cast<std::size_t>(*aSlot.m_value);
+    return "\"" + std::string(ChoiceNames(Enum{})[index]) + "\"";
+  }
+};
+
+std::string_view
+RolesText(FieldRoles aRoles)
+{
+  switch (aRoles) {
+    case FieldRoles::Both:
+      return "both";
+    case FieldRoles::Entry:
+      return "entry";
+    case FieldRoles::Agent:
+      return "agent";
+  }
+  return "";
+}
+
+void
+WriteRow(const SettingField& aField, std::ostream& aPage)
+{
+  Settings defaults;
+  const Slot slot = aField.m_slot(defaults);
+  const std::string standard =
+    aField.m_required ? "required" : std::visit(SlotWriter{}, slot);
+  aPage << "| `" << aField.m_path << "` | " << RolesText(aField.m_roles)
+        << " | " << DescribeForm(slot) << " | " << standard << " | "
+        << aField.m_meaning << " |\n";
+}
+
+constexpr std::string_view kPageHead =
+  R"(# Settings
+
+`mulberrysaild --settings FILE` reads one JSON file; comments (`//` and
+`/* */`) are allowed. The file is checked whole before anything is started:
+every fault is named with its path and the expected form, and unknown fields
+are rejected. `--check-settings` does only this: exit code 0 if the file is
+right, else 2. Samples: `samples/entry.json`, `samples/agent.json`.
+
+`mulberrysaild --settings-page` prints this page. A dot in a name stands for
+an object: `http.port` is `{"http": {"port": ...}}`. Durations that end in
+`_ms` are in milliseconds, in `_us` in microseconds.
+
+| field | role | form | default | meaning |
+|---|---|---|---|---|
+)";
+
+} // namespace
+
+core::Result<Settings>
+ParseSettings(std::string_view aText)
+{
+  json document;
+  try {
+    document = json::parse(aText, nullptr, true, true);
+  } catch (const json::exception& error) {
+    return core::Fail(core::ErrorKind::InvalidSettings, error.what());
+  }
+  if (!document.is_object()) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      "the file must hold one JSON object");
+  }
+  return SettingsReader(document).Read();
+}
+
+core::Result<Settings>
+LoadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return core::Fail(core::ErrorKind::InvalidSettings, "can't read " + aPath);
+  }
+  return ParseSettings(text.str());
+}
+
+std::string
+SettingsPage()
+{
+  std::ostringstream page;
+  page << kPageHead;
+  for (const SettingField& field : SettingFields()) {
+    WriteRow(field, page);
+  }
+  return page.str();
+}
+
+} // namespace mulberrysail::daemon
