--- a/packages/core/internal/agent/keykeeper.cpp
+++ b/packages/core/internal/agent/keykeeper.cpp
@@ -68,10 +68,8 @@
   const KeyName name = NameOf(aAttempt.m_offer);
   KeyRecord& record = m_board.m_keys.m_records[name];
   Unlist(record);
-  record.m_holder =
-    KeyHolder{ aAttempt.m_key,         aAttempt.m_offer.m_key->m_submission,
-               aAttempt.m_offer.m_job, AttemptFate::Queued,
-               ErrorKind::None,        {} };
+  record.m_holder.emplace();
+  record.m_holder->m_attempt = aAttempt.m_key;
   Resize(name, record);
   EnforceLimit();
 }
