HTTP routes of both roles round the cores

Cause: callers, endpoints, workers and operators need docs/API.md served. Change: a shard holds one entry core under its lock and executes what it asks for in the order of the lock; answers are given after the lock is released. Each shard is an entry of its own to agents, as they count offers of each entry apart. Malformed input is answered from the error table and never reaches a core. Not yet: the processes themselves, as transport and store are not there.

--- /dev/null
+++ b/packages/daemon/internal/agentapi.cpp
@@ -0,0 +1,79 @@
+#include "daemon/internal/agentapi.h"
+
+#include "daemon/internal/announcementcodec.h"
+#include "daemon/internal/operatorapi.h"
+#include "network/errorresponse.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+using network::HttpRequest;
+using network::HttpResponse;
+
+constexpr int kOk = 200;
+
+HttpResponse
+MakeLease(core::Duration aLease)
+{
+  const std::chrono::milliseconds lease =
+    std::chrono::floor<std::chrono::milliseconds>(aLease);
+  return MakeJsonResponse(kOk, { { "lease_ms", lease.count() } });
+}
+
+HttpResponse
+MakeError(const core::Error& aError)
+{
+  return network::MakeErrorResponse(aError.m_kind, { aError.m_detail });
+}
+
+} // namespace
+
+AgentApi::AgentApi(AgentHost& aHost, const core::AgentPolicy& aPolicy)
+  : m_host(aHost)
+  , m_endpointLease(aPolicy.m_endpointLease)
+  , m_workerLease(aPolicy.m_workerLease)
+{
+}
+
+void
+AgentApi::AddRoutes(Router& aRouter)
+{
+  aRouter.AddSimple("POST",
+                    "/v1/endpoint",
+                    [this](const HttpRequest& aRequest, PathParameters) {
+                      return TakeEndpoint(aRequest);
+                    });
+  aRouter.AddSimple(
+    "POST", "/v1/workers", [this](const HttpRequest& aRequest, PathParameters) {
+      return TakeWorker(aRequest);
+    });
+}
+
+HttpResponse
+AgentApi::TakeEndpoint(const HttpRequest& aRequest)
+{
+  core::Result<core::EndpointAnnounced> announced =
+    ParseEndpointBody(aRequest.m_body);
+  if (!announced) {
+    return MakeError(announced.error());
+  }
+  m_host.Handle(std::move(announced).value());
+  return MakeLease(m_endpointLease);
+}
+
+HttpResponse
+AgentApi::TakeWorker(const HttpRequest& aRequest)
+{
+  core::Result<core::WorkerAnnounced> announced =
+    ParseWorkerBody(aRequest.m_body);
+  if (!announced) {
+    return MakeError(announced.error());
+  }
+  m_host.Handle(std::move(announced).value());
+  return MakeLease(m_workerLease);
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/agentapi.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "daemon/internal/agenthost.h"
+#include "daemon/internal/router.h"
+
+namespace mulberrysail::daemon {
+
+/** The routes of an agent for its endpoint and for workers. */
+class AgentApi
+{
+public:
+  AgentApi(AgentHost& aHost, const core::AgentPolicy& aPolicy);
+
+  /** Adds the routes to @p aRouter, which must not outlive this. */
+  void AddRoutes(Router& aRouter);
+
+private:
+  network::HttpResponse TakeEndpoint(const network::HttpRequest& aRequest);
+  network::HttpResponse TakeWorker(const network::HttpRequest& aRequest);
+
+  AgentHost& m_host;
+  core::Duration m_endpointLease;
+  core::Duration m_workerLease;
+};
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/announcementcodec.cpp
@@ -0,0 +1,135 @@
+#include "daemon/internal/announcementcodec.h"
+
+#include "daemon/internal/jsonfields.h"
+#include "daemon/internal/resourcescodec.h"
+#include "daemon/internal/runner.h"
+#include "daemon/settings/settingfield.h"
+
+#include <limits>
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+using core::ErrorKind;
+using nlohmann::json;
+
+constexpr std::size_t kMostNameBytes = 64;
+constexpr std::size_t kMostUrlBytes = 256;
+constexpr std::size_t kMostRunNameBytes = 256;
+constexpr std::uint64_t kMostSlots = 100000;
+
+core::Error
+NoObject()
+{
+  return { ErrorKind::MalformedRequest,
+           "the body must be one JSON object in UTF-8" };
+}
+
+std::string
+ReadName(JsonFields& aFields, std::string_view aField)
+{
+  std::string name = aFields.NeedText(aField, kMostNameBytes);
+  if (!HasForm(name, TextForm::Name)) {
+    aFields.AddFault(aField, "expected letters, digits, '.', '_' or '-'");
+  }
+  return name;
+}
+
+std::string
+ReadUrl(JsonFields& aFields)
+{
+  std::string url = aFields.NeedText("url", kMostUrlBytes);
+  if (!HasForm(url, TextForm::HttpUrl)) {
+    aFields.AddFault("url", "expected http://HOST:PORT");
+  }
+  return url;
+}
+
+/** Reads one item of a usage list; runs that no agent started are left out. */
+std::optional<core::Error>
+ReadUsage(const json& aItem, std::vector<core::TaskUsage>& aUsage)
+{
+  JsonFields fields(aItem, "usage.");
+  const std::string name = fields.NeedText("run", kMostRunNameBytes);
+  core::TaskUsage usage;
+  usage.m_used = ReadResources(fields, 0);
+  if (std::optional<core::Error> error = FinishFields(fields)) {
+    return error;
+  }
+  if (const std::optional<core::RunId> run = ParseRunName(name)) {
+    usage.m_run = *run;
+    aUsage.push_back(usage);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+core::Result<core::EndpointAnnounced>
+ParseEndpointBody(std::string_view aBody)
+{
+  const std::optional<json> document = ParseObject(aBody);
+  if (!document) {
+    return NoObject();
+  }
+  JsonFields fields(*document, "");
+  core::EndpointAnnounced announced;
+  announced.m_info.m_service = ReadName(fields, "service");
+  announced.m_info.m_slots =
+    static_cast<std::uint32_t>(fields.NeedWholeNumber("slots", 0, kMostSlots));
+  announced.m_info.m_connections = static_cast<std::uint32_t>(
+    fields.NeedWholeNumber("connections", 0, kMostSlots));
+  announced.m_url = ReadUrl(fields);
+  announced.m_info.m_leaving = fields.Boolean("leaving").value_or(false);
+  if (std::optional<core::Error> error = FinishFields(fields)) {
+    return *error;
+  }
+  return announced;
+}
+
+core::Result<core::WorkerAnnounced>
+ParseWorkerBody(std::string_view aBody)
+{
+  const std::optional<json> document = ParseObject(aBody);
+  if (!document) {
+    return NoObject();
+  }
+  JsonFields fields(*document, "");
+  core::WorkerAnnounced announced;
+  announced.m_info.m_name = ReadName(fields, "name");
+  announced.m_info.m_rack = fields.Text("rack", kMostNameBytes).value_or("");
+  announced.m_info.m_capacity = ReadResources(fields, 0);
+  announced.m_url = ReadUrl(fields);
+  announced.m_leaving = fields.Boolean("leaving").value_or(false);
+  if (const json* usage = fields.List("usage")) {
+    for (const json& item : *usage) {
+      if (std::optional<core::Error> error =
+            ReadUsage(item, announced.m_usage)) {
+        return *error;
+      }
+    }
+  }
+  if (std::optional<core::Error> error = FinishFields(fields)) {
+    return *error;
+  }
+  return announced;
+}
+
+core::Result<std::string>
+ParseLocateBody(std::string_view aBody)
+{
+  const std::optional<json> document = ParseObject(aBody);
+  if (!document) {
+    return NoObject();
+  }
+  JsonFields fields(*document, "");
+  std::string name = ReadName(fields, "name");
+  if (std::optional<core::Error> error = FinishFields(fields)) {
+    return *error;
+  }
+  return name;
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/clock.cpp
@@ -0,0 +1,34 @@
+#include "daemon/internal/clock.h"
+
+#include <chrono>
+#include <random>
+
+namespace mulberrysail::daemon {
+
+core::Instant
+Now()
+{
+  return core::Instant(std::chrono::duration_cast<core::Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+core::Incarnation
+MakeIncarnation()
+{
+  // The random bits tell apart two lives that begin at the same instant.
+  constexpr std::uint64_t kRandomMask = 0xFF;
+  const std::uint64_t wall = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<core::Duration>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+  return { (wall & ~kRandomMask) | (MakeSeed() & kRandomMask) };
+}
+
+std::uint64_t
+MakeSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/counterrows.cpp
@@ -0,0 +1,93 @@
+#include "daemon/internal/counterrows.h"
+
+#include <array>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+using core::AgentCounters;
+using core::EntryCounters;
+
+constexpr std::array kEntryRows = {
+  CounterRow<EntryCounters>{ "admitted",
+                             "Submissions taken.",
+                             &EntryCounters::m_admitted },
+  CounterRow<EntryCounters>{ "refused",
+                             "Submissions refused on arrival.",
+                             &EntryCounters::m_refused },
+  CounterRow<EntryCounters>{ "completed",
+                             "Submissions answered with their outputs.",
+                             &EntryCounters::m_completed },
+  CounterRow<EntryCounters>{ "failed",
+                             "Submissions taken and answered with an error.",
+                             &EntryCounters::m_failed },
+  CounterRow<EntryCounters>{ "offers",
+                             "Attempts offered to agents.",
+                             &EntryCounters::m_offers },
+  CounterRow<EntryCounters>{ "retries",
+                             "Requests and tasks placed again.",
+                             &EntryCounters::m_retries },
+  CounterRow<EntryCounters>{ "replies_dropped",
+                             "Replies that matched no open attempt.",
+                             &EntryCounters::m_repliesDropped },
+  CounterRow<EntryCounters>{ "open",
+                             "Submissions that are not answered yet.",
+                             &EntryCounters::m_open,
+                             true },
+  CounterRow<EntryCounters>{ "waiting",
+                             "Requests and tasks that wait at the entry.",
+                             &EntryCounters::m_waiting,
+                             true },
+};
+
+constexpr std::array kAgentRows = {
+  CounterRow<AgentCounters>{ "offers_received",
+                             "Attempts offered by entries.",
+                             &AgentCounters::m_offersReceived },
+  CounterRow<AgentCounters>{ "offers_refused",
+                             "Attempts refused.",
+                             &AgentCounters::m_offersRefused },
+  CounterRow<AgentCounters>{ "started",
+                             "Attempts started.",
+                             &AgentCounters::m_started },
+  CounterRow<AgentCounters>{ "completed",
+                             "Attempts that ran to their end.",
+                             &AgentCounters::m_completed },
+  CounterRow<AgentCounters>{ "failed",
+                             "Attempts that ran and failed.",
+                             &AgentCounters::m_failed },
+  CounterRow<AgentCounters>{ "lost",
+                             "Attempts whose outcome can't be learned.",
+                             &AgentCounters::m_lost },
+  CounterRow<AgentCounters>{ "revoked",
+                             "Attempts taken out of the queue.",
+                             &AgentCounters::m_revoked },
+  CounterRow<AgentCounters>{ "reports_sent",
+                             "Reports sent to entries.",
+                             &AgentCounters::m_reportsSent },
+  CounterRow<AgentCounters>{ "queued",
+                             "Attempts that wait.",
+                             &AgentCounters::m_queued,
+                             true },
+  CounterRow<AgentCounters>{ "running",
+                             "Attempts that run.",
+                             &AgentCounters::m_running,
+                             true },
+};
+
+} // namespace
+
+std::span<const CounterRow<core::EntryCounters>>
+EntryCounterRows()
+{
+  return kEntryRows;
+}
+
+std::span<const CounterRow<core::AgentCounters>>
+AgentCounterRows()
+{
+  return kAgentRows;
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/counterrows.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/types/status.h"
+
+#include <span>
+#include <string_view>
+
+namespace mulberrysail::daemon {
+
+/** One counter of a core: its name in JSON and, after a prefix, in metrics. */
+template<typename Counters>
+struct CounterRow
+{
+  std::string_view m_name;
+  std::string_view m_help;
+  std::uint64_t Counters::*m_value;
+  /** Whether it can fall. */
+  bool m_gauge = false;
+};
+
+std::span<const CounterRow<core::EntryCounters>>
+EntryCounterRows();
+
+std::span<const CounterRow<core::AgentCounters>>
+AgentCounterRows();
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/entryshard.cpp
@@ -0,0 +1,250 @@
+#include "daemon/internal/entryshard.h"
+
+#include "daemon/internal/clock.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+/** @return the id under which a job was admitted, else its answer. */
+std::variant<core::SubmissionId, core::Answer>
+FindAdmission(const core::EntryCommands& aCommands, core::CallerToken aCaller)
+{
+  core::Answer refusal;
+  refusal.m_kind = core::ErrorKind::Internal;
+  refusal.m_execution = core::Execution::MayHaveRun;
+  for (const core::EntryCommand& command : aCommands) {
+    const core::SubmissionOpened* opened =
+      std::get_if<core::SubmissionOpened>(&command);
+    if (opened != nullptr && opened->m_caller == aCaller) {
+      return opened->m_submission;
+    }
+    const core::AnswerCaller* answer =
+      std::get_if<core::AnswerCaller>(&command);
+    if (answer != nullptr && answer->m_caller == aCaller) {
+      refusal = answer->m_answer;
+    }
+  }
+  return refusal;
+}
+
+} // namespace
+
+/** Carries out the commands of one turn. */
+class EntryShard::Executor
+{
+public:
+  Executor(EntryShard& aShard, DueAnswers& aAnswers)
+    : m_shard(aShard)
+    , m_answers(aAnswers)
+  {
+  }
+
+  void operator()(core::SendMessage& aSend) const
+  {
+    m_shard.m_transport->Send(std::move(aSend.m_to),
+                              std::move(aSend.m_message));
+  }
+
+  void operator()(core::AnswerCaller& aAnswer) const
+  {
+    const auto caller = m_shard.m_callers.find(aAnswer.m_caller);
+    if (caller == m_shard.m_callers.end()) {
+      return;
+    }
+    m_answers.push_back(
+      { std::move(caller->second), std::move(aAnswer.m_answer) });
+    m_shard.m_callers.erase(caller);
+  }
+
+  /** Found by SubmitDetached() itself. */
+  void operator()(const core::SubmissionOpened& /*aOpened*/) const {}
+
+  void operator()(core::RecordEvent& aRecord) const
+  {
+    m_shard.m_events.Record(
+      aRecord.m_code, aRecord.m_subject, std::move(aRecord.m_detail));
+  }
+
+private:
+  EntryShard& m_shard;
+  DueAnswers& m_answers;
+};
+
+EntryShard::EntryShard(std::unique_ptr<core::IEntry> aCore,
+                       telemetry::IEventLog& aEvents,
+                       WakeupTimer& aWakeup,
+                       std::size_t aWakeupClient)
+  : m_core(std::move(aCore))
+  , m_events(aEvents)
+  , m_wakeup(aWakeup)
+  , m_wakeupClient(aWakeupClient)
+{
+}
+
+std::optional<core::Error>
+EntryShard::StartTransport(const TransportStart& aStart)
+{
+  // Hooks that call before the transport is known here wait for the lock.
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  core::Result<std::unique_ptr<network::IMessageTransport>> transport =
+    aStart();
+  if (!transport) {
+    return transport.error();
+  }
+  m_transport = std::move(transport).value();
+  return std::nullopt;
+}
+
+void
+EntryShard::StopTransport()
+{
+  if (m_transport) {
+    m_transport->Stop();
+  }
+}
+
+void
+EntryShard::Handle(core::EntryEvent aEvent)
+{
+  DueAnswers answers;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Decide(std::move(aEvent));
+    answers = Execute();
+  }
+  Give(std::move(answers));
+}
+
+core::CallerToken
+EntryShard::Submit(core::SubmitRequest aRequest, AnswerSink aSink)
+{
+  return SubmitFor(std::move(aRequest), std::move(aSink));
+}
+
+core::CallerToken
+EntryShard::Submit(core::SubmitJob aJob, AnswerSink aSink)
+{
+  return SubmitFor(std::move(aJob), std::move(aSink));
+}
+
+template<typename Submission>
+core::CallerToken
+EntryShard::SubmitFor(Submission aSubmission, AnswerSink aSink)
+{
+  DueAnswers answers;
+  core::CallerToken token;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    token = NextToken();
+    m_callers.emplace(token, std::move(aSink));
+    aSubmission.m_caller = token;
+    Decide(std::move(aSubmission));
+    answers = Execute();
+  }
+  Give(std::move(answers));
+  return token;
+}
+
+std::variant<core::SubmissionId, core::Answer>
+EntryShard::SubmitDetached(core::SubmitJob aJob)
+{
+  DueAnswers answers;
+  std::variant<core::SubmissionId, core::Answer> result;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const core::CallerToken token = NextToken();
+    aJob.m_caller = token;
+    aJob.m_detached = true;
+    Decide(std::move(aJob));
+    result = FindAdmission(m_commands, token);
+    answers = Execute();
+  }
+  Give(std::move(answers));
+  return result;
+}
+
+void
+EntryShard::Abandon(core::CallerToken aCaller)
+{
+  DueAnswers answers;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_callers.erase(aCaller) == 0) {
+      return;
+    }
+    Decide(core::CallerGone{ aCaller });
+    answers = Execute();
+  }
+  Give(std::move(answers));
+}
+
+std::optional<core::SubmissionStatus>
+EntryShard::Status(core::SubmissionId aSubmission) const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_core->Status(aSubmission);
+}
+
+std::vector<core::AgentStatus>
+EntryShard::Agents() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_core->Agents();
+}
+
+core::EntryCounters
+EntryShard::Counters() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_core->Counters();
+}
+
+bool
+EntryShard::Idle() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_callers.empty() && m_core->Idle();
+}
+
+void
+EntryShard::Decide(core::EntryEvent aEvent)
+{
+  m_core->Handle(Now(), std::move(aEvent), m_commands);
+}
+
+EntryShard::DueAnswers
+EntryShard::Execute()
+{
+  DueAnswers answers;
+  for (core::EntryCommand& command : m_commands) {
+    std::visit(Executor(*this, answers), command);
+  }
+  m_commands.clear();
+  const core::Instant wake = m_core->NextWake();
+  // The timer forgets an instant that it has fired at, so an instant in the
+  // past is told again.
+  if (wake != m_wake || wake <= Now()) {
+    m_wake = wake;
+    m_wakeup.Set(m_wakeupClient, wake);
+  }
+  return answers;
+}
+
+core::CallerToken
+EntryShard::NextToken()
+{
+  return { ++m_lastToken };
+}
+
+void
+EntryShard::Give(DueAnswers aAnswers)
+{
+  for (DueAnswer& due : aAnswers) {
+    due.m_sink(std::move(due.m_answer));
+  }
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/metriclist.cpp
@@ -0,0 +1,73 @@
+#include "daemon/internal/metriclist.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <iterator>
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+constexpr std::string_view kPrefix = "mulberrysail_";
+
+} // namespace
+
+void
+MetricList::Counter(std::string_view aName,
+                    std::string_view aHelp,
+                    std::uint64_t aValue)
+{
+  Add(std::string(aName) + "_total",
+      aHelp,
+      prometheus::MetricType::Counter,
+      aValue);
+}
+
+void
+MetricList::Gauge(std::string_view aName,
+                  std::string_view aHelp,
+                  std::uint64_t aValue)
+{
+  Add(std::string(aName), aHelp, prometheus::MetricType::Gauge, aValue);
+}
+
+void
+MetricList::Transport(const network::TransportCounters& aCounters)
+{
+  Counter("messages_sent", "Messages to peers.", aCounters.m_messagesSent);
+  Counter(
+    "messages_received", "Messages from peers.", aCounters.m_messagesReceived);
+  Counter("message_bytes_sent", "Bytes to peers.", aCounters.m_bytesSent);
+  Counter(
+    "message_bytes_received", "Bytes from peers.", aCounters.m_bytesReceived);
+}
+
+void
+MetricList::Append(std::vector<prometheus::MetricFamily> aFamilies)
+{
+  std::move(aFamilies.begin(), aFamilies.end(), std::back_inserter(m_families));
+}
+
+std::string
+MetricList::Text() const
+{
+  return prometheus::TextSerializer().Serialize(m_families);
+}
+
+void
+MetricList::Add(std::string aName,
+                std::string_view aHelp,
+                prometheus::MetricType aType,
+                std::uint64_t aValue)
+{
+  prometheus::ClientMetric metric;
+  metric.counter.value = static_cast<double>(aValue);
+  metric.gauge.value = static_cast<double>(aValue);
+  m_families.push_back({ std::string(kPrefix) + std::move(aName),
+                         std::string(aHelp),
+                         aType,
+                         { std::move(metric) } });
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/metriclist.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "daemon/internal/counterrows.h"
+#include "network/imessagetransport.h"
+
+#include <prometheus/metric_family.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mulberrysail::daemon {
+
+/** Metrics gathered for one answer to Prometheus. All names begin with
+ * `mulberrysail_`. */
+class MetricList
+{
+public:
+  /** Adds a counter; `_total` is put after its name. */
+  void Counter(std::string_view aName,
+               std::string_view aHelp,
+               std::uint64_t aValue);
+
+  void Gauge(std::string_view aName,
+             std::string_view aHelp,
+             std::uint64_t aValue);
+
+  /** Adds all counters of a core, with @p aPrefix before their names. */
+  template<typename Counters>
+  void Rows(std::string_view aPrefix,
+            std::span<const CounterRow<Counters>> aRows,
+            const Counters& aCounters)
+  {
+    for (const CounterRow<Counters>& row : aRows) {
+      const std::string name =
+        std::string(aPrefix) + "_" + std::string(row.m_name);
+      const std::uint64_t value = aCounters.*row.m_value;
+      row.m_gauge ? Gauge(name, row.m_help, value)
+                  : Counter(name, row.m_help, value);
+    }
+  }
+
+  void Transport(const network::TransportCounters& aCounters);
+
+  void Append(std::vector<prometheus::MetricFamily> aFamilies);
+
+  /** @return all of them as Prometheus reads them. */
+  std::string Text() const;
+
+private:
+  void Add(std::string aName,
+           std::string_view aHelp,
+           prometheus::MetricType aType,
+           std::uint64_t aValue);
+
+  std::vector<prometheus::MetricFamily> m_families;
+};
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/resourcescodec.cpp
@@ -0,0 +1,39 @@
+#include "daemon/internal/resourcescodec.h"
+
+#include <cmath>
+#include <limits>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+constexpr std::uint64_t kMost32 = std::numeric_limits<std::uint32_t>::max();
+constexpr double kMostCores = 100000;
+constexpr double kMilli = 1000;
+
+} // namespace
+
+core::Resources
+ReadResources(JsonFields& aFields, double aDefaultCores)
+{
+  const double cores =
+    aFields.Number("cores", 0, kMostCores).value_or(aDefaultCores);
+  core::Resources resources;
+  resources.m_milliCores =
+    static_cast<std::uint32_t>(std::ceil(cores * kMilli));
+  resources.m_memoryMb = static_cast<std::uint32_t>(
+    aFields.WholeNumber("memory_mb", 0, kMost32).value_or(0));
+  resources.m_accelerators = static_cast<std::uint32_t>(
+    aFields.WholeNumber("accelerators", 0, kMost32).value_or(0));
+  return resources;
+}
+
+nlohmann::json
+ResourcesToJson(const core::Resources& aResources)
+{
+  return { { "cores", aResources.m_milliCores / kMilli },
+           { "memory_mb", aResources.m_memoryMb },
+           { "accelerators", aResources.m_accelerators } };
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/responsemetrics.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/types/answer.h"
+#include "core/types/messages.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <vector>
+
+namespace mulberrysail::daemon {
+
+/** Measures answers to callers and to HTTP requests in general. Thread-safe. */
+class ResponseMetrics
+{
+public:
+  ResponseMetrics();
+
+  /** @param aTook from arrival to the answer. */
+  void ObserveAnswer(core::WorkKind aKind,
+                     core::ErrorKind aError,
+                     core::Duration aTook);
+
+  /** Counts one HTTP response. */
+  void CountResponse(int aStatus);
+
+  std::vector<prometheus::MetricFamily> Collect() const;
+
+private:
+  static constexpr std::size_t kKinds = 2;
+  static constexpr std::size_t kOutcomes = 2;
+  static constexpr std::size_t kStatusClasses = 6;
+
+  prometheus::Registry m_registry;
+  std::array<std::array<prometheus::Histogram*, kOutcomes>, kKinds> m_answers{};
+  std::array<prometheus::Counter*, kStatusClasses> m_responses{};
+};
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/router.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "network/ihttpserver.h"
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mulberrysail::daemon {
+
+/** Values of the parameters of a path, in their order. */
+using PathParameters = std::span<const std::string_view>;
+
+/** Answers requests of one route. */
+using RouteHandler =
+  std::function<network::DisconnectHook(const network::HttpRequest& aRequest,
+                                        PathParameters aParameters,
+                                        network::HttpResponder aResponder)>;
+
+/** Answers at once. */
+using SimpleHandler =
+  std::function<network::HttpResponse(const network::HttpRequest& aRequest,
+                                      PathParameters aParameters)>;
+
+/** Finds the handler of a request by its method and path. */
+class Router
+{
+public:
+  /** @param aPattern a path in which `{}` stands for one parameter. */
+  void Add(std::string aMethod,
+           std::string_view aPattern,
+           RouteHandler aHandler);
+
+  void AddSimple(std::string aMethod,
+                 std::string_view aPattern,
+                 SimpleHandler aHandler);
+
+  /** Answers with 404 or 405 if no route matches. Thread-safe once all routes
+   * were added. */
+  network::DisconnectHook Handle(const network::HttpRequest& aRequest,
+                                 network::HttpResponder aResponder) const;
+
+private:
+  struct Route
+  {
+    std::string m_method;
+    std::vector<std::string> m_segments;
+    RouteHandler m_handler;
+  };
+
+  std::vector<Route> m_routes;
+};
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/shardset.cpp
@@ -0,0 +1,153 @@
+#include "daemon/internal/shardset.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+std::string
+ShardName(const std::string& aName, std::size_t aShard, std::size_t aShards)
+{
+  return aShards == 1 ? aName : aName + "#" + std::to_string(aShard);
+}
+
+} // namespace
+
+ShardSet::ShardSet(const core::ProcessId& aSelf,
+                   std::size_t aShards,
+                   telemetry::IEventLog& aEvents,
+                   const CoreFactory& aMakeCore)
+  : m_wakeup(aShards, [this](std::size_t aShard) {
+    At(aShard).Handle(core::TimerFired{});
+  })
+{
+  for (std::size_t i = 0; i < aShards; ++i) {
+    m_ids.push_back(
+      { ShardName(aSelf.m_name, i, aShards), aSelf.m_incarnation });
+    m_shards.push_back(std::make_unique<EntryShard>(
+      aMakeCore(m_ids.back(), static_cast<std::uint8_t>(i)),
+      aEvents,
+      m_wakeup,
+      i));
+  }
+}
+
+ShardSet::~ShardSet()
+{
+  Stop();
+}
+
+std::optional<core::Error>
+ShardSet::Start(const TransportFactory& aMakeTransport)
+{
+  for (std::size_t i = 0; i < m_shards.size(); ++i) {
+    EntryShard& shard = *m_shards[i];
+    std::optional<core::Error> error =
+      shard.StartTransport([&] { return aMakeTransport(m_ids[i], i, shard); });
+    if (error) {
+      return error;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+ShardSet::Stop()
+{
+  m_wakeup.Stop();
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    shard->StopTransport();
+  }
+}
+
+EntryShard&
+ShardSet::ForRequests(std::string_view aService)
+{
+  const std::uint64_t hash = XXH3_64bits(aService.data(), aService.size());
+  return *m_shards[hash % m_shards.size()];
+}
+
+EntryShard*
+ShardSet::ForSubmission(core::SubmissionId aSubmission)
+{
+  const std::uint8_t shard = core::ShardOf(aSubmission);
+  return shard < m_shards.size() ? m_shards[shard].get() : nullptr;
+}
+
+void
+ShardSet::Broadcast(const core::EntryEvent& aEvent)
+{
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    shard->Handle(aEvent);
+  }
+}
+
+std::vector<core::AgentStatus>
+ShardSet::Agents() const
+{
+  std::map<core::ProcessId, core::AgentStatus> agents;
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    for (core::AgentStatus& agent : shard->Agents()) {
+      const std::uint32_t open = agent.m_openAttempts;
+      const auto [known, added] =
+        agents.try_emplace(agent.m_agent, std::move(agent));
+      if (!added) {
+        known->second.m_openAttempts += open;
+      }
+    }
+  }
+  std::vector<core::AgentStatus> list;
+  for (auto& [id, agent] : agents) {
+    list.push_back(std::move(agent));
+  }
+  return list;
+}
+
+core::EntryCounters
+ShardSet::Counters() const
+{
+  core::EntryCounters sum;
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    const core::EntryCounters counters = shard->Counters();
+    sum.m_admitted += counters.m_admitted;
+    sum.m_refused += counters.m_refused;
+    sum.m_completed += counters.m_completed;
+    sum.m_failed += counters.m_failed;
+    sum.m_offers += counters.m_offers;
+    sum.m_retries += counters.m_retries;
+    sum.m_repliesDropped += counters.m_repliesDropped;
+    sum.m_open += counters.m_open;
+    sum.m_waiting += counters.m_waiting;
+  }
+  return sum;
+}
+
+network::TransportCounters
+ShardSet::TransportCounters() const
+{
+  network::TransportCounters sum;
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    const network::TransportCounters counters = shard->Transport().Counters();
+    sum.m_messagesSent += counters.m_messagesSent;
+    sum.m_messagesReceived += counters.m_messagesReceived;
+    sum.m_bytesSent += counters.m_bytesSent;
+    sum.m_bytesReceived += counters.m_bytesReceived;
+  }
+  return sum;
+}
+
+bool
+ShardSet::Idle() const
+{
+  return std::all_of(
+    m_shards.begin(),
+    m_shards.end(),
+    [](const std::unique_ptr<EntryShard>& aShard) { return aShard->Idle(); });
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/wakeuptimer.cpp
@@ -0,0 +1,92 @@
+#include "daemon/internal/wakeuptimer.h"
+
+#include "daemon/internal/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+/** Bounds each sleep, as the clock of the wait can't express kNever. */
+constexpr core::Duration kLongestSleep = std::chrono::minutes(1);
+
+} // namespace
+
+WakeupTimer::WakeupTimer(std::size_t aClients, Callback aCallback)
+  : m_callback(std::move(aCallback))
+  , m_wakes(aClients, core::kNever)
+  , m_thread([this] { Run(); })
+{
+}
+
+WakeupTimer::~WakeupTimer()
+{
+  Stop();
+}
+
+void
+WakeupTimer::Set(std::size_t aClient, core::Instant aWhen)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_wakes[aClient] = aWhen;
+  if (aWhen < m_sleepsUntil) {
+    m_changed.notify_one();
+  }
+}
+
+void
+WakeupTimer::Stop()
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopped = true;
+    m_changed.notify_one();
+  }
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void
+WakeupTimer::Run()
+{
+  std::unique_lock<std::mutex> lock(m_mutex);
+  while (!m_stopped) {
+    const core::Instant now = Now();
+    const std::vector<std::size_t> due = TakeDue(now);
+    if (due.empty()) {
+      m_sleepsUntil = std::min(Earliest(), now + kLongestSleep);
+      m_changed.wait_for(lock, m_sleepsUntil - now);
+      m_sleepsUntil = core::Instant::min();
+      continue;
+    }
+    lock.unlock();
+    for (const std::size_t client : due) {
+      m_callback(client);
+    }
+    lock.lock();
+  }
+}
+
+core::Instant
+WakeupTimer::Earliest() const
+{
+  return *std::min_element(m_wakes.begin(), m_wakes.end());
+}
+
+std::vector<std::size_t>
+WakeupTimer::TakeDue(core::Instant aNow)
+{
+  std::vector<std::size_t> due;
+  for (std::size_t i = 0; i < m_wakes.size(); ++i) {
+    if (m_wakes[i] <= aNow) {
+      m_wakes[i] = core::kNever;
+      due.push_back(i);
+    }
+  }
+  return due;
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/tests/fakes.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/iagent.h"
+#include "core/ientry.h"
+#include "network/ihttpclient.h"
+#include "network/imessagetransport.h"
+#include "telemetry/ieventlog.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mulberrysail::daemon {
+
+/** A core whose test decides what it asks for. */
+class FakeEntry : public core::IEntry
+{
+public:
+  using Decide = std::function<void(core::EntryEvent&, core::EntryCommands&)>;
+
+  void Handle(core::Instant /*aNow*/,
+              core::EntryEvent aEvent,
+              core::EntryCommands& aCommands) override
+  {
+    if (m_decide) {
+      m_decide(aEvent, aCommands);
+    }
+    m_events.push_back(std::move(aEvent));
+  }
+  core::Instant NextWake() const override { return m_wake; }
+  bool Idle() const override { return true; }
+  std::optional<core::SubmissionStatus> Status(
+    core::SubmissionId aSubmission) const override
+  {
+    return m_status && m_status->m_submission == aSubmission ? m_status
+                                                             : std::nullopt;
+  }
+  std::vector<core::AgentStatus> Agents() const override { return m_agents; }
+  core::EntryCounters Counters() const override { return {}; }
+
+  /** @return the events of one kind. */
+  template<typename Event>
+  std::vector<Event> Seen() const
+  {
+    std::vector<Event> seen;
+    for (const core::EntryEvent& event : m_events) {
+      if (std::holds_alternative<Event>(event)) {
+        seen.push_back(std::get<Event>(event));
+      }
+    }
+    return seen;
+  }
+
+  Decide m_decide;
+  std::vector<core::EntryEvent> m_events;
+  std::optional<core::SubmissionStatus> m_status;
+  std::vector<core::AgentStatus> m_agents;
+  core::Instant m_wake = core::kNever;
+};
+
+class FakeTransport : public network::IMessageTransport
+{
+public:
+  using Sent = std::vector<std::pair<core::ProcessId, core::Message>>;
+
+  explicit FakeTransport(Sent& aSent)
+    : m_sent(aSent)
+  {
+  }
+  std::uint16_t Port() const override { return 0; }
+  void SetPeers(std::vector<network::PeerAddress> /*aPeers*/) override {}
+  void Send(core::ProcessId aTo, core::Message aMessage) override
+  {
+    m_sent.emplace_back(std::move(aTo), std::move(aMessage));
+  }
+  network::TransportCounters Counters() const override { return {}; }
+  void Stop() override {}
+
+private:
+  Sent& m_sent;
+};
+
+class FakeEventLog : public telemetry::IEventLog
+{
+public:
+  void Record(core::EventCode aCode,
+              std::uint64_t aSubject,
+              std::string aDetail) override
+  {
+    telemetry::TimelineEvent event;
+    event.m_stamp = ++m_stamp;
+    event.m_code = aCode;
+    event.m_subject = aSubject;
+    event.m_detail = std::move(aDetail);
+    m_events.push_back(std::move(event));
+  }
+  std::uint64_t Stamp() override { return ++m_stamp; }
+  void Merge(std::uint64_t /*aStamp*/) override {}
+  std::vector<telemetry::TimelineEvent> Events(
+    std::uint64_t /*aSince*/) const override
+  {
+    return m_events;
+  }
+
+private:
+  std::uint64_t m_stamp = 0;
+  std::vector<telemetry::TimelineEvent> m_events;
+};
+
+/** Keeps calls until the test answers them. */
+class FakeHttpClient : public network::IHttpClient
+{
+public:
+  struct Open
+  {
+    network::HttpCall m_call;
+    network::HttpCallback m_callback;
+  };
+
+  void Call(network::HttpCall aCall, network::HttpCallback aCallback) override
+  {
+    m_open.push_back({ std::move(aCall), std::move(aCallback) });
+  }
+  void Stream(network::HttpCall /*aCall*/,
+              network::HttpChunkHandler /*aOnChunk*/,
+              network::HttpCallback /*aCallback*/) override
+  {
+  }
+  void Stop() override {}
+
+  std::vector<Open> m_open;
+};
+
+} // namespace mulberrysail::daemon
