Entry and agent as processes

Cause: the cores need processes round them before anything can be run. Change: both roles listen for HTTP, exchange messages over ZeroMQ, learn the configuration and the entries from the store, and drain on SIGTERM: no new work, readyz 503 at once, exit 0 when nothing is in progress and all answers were written. The HTTP server tells how many answers are not written yet, so that the end of a drain cuts none. An entry that the store no longer lists is dialled for another minute, as the store may have lost sight of an entry that works. Of two entries the one with the smaller name dials, so that they have one link. Each shard is an entry of its own to others; one shard is the default. Seen: daemon_tests, 30 tests passed. By hand, as separate processes with the stand-ins: request through entry, agent and endpoint, job through entry, agent and worker, patch, detached job with status, cancel twice, SIGTERM with a request of 1.5 s in progress: answered, then the process ended.

--- /dev/null
+++ b/packages/daemon/internal/agentrole.cpp
@@ -0,0 +1,171 @@
+#include "daemon/internal/agentrole.h"
+
+#include "daemon/internal/clock.h"
+#include "daemon/internal/operatorapi.h"
+#include "daemon/internal/statuscodec.h"
+#include "daemon/internal/transporthooks.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+AgentRole::AgentRole(const Settings& aSettings)
+  : m_settings(aSettings)
+  , m_self{ aSettings.m_name, MakeIncarnation() }
+  , m_events(telemetry::MakeEventLog(m_self, aSettings.m_timelineEvents))
+  , m_client(network::StartHttpClient({}))
+{
+}
+
+AgentRole::~AgentRole()
+{
+  Stop();
+}
+
+std::optional<core::Error>
+AgentRole::Start()
+{
+  if (std::optional<core::Error> error = m_front.Listen(m_settings.m_http)) {
+    return error;
+  }
+  if (std::optional<core::Error> error = StartHost()) {
+    return error;
+  }
+  StartPeers();
+  AddRoutes();
+  m_front.Open();
+  m_events->Record(core::EventCode::ProcessStarted, 0, Describe());
+  return std::nullopt;
+}
+
+std::optional<core::Error>
+AgentRole::StartHost()
+{
+  core::AgentPolicy policy = m_settings.m_agentPolicy;
+  policy.m_httpAddress = m_settings.m_advertise.m_httpUrl.empty()
+                           ? m_front.Url()
+                           : m_settings.m_advertise.m_httpUrl;
+  m_runner.emplace(*m_client, m_self, [this](core::RunFinished aFinished) {
+    m_host->Handle(std::move(aFinished));
+  });
+  m_host.emplace(
+    core::MakeAgent(m_self, policy, SeedFor(m_settings.m_seed, m_self)),
+    *m_events,
+    *m_runner);
+  m_api.emplace(*m_host, policy);
+  std::optional<core::Error> error = m_host->StartTransport([this] {
+    network::TransportOptions options;
+    options.m_self = m_self;
+    return network::StartMessageTransport(options, MakeHooks());
+  });
+  return error;
+}
+
+void
+AgentRole::StartPeers()
+{
+  if (!m_settings.m_storeUrls.empty()) {
+    m_platform.emplace(m_settings.m_storeUrls);
+  }
+  m_peers = std::make_shared<AgentPeers>(*m_host, m_settings.m_entries);
+  m_peers->Start(m_platform ? &*m_platform : nullptr);
+}
+
+network::TransportHooks
+AgentRole::MakeHooks()
+{
+  network::TransportHooks hooks = MakeEventHooks(*m_events);
+  hooks.m_onMessage = [this](core::ProcessId aFrom, core::Message aMessage) {
+    m_host->Handle(
+      core::MessageReceived{ std::move(aFrom), std::move(aMessage) });
+  };
+  hooks.m_onLink = [this](core::ProcessId aPeer) {
+    m_host->Handle(core::LinkReset{ std::move(aPeer) });
+  };
+  hooks.m_onSendFailed = [this](core::ProcessId aTo, core::Message aMessage) {
+    m_events->Record(core::EventCode::MessageDropped, 0, aTo.m_name);
+    m_host->Handle(core::SendFailed{ std::move(aTo), std::move(aMessage) });
+  };
+  return hooks;
+}
+
+void
+AgentRole::AddRoutes()
+{
+  m_api->AddRoutes(m_front.Routes());
+  OperatorHooks hooks;
+  hooks.m_notReady = [this] { return NotReady(); };
+  hooks.m_drain = RequestDrain;
+  hooks.m_status = [this](nlohmann::json& aStatus) {
+    const core::AgentStatus status = m_host->Status();
+    aStatus["role"] = "agent";
+    aStatus["zone"] = m_settings.m_zone;
+    aStatus["draining"] = m_draining.load();
+    aStatus["config_version"] = status.m_load.m_config.m_value;
+    aStatus["counters"] = CountersToJson(m_host->Counters());
+    aStatus["agent"] = AgentToJson(status);
+  };
+  hooks.m_metrics = [this](MetricList& aMetrics) {
+    aMetrics.Rows("agent", AgentCounterRows(), m_host->Counters());
+    aMetrics.Transport(m_host->Transport().Counters());
+    aMetrics.Counter("store_calls",
+                     "Calls to the store.",
+                     m_platform ? m_platform->Store().Calls() : 0);
+    aMetrics.Append(m_front.Metrics().Collect());
+  };
+  AddOperatorRoutes(m_front.Routes(), m_self, *m_events, std::move(hooks));
+}
+
+std::string_view
+AgentRole::NotReady() const
+{
+  return m_draining ? "draining" : "";
+}
+
+void
+AgentRole::Drain()
+{
+  if (!m_draining.exchange(true)) {
+    m_host->Handle(core::DrainRequested{});
+  }
+}
+
+bool
+AgentRole::Drained() const
+{
+  return m_draining && m_host->Idle() && m_front.Quiet();
+}
+
+void
+AgentRole::Leave()
+{
+  m_front.StopAccepting();
+  m_events->Record(core::EventCode::ProcessStopped, 0, m_self.m_name);
+}
+
+void
+AgentRole::Stop()
+{
+  if (m_stopped.exchange(true)) {
+    return;
+  }
+  m_front.Stop();
+  if (m_peers) {
+    m_peers->Stop();
+  }
+  if (m_platform) {
+    m_platform->Stop();
+  }
+  if (m_host) {
+    m_host->Stop();
+  }
+  m_client->Stop();
+}
+
+std::string
+AgentRole::Describe() const
+{
+  return "agent " + m_self.m_name + " http=" + m_front.Url();
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/agentrole.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "daemon/internal/agentapi.h"
+#include "daemon/internal/agenthost.h"
+#include "daemon/internal/agentpeers.h"
+#include "daemon/internal/httpfront.h"
+#include "daemon/internal/platformlink.h"
+#include "daemon/internal/runner.h"
+#include "daemon/irole.h"
+#include "network/ihttpclient.h"
+#include "telemetry/ieventlog.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace mulberrysail::daemon {
+
+/** The process beside an endpoint. */
+class AgentRole : public IRole
+{
+public:
+  explicit AgentRole(const Settings& aSettings);
+  ~AgentRole() override;
+
+  std::optional<core::Error> Start();
+
+  void Drain() override;
+  bool Drained() const override;
+  void Leave() override;
+  void Stop() override;
+  std::string Describe() const override;
+
+private:
+  std::optional<core::Error> StartHost();
+  void AddRoutes();
+  void StartPeers();
+  network::TransportHooks MakeHooks();
+  std::string_view NotReady() const;
+
+  const Settings m_settings;
+  const core::ProcessId m_self;
+  std::unique_ptr<telemetry::IEventLog> m_events;
+  std::unique_ptr<network::IHttpClient> m_client;
+  HttpFront m_front;
+  std::optional<HttpRunner> m_runner;
+  std::optional<AgentHost> m_host;
+  std::optional<AgentApi> m_api;
+  /** Absent without a store. */
+  std::optional<PlatformLink> m_platform;
+  std::shared_ptr<AgentPeers> m_peers;
+  std::atomic<bool> m_draining{ false };
+  std::atomic<bool> m_stopped{ false };
+};
+
+} // namespace mulberrysail::daemon
--- a/packages/daemon/internal/clock.cpp
+++ b/packages/daemon/internal/clock.cpp
@@ -1,5 +1,7 @@
 #include "daemon/internal/clock.h"
 
+#include <xxhash.h>
+
 #include <chrono>
 #include <random>
 
@@ -31,4 +33,14 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+std::uint64_t
+SeedFor(std::optional<std::uint64_t> aSeed, const core::ProcessId& aProcess)
+{
+  if (!aSeed) {
+    return MakeSeed();
+  }
+  const std::string& name = aProcess.m_name;
+  return XXH3_64bits_withSeed(name.data(), name.size(), *aSeed);
+}
+
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/clock.h
+++ b/packages/daemon/internal/clock.h
@@ -3,6 +3,9 @@
 #include "core/types/ids.h"
 #include "core/types/time.h"
 
+#include <cstdint>
+#include <optional>
+
 namespace mulberrysail::daemon {
 
 /** @return the process's monotonic time. */
@@ -14,8 +17,13 @@
 core::Incarnation
 MakeIncarnation();
 
-/** @return a random seed. */
+/** @return a random number. */
 std::uint64_t
 MakeSeed();
 
+/** @return the seed of one process's or shard's choices: from @p aSeed and its
+ * name if there is one, else random. */
+std::uint64_t
+SeedFor(std::optional<std::uint64_t> aSeed, const core::ProcessId& aProcess);
+
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/configholder.cpp
+++ b/packages/daemon/internal/configholder.cpp
@@ -4,36 +4,19 @@
 
 namespace mulberrysail::daemon {
 
-ConfigHolder::ConfigHolder(Listener aListener)
-  : m_listener(std::move(aListener))
+void
+ConfigHolder::Set(core::ConfigChanged aConfig)
 {
-}
-
-bool
-ConfigHolder::Take(core::ConfigVersion aVersion, std::string aDocument)
-{
-  const std::lock_guard<std::mutex> take(m_takeMutex);
-  const std::shared_ptr<const HeldConfig> known = Get();
-  if (known && aVersion <= known->m_configuration.m_version) {
-    return false;
-  }
-  core::Result<core::Configuration> configuration =
-    core::ParseConfiguration(aVersion, aDocument);
-  if (!configuration) {
-    return false;
-  }
-  const std::shared_ptr<const HeldConfig> held =
-    std::make_shared<const HeldConfig>(
-      HeldConfig{ std::move(configuration).value(), std::move(aDocument) });
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_held = held;
+  const std::shared_ptr<const core::ConfigChanged> config =
+    std::make_shared<const core::ConfigChanged>(std::move(aConfig));
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (!m_held ||
+      m_held->m_configuration.m_version < config->m_configuration.m_version) {
+    m_held = config;
   }
-  m_listener(*held);
-  return true;
 }
 
-std::shared_ptr<const HeldConfig>
+std::shared_ptr<const core::ConfigChanged>
 ConfigHolder::Get() const
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
--- a/packages/daemon/internal/entryapi.cpp
+++ b/packages/daemon/internal/entryapi.cpp
@@ -203,7 +203,7 @@
 HttpResponse
 EntryApi::Services() const
 {
-  const std::shared_ptr<const HeldConfig> config = m_config.Get();
+  const std::shared_ptr<const core::ConfigChanged> config = m_config.Get();
   return MakeJsonResponse(
     kOk,
     ServicesToJson(config ? config->m_configuration : core::Configuration{},
--- /dev/null
+++ b/packages/daemon/internal/entrypeers.cpp
@@ -0,0 +1,112 @@
+#include "daemon/internal/entrypeers.h"
+
+#include "daemon/internal/clock.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+/** @return @p aUrls without @p aOwn. */
+std::vector<std::string>
+Without(const std::vector<std::string>& aUrls, const std::string& aOwn)
+{
+  std::vector<std::string> others;
+  std::copy_if(aUrls.begin(),
+               aUrls.end(),
+               std::back_inserter(others),
+               [&](const std::string& aUrl) { return aUrl != aOwn; });
+  return others;
+}
+
+} // namespace
+
+EntryPeers::EntryPeers(ShardSet& aShards, PlatformLink& aPlatform)
+  : m_shards(aShards)
+  , m_platform(aPlatform)
+{
+}
+
+void
+EntryPeers::Start(const std::vector<std::string>& aMessageUrls,
+                  const std::string& aHttpUrl,
+                  const std::vector<std::string>& aAlways)
+{
+  for (const std::string& url : aMessageUrls) {
+    m_dialers.emplace_back(Without(aAlways, url));
+  }
+  Dial();
+  for (std::size_t i = 0; i < m_shards.Size(); ++i) {
+    platform::DirectoryOptions options;
+    options.m_self = { m_shards.IdOf(i), aMessageUrls[i], aHttpUrl };
+    options.m_seed = static_cast<std::uint32_t>(MakeSeed());
+    // One shard's view of the store serves all.
+    platform::EntriesHook hook;
+    if (i == 0) {
+      hook = [weak =
+                weak_from_this()](std::vector<platform::EntryRecord> aEntries) {
+        if (const std::shared_ptr<EntryPeers> self = weak.lock()) {
+          self->OnEntries(std::move(aEntries));
+        }
+      };
+    } else {
+      hook = [](const std::vector<platform::EntryRecord>&) {};
+    }
+    m_directories.push_back(platform::StartEntryDirectory(m_platform.Store(),
+                                                          m_platform.Timer(),
+                                                          std::move(options),
+                                                          std::move(hook)));
+  }
+}
+
+void
+EntryPeers::Leave()
+{
+  for (const std::shared_ptr<platform::IEntryDirectory>& directory :
+       m_directories) {
+    directory->Leave();
+  }
+}
+
+void
+EntryPeers::Stop()
+{
+  for (const std::shared_ptr<platform::IEntryDirectory>& directory :
+       m_directories) {
+    directory->Stop();
+  }
+}
+
+void
+EntryPeers::OnEntries(std::vector<platform::EntryRecord> aEntries)
+{
+  for (std::size_t i = 0; i < m_shards.Size(); ++i) {
+    m_shards.At(i).Handle(
+      core::PeersChanged{ IdsOfOthers(aEntries, m_shards.IdOf(i).m_name) });
+  }
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_listed = std::move(aEntries);
+  }
+  Dial();
+  m_platform.Timer().After(PeerDialer::kLinger, [weak = weak_from_this()] {
+    if (const std::shared_ptr<EntryPeers> self = weak.lock()) {
+      self->Dial();
+    }
+  });
+}
+
+void
+EntryPeers::Dial()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (std::size_t i = 0; i < m_dialers.size(); ++i) {
+    m_shards.At(i).Transport().SetPeers(
+      m_dialers[i].Update(Now(), PeersToDial(m_listed, m_shards.IdOf(i))));
+  }
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/entrypeers.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "daemon/internal/peerdialer.h"
+#include "daemon/internal/platformlink.h"
+#include "daemon/internal/shardset.h"
+#include "platform/ientrydirectory.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::daemon {
+
+/** Registers the shards of an entry, and keeps them linked with the other
+ * entries. Owned by a shared pointer, as calls of the store may outlast it. */
+class EntryPeers : public std::enable_shared_from_this<EntryPeers>
+{
+public:
+  EntryPeers(ShardSet& aShards, PlatformLink& aPlatform);
+
+  /**
+   * Registers the shards and begins to dial.
+   * @param aMessageUrls where each shard is reached.
+   * @param aAlways entries that are dialled whatever the store says.
+   */
+  void Start(const std::vector<std::string>& aMessageUrls,
+             const std::string& aHttpUrl,
+             const std::vector<std::string>& aAlways);
+
+  /** Takes the shards out of the store. */
+  void Leave();
+  void Stop();
+
+private:
+  void OnEntries(std::vector<platform::EntryRecord> aEntries);
+  void Dial();
+
+  ShardSet& m_shards;
+  PlatformLink& m_platform;
+  std::mutex m_mutex;
+  std::vector<platform::EntryRecord> m_listed;
+  std::vector<PeerDialer> m_dialers;
+  std::vector<std::shared_ptr<platform::IEntryDirectory>> m_directories;
+};
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/entryrole.cpp
@@ -0,0 +1,264 @@
+#include "daemon/internal/entryrole.h"
+
+#include "daemon/internal/clock.h"
+#include "daemon/internal/operatorapi.h"
+#include "daemon/internal/statuscodec.h"
+#include "daemon/internal/transporthooks.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+ShardSet::CoreFactory
+MakeCores(const Settings& aSettings)
+{
+  return [&aSettings](const core::ProcessId& aSelf, std::uint8_t aShard) {
+    return core::MakeEntry(
+      aSelf, aShard, aSettings.m_entryPolicy, SeedFor(aSettings.m_seed, aSelf));
+  };
+}
+
+/** @return @p aUrl with its port raised by @p aStep. */
+std::string
+NextPort(const std::string& aUrl, std::size_t aStep)
+{
+  const std::size_t colon = aUrl.rfind(':') + 1;
+  const unsigned long port = std::stoul(aUrl.substr(colon));
+  return aUrl.substr(0, colon) + std::to_string(port + aStep);
+}
+
+} // namespace
+
+EntryRole::EntryRole(const Settings& aSettings)
+  : m_settings(aSettings)
+  , m_self{ aSettings.m_name, MakeIncarnation() }
+  , m_events(telemetry::MakeEventLog(m_self, aSettings.m_timelineEvents))
+  , m_shards(m_self, aSettings.m_shards, *m_events, MakeCores(m_settings))
+  , m_platform(aSettings.m_storeUrls)
+  , m_peers(std::make_shared<EntryPeers>(m_shards, m_platform))
+  , m_api(m_shards, m_config, m_front.Metrics(), aSettings.m_limits)
+{
+}
+
+EntryRole::~EntryRole()
+{
+  Stop();
+}
+
+std::optional<core::Error>
+EntryRole::Start()
+{
+  if (std::optional<core::Error> error = m_front.Listen(m_settings.m_http)) {
+    return error;
+  }
+  StartConfig();
+  std::optional<core::Error> error = m_shards.Start(
+    [this](
+      const core::ProcessId& aSelf, std::size_t aShard, EntryShard& aOwner) {
+      return StartTransport(aSelf, aShard, aOwner);
+    });
+  if (error) {
+    return error;
+  }
+  StartPeers();
+  AddRoutes();
+  m_front.Open();
+  m_events->Record(core::EventCode::ProcessStarted, 0, Describe());
+  return std::nullopt;
+}
+
+void
+EntryRole::StartConfig()
+{
+  platform::ConfigHooks hooks;
+  hooks.m_onChange = [this](core::ConfigChanged aConfig) {
+    OnConfig(std::move(aConfig));
+  };
+  hooks.m_onAvailable = [this](bool aAvailable) { OnStore(aAvailable); };
+  m_service =
+    platform::StartConfigService(m_platform.Store(),
+                                 m_platform.Timer(),
+                                 static_cast<std::uint32_t>(MakeSeed()),
+                                 std::move(hooks));
+}
+
+void
+EntryRole::StartPeers()
+{
+  std::vector<std::string> urls;
+  for (std::size_t i = 0; i < m_shards.Size(); ++i) {
+    urls.push_back(MessageUrl(i));
+  }
+  m_peers->Start(urls, HttpUrl(), m_settings.m_entries);
+}
+
+void
+EntryRole::OnConfig(core::ConfigChanged aConfig)
+{
+  m_config.Set(aConfig);
+  m_shards.Broadcast(std::move(aConfig));
+}
+
+void
+EntryRole::OnStore(bool aAvailable)
+{
+  m_events->Record(aAvailable ? core::EventCode::StoreRecovered
+                              : core::EventCode::StoreUnavailable,
+                   0,
+                   {});
+}
+
+core::Result<std::unique_ptr<network::IMessageTransport>>
+EntryRole::StartTransport(const core::ProcessId& aSelf,
+                          std::size_t aShard,
+                          EntryShard& aOwner)
+{
+  const std::uint16_t port = m_settings.m_messages.m_port;
+  network::TransportOptions options;
+  options.m_self = aSelf;
+  options.m_address = m_settings.m_messages.m_address;
+  options.m_port = port == 0 ? port : static_cast<std::uint16_t>(port + aShard);
+  return network::StartMessageTransport(options, MakeHooks(aOwner));
+}
+
+network::TransportHooks
+EntryRole::MakeHooks(EntryShard& aOwner)
+{
+  network::TransportHooks hooks = MakeEventHooks(*m_events);
+  hooks.m_onMessage = [this, &aOwner](core::ProcessId aFrom,
+                                      core::Message aMessage) {
+    OnMessage(aOwner, std::move(aFrom), std::move(aMessage));
+  };
+  hooks.m_onLink = [&aOwner](core::ProcessId aPeer) {
+    aOwner.Handle(core::LinkReset{ std::move(aPeer) });
+  };
+  hooks.m_onSendFailed = [this, &aOwner](core::ProcessId aTo,
+                                         core::Message aMessage) {
+    m_events->Record(core::EventCode::MessageDropped, 0, aTo.m_name);
+    aOwner.Handle(core::SendFailed{ std::move(aTo), std::move(aMessage) });
+  };
+  return hooks;
+}
+
+void
+EntryRole::OnMessage(EntryShard& aOwner,
+                     core::ProcessId aFrom,
+                     core::Message aMessage)
+{
+  if (core::ConfigUpdate* update = std::get_if<core::ConfigUpdate>(&aMessage)) {
+    m_service->Offer(update->m_version, std::move(update->m_document));
+    return;
+  }
+  aOwner.Handle(core::MessageReceived{ std::move(aFrom), std::move(aMessage) });
+}
+
+void
+EntryRole::AddRoutes()
+{
+  m_api.AddRoutes(m_front.Routes());
+  m_configApi.emplace(*m_service, m_config, *m_events);
+  m_configApi->AddRoutes(m_front.Routes());
+  OperatorHooks hooks;
+  hooks.m_notReady = [this] { return NotReady(); };
+  hooks.m_drain = RequestDrain;
+  hooks.m_status = [this](nlohmann::json& aStatus) { AddStatus(aStatus); };
+  hooks.m_metrics = [this](MetricList& aMetrics) { AddMetrics(aMetrics); };
+  AddOperatorRoutes(m_front.Routes(), m_self, *m_events, std::move(hooks));
+}
+
+void
+EntryRole::AddStatus(nlohmann::json& aStatus) const
+{
+  const std::shared_ptr<const core::ConfigChanged> config = m_config.Get();
+  aStatus["role"] = "entry";
+  aStatus["zone"] = m_settings.m_zone;
+  aStatus["draining"] = m_draining.load();
+  aStatus["config_version"] =
+    config ? config->m_configuration.m_version.m_value : 0;
+  aStatus["counters"] = CountersToJson(m_shards.Counters());
+}
+
+void
+EntryRole::AddMetrics(MetricList& aMetrics) const
+{
+  aMetrics.Rows("entry", EntryCounterRows(), m_shards.Counters());
+  aMetrics.Transport(m_shards.TransportCounters());
+  aMetrics.Counter(
+    "store_calls", "Calls to the store.", m_platform.Store().Calls());
+  aMetrics.Append(m_front.Metrics().Collect());
+}
+
+std::string_view
+EntryRole::NotReady() const
+{
+  if (m_draining) {
+    return "draining";
+  }
+  return m_config.Get() ? "" : "no-configuration";
+}
+
+void
+EntryRole::Drain()
+{
+  if (!m_draining.exchange(true)) {
+    m_shards.Broadcast(core::DrainRequested{});
+  }
+}
+
+bool
+EntryRole::Drained() const
+{
+  return m_draining && m_shards.Idle() && m_front.Quiet();
+}
+
+void
+EntryRole::Leave()
+{
+  m_front.StopAccepting();
+  m_peers->Leave();
+  m_events->Record(core::EventCode::ProcessStopped, 0, m_self.m_name);
+}
+
+void
+EntryRole::Stop()
+{
+  if (m_stopped.exchange(true)) {
+    return;
+  }
+  m_front.Stop();
+  m_peers->Stop();
+  if (m_service) {
+    m_service->Stop();
+  }
+  m_shards.Stop();
+  m_platform.Stop();
+}
+
+std::string
+EntryRole::MessageUrl(std::size_t aShard) const
+{
+  const std::string& advertised = m_settings.m_advertise.m_messageUrl;
+  const std::uint16_t port = m_shards.At(aShard).Transport().Port();
+  if (advertised.empty()) {
+    return "tcp://" + JoinAddress(m_settings.m_messages.m_address, port);
+  }
+  return aShard == 0 ? advertised : NextPort(advertised, aShard);
+}
+
+std::string
+EntryRole::HttpUrl() const
+{
+  const std::string& advertised = m_settings.m_advertise.m_httpUrl;
+  return advertised.empty() ? m_front.Url() : advertised;
+}
+
+std::string
+EntryRole::Describe() const
+{
+  return "entry " + m_self.m_name + " http=" + m_front.Url() +
+         " messages=" + MessageUrl(0);
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/entryrole.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "daemon/internal/configapi.h"
+#include "daemon/internal/configholder.h"
+#include "daemon/internal/entryapi.h"
+#include "daemon/internal/entrypeers.h"
+#include "daemon/internal/httpfront.h"
+#include "daemon/internal/metriclist.h"
+#include "daemon/internal/platformlink.h"
+#include "daemon/internal/shardset.h"
+#include "daemon/irole.h"
+#include "platform/iconfigservice.h"
+#include "telemetry/ieventlog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace mulberrysail::daemon {
+
+/** The process that callers submit to. */
+class EntryRole : public IRole
+{
+public:
+  explicit EntryRole(const Settings& aSettings);
+  ~EntryRole() override;
+
+  std::optional<core::Error> Start();
+
+  void Drain() override;
+  bool Drained() const override;
+  void Leave() override;
+  void Stop() override;
+  std::string Describe() const override;
+
+private:
+  core::Result<std::unique_ptr<network::IMessageTransport>> StartTransport(
+    const core::ProcessId& aSelf,
+    std::size_t aShard,
+    EntryShard& aOwner);
+  network::TransportHooks MakeHooks(EntryShard& aOwner);
+  void OnMessage(EntryShard& aOwner,
+                 core::ProcessId aFrom,
+                 core::Message aMessage);
+  void OnConfig(core::ConfigChanged aConfig);
+  void OnStore(bool aAvailable);
+  void StartConfig();
+  void StartPeers();
+  void AddRoutes();
+  void AddStatus(nlohmann::json& aStatus) const;
+  void AddMetrics(MetricList& aMetrics) const;
+  std::string_view NotReady() const;
+  std::string HttpUrl() const;
+  /** @return where others reach a shard. */
+  std::string MessageUrl(std::size_t aShard) const;
+
+  const Settings m_settings;
+  const core::ProcessId m_self;
+  std::unique_ptr<telemetry::IEventLog> m_events;
+  HttpFront m_front;
+  ConfigHolder m_config;
+  ShardSet m_shards;
+  PlatformLink m_platform;
+  const std::shared_ptr<EntryPeers> m_peers;
+  /** Set before the transports are started, as messages may offer it a
+   * configuration. */
+  std::shared_ptr<platform::IConfigService> m_service;
+  EntryApi m_api;
+  std::optional<ConfigApi> m_configApi;
+  std::atomic<bool> m_draining{ false };
+  std::atomic<bool> m_stopped{ false };
+};
+
+} // namespace mulberrysail::daemon
--- a/packages/daemon/internal/entryshard.h
+++ b/packages/daemon/internal/entryshard.h
@@ -41,7 +41,7 @@
   /** Ends the transport, whose queue is sent first. */
   void StopTransport();
 
-  network::IMessageTransport& Transport() { return *m_transport; }
+  network::IMessageTransport& Transport() const { return *m_transport; }
 
   /** Hands an event to the core. */
   void Handle(core::EntryEvent aEvent);
--- /dev/null
+++ b/packages/daemon/internal/httpfront.cpp
@@ -0,0 +1,88 @@
+#include "daemon/internal/httpfront.h"
+
+#include "network/errorresponse.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+HttpFront::~HttpFront()
+{
+  Stop();
+}
+
+std::optional<core::Error>
+HttpFront::Listen(const HttpSettings& aSettings)
+{
+  network::HttpServerOptions options;
+  options.m_address = aSettings.m_address;
+  options.m_port = aSettings.m_port;
+  options.m_threads = aSettings.m_threads;
+  options.m_maxConnections = aSettings.m_maxConnections;
+  options.m_maxBodyBytes = aSettings.m_maxBodyBytes;
+  options.m_maxHeaderBytes = aSettings.m_maxHeaderBytes;
+  core::Result<std::unique_ptr<network::IHttpServer>> server =
+    network::StartHttpServer(options,
+                             [this](const network::HttpRequest& aRequest,
+                                    network::HttpResponder aResponder) {
+                               return Handle(aRequest, std::move(aResponder));
+                             });
+  if (!server) {
+    return server.error();
+  }
+  m_address = aSettings.m_address;
+  m_server = std::move(server).value();
+  return std::nullopt;
+}
+
+std::string
+HttpFront::Url() const
+{
+  return "http://" + JoinAddress(m_address, m_server->Port());
+}
+
+void
+HttpFront::StopAccepting()
+{
+  m_server->StopAccepting();
+}
+
+bool
+HttpFront::Quiet() const
+{
+  return m_server->Unwritten() == 0;
+}
+
+void
+HttpFront::Stop()
+{
+  if (m_server) {
+    m_server->Stop();
+  }
+}
+
+network::DisconnectHook
+HttpFront::Handle(const network::HttpRequest& aRequest,
+                  network::HttpResponder aResponder)
+{
+  if (!m_open) {
+    aResponder(network::MakeErrorResponse(core::ErrorKind::Overloaded,
+                                          { "the process is starting" }));
+    return {};
+  }
+  return m_router.Handle(
+    aRequest,
+    [this, responder = std::move(aResponder)](network::HttpResponse aResponse) {
+      m_metrics.CountResponse(aResponse.m_status);
+      responder(std::move(aResponse));
+    });
+}
+
+std::string
+JoinAddress(const std::string& aAddress, std::uint16_t aPort)
+{
+  const bool ipv6 = aAddress.find(':') != std::string::npos;
+  return (ipv6 ? "[" + aAddress + "]" : aAddress) + ":" + std::to_string(aPort);
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/httpfront.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "daemon/internal/responsemetrics.h"
+#include "daemon/internal/router.h"
+#include "daemon/settings/settings.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace mulberrysail::daemon {
+
+/** The HTTP server of a process with its routes. It listens before the rest of
+ * the process is there, as its port may be chosen by the system. */
+class HttpFront
+{
+public:
+  HttpFront() = default;
+  ~HttpFront();
+  HttpFront(const HttpFront&) = delete;
+  HttpFront& operator=(const HttpFront&) = delete;
+
+  /** Listens; requests are refused until Open(). */
+  std::optional<core::Error> Listen(const HttpSettings& aSettings);
+
+  /** Serves the routes, to which nothing is added any more. */
+  void Open() { m_open = true; }
+
+  Router& Routes() { return m_router; }
+  ResponseMetrics& Metrics() { return m_metrics; }
+  const ResponseMetrics& Metrics() const { return m_metrics; }
+
+  /** @return http://IP:port on which it listens. */
+  std::string Url() const;
+
+  /** Takes no new connections. */
+  void StopAccepting();
+  /** @return whether all answers were written. */
+  bool Quiet() const;
+  void Stop();
+
+private:
+  network::DisconnectHook Handle(const network::HttpRequest& aRequest,
+                                 network::HttpResponder aResponder);
+
+  Router m_router;
+  ResponseMetrics m_metrics;
+  std::string m_address;
+  std::atomic<bool> m_open{ false };
+  std::unique_ptr<network::IHttpServer> m_server;
+};
+
+/** @return "IP:port", with brackets round an IPv6 number. */
+std::string
+JoinAddress(const std::string& aAddress, std::uint16_t aPort);
+
+} // namespace mulberrysail::daemon
--- a/packages/daemon/internal/operatorapi.cpp
+++ b/packages/daemon/internal/operatorapi.cpp
@@ -1,7 +1,10 @@
 #include "daemon/internal/operatorapi.h"
 
-#include "daemon/internal/statuscodec.h"
 #include "network/errorresponse.h"
+#include "telemetry/timelinejson.h"
+
+#include <signal.h>
+#include <unistd.h>
 
 #include <charconv>
 #include <optional>
@@ -69,7 +72,9 @@
     return network::MakeErrorResponse(core::ErrorKind::MalformedRequest,
                                       { "since: expected a stamp" });
   }
-  return MakeJsonResponse(kOk, TimelineToJson(aSelf, aEvents.Events(*since)));
+  HttpResponse response;
+  response.m_body = telemetry::TimelineToJson(aSelf, aEvents.Events(*since));
+  return response;
 }
 
 } // namespace
@@ -83,6 +88,12 @@
   return response;
 }
 
+void
+RequestDrain()
+{
+  ::kill(::getpid(), SIGTERM);
+}
+
 void
 AddOperatorRoutes(Router& aRouter,
                   const core::ProcessId& aSelf,
--- a/packages/daemon/internal/operatorapi.h
+++ b/packages/daemon/internal/operatorapi.h
@@ -30,6 +30,10 @@
                   telemetry::IEventLog& aEvents,
                   OperatorHooks aHooks);
 
+/** Asks the process to drain, as SIGTERM does. */
+void
+RequestDrain();
+
 /** @return a response with a JSON body. */
 network::HttpResponse
 MakeJsonResponse(int aStatus, const nlohmann::json& aBody);
--- a/packages/daemon/internal/shardset.h
+++ b/packages/daemon/internal/shardset.h
@@ -45,6 +45,10 @@
 
   std::size_t Size() const { return m_shards.size(); }
   EntryShard& At(std::size_t aShard) { return *m_shards.at(aShard); }
+  const EntryShard& At(std::size_t aShard) const
+  {
+    return *m_shards.at(aShard);
+  }
   /** @return the name of a shard towards other processes. */
   const core::ProcessId& IdOf(std::size_t aShard) const
   {
--- a/packages/daemon/internal/statuscodec.cpp
+++ b/packages/daemon/internal/statuscodec.cpp
@@ -160,21 +160,4 @@
   return RowsToJson(AgentCounterRows(), aCounters);
 }
 
-json
-TimelineToJson(const core::ProcessId& aSelf,
-               const std::vector<telemetry::TimelineEvent>& aEvents)
-{
-  json list = json::array();
-  for (const telemetry::TimelineEvent& event : aEvents) {
-    list.push_back({ { "stamp", event.m_stamp },
-                     { "code", static_cast<std::uint16_t>(event.m_code) },
-                     { "name", core::EventName(event.m_code) },
-                     { "subject", event.m_subject },
-                     { "detail", event.m_detail } });
-  }
-  return { { "process", aSelf.m_name },
-           { "incarnation", aSelf.m_incarnation.m_value },
-           { "events", std::move(list) } };
-}
-
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/statuscodec.h
+++ b/packages/daemon/internal/statuscodec.h
@@ -2,7 +2,6 @@
 
 #include "core/types/configuration.h"
 #include "core/types/status.h"
-#include "telemetry/ieventlog.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,9 +32,4 @@
 nlohmann::json
 CountersToJson(const core::AgentCounters& aCounters);
 
-/** @return `{"process", "incarnation", "events": [...]}` */
-nlohmann::json
-TimelineToJson(const core::ProcessId& aSelf,
-               const std::vector<telemetry::TimelineEvent>& aEvents);
-
 } // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/internal/transporthooks.cpp
@@ -0,0 +1,21 @@
+#include "daemon/internal/transporthooks.h"
+
+#include <utility>
+
+namespace mulberrysail::daemon {
+
+network::TransportHooks
+MakeEventHooks(telemetry::IEventLog& aEvents)
+{
+  network::TransportHooks hooks;
+  hooks.m_onRejected = [&aEvents](std::string aDetail) {
+    aEvents.Record(core::EventCode::MessageRejected, 0, std::move(aDetail));
+  };
+  hooks.m_stamp = [&aEvents] { return aEvents.Stamp(); };
+  hooks.m_mergeStamp = [&aEvents](std::uint64_t aStamp) {
+    aEvents.Merge(aStamp);
+  };
+  return hooks;
+}
+
+} // namespace mulberrysail::daemon
--- /dev/null
+++ b/packages/daemon/irole.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/types/result.h"
+#include "daemon/settings/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace mulberrysail::daemon {
+
+/** A running process of one role. */
+class IRole
+{
+public:
+  virtual ~IRole() = default;
+
+  /** Takes no new work from now on; what is in progress goes on. */
+  virtual void Drain() = 0;
+
+  /** @return whether nothing is in progress and all answers were written. */
+  virtual bool Drained() const = 0;
+
+  /** Says goodbye to the others once drained. */
+  virtual void Leave() = 0;
+
+  /** Ends all threads. */
+  virtual void Stop() = 0;
+
+  /** @return one line: role, name and where it listens. */
+  virtual std::string Describe() const = 0;
+};
+
+/** Starts the role of @p aSettings. Fails with InvalidSettings if an address
+ * is taken. */
+core::Result<std::unique_ptr<IRole>>
+StartRole(const Settings& aSettings);
+
+} // namespace mulberrysail::daemon
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,8 +1,15 @@
+#include "daemon/irole.h"
 #include "daemon/settings/settingsreader.h"
 
 #include <cxxopts.hpp>
 
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
 #include <iostream>
+#include <string_view>
 
 namespace mulberrysail::daemon {
 
@@ -11,8 +18,93 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
+constexpr int kInfoLevel = static_cast<int>(LogLevel::Info);
 constexpr std::string_view kVersion = "0.1.0";
 
+/** The signals that ask for a drain. Blocked, so that only main() sees them. */
+class DrainSignals
+{
+public:
+  DrainSignals()
+  {
+    sigemptyset(&m_signals);
+    sigaddset(&m_signals, SIGTERM);
+    sigaddset(&m_signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
+  }
+
+  /** Blocks until one comes. */
+  void Wait() const
+  {
+    int signal = 0;
+    sigwait(&m_signals, &signal);
+  }
+
+  /** Takes one if it comes within @p aTime. */
+  void Pause(std::chrono::milliseconds aTime) const
+  {
+    timespec time{};
+    time.tv_nsec = std::chrono::nanoseconds(aTime).count();
+    sigtimedwait(&m_signals, nullptr, &time);
+  }
+
+private:
+  sigset_t m_signals{};
+};
+
+void
+StartLog(const LogSettings& aSettings)
+{
+  FLAGS_minloglevel =
+    std::max(0, static_cast<int>(aSettings.m_level) - kInfoLevel);
+  FLAGS_v = aSettings.m_level == LogLevel::Verbose ? 1 : 0;
+  FLAGS_logtostderr = aSettings.m_directory.empty();
+  FLAGS_log_dir = aSettings.m_directory;
+  google::InitGoogleLogging("mulberrysaild");
+}
+
+/** @return whether all work was done within the time limit. */
+bool
+FinishWork(IRole& aRole, const DrainSignals& aSignals, core::Duration aTimeout)
+{
+  constexpr std::chrono::milliseconds kCheckInterval{ 10 };
+  // For the store to hear that the process leaves; it isn't waited for.
+  constexpr std::chrono::milliseconds kLeaveTime{ 100 };
+  const std::chrono::steady_clock::time_point start =
+    std::chrono::steady_clock::now();
+  while (!aRole.Drained()) {
+    const bool limited = aTimeout != core::Duration::zero();
+    if (limited && std::chrono::steady_clock::now() - start > aTimeout) {
+      return false;
+    }
+    aSignals.Pause(kCheckInterval);
+  }
+  aRole.Leave();
+  aSignals.Pause(kLeaveTime);
+  return true;
+}
+
+int
+Serve(const Settings& aSettings)
+{
+  // Before any thread is made, as threads inherit what is blocked.
+  const DrainSignals signals;
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLog(aSettings.m_log);
+  const core::Result<std::unique_ptr<IRole>> started = StartRole(aSettings);
+  if (!started) {
+    std::cerr << started.error().m_detail << "\n";
+    return kExitFailed;
+  }
+  IRole& role = *started.value();
+  std::cout << role.Describe() << std::endl;
+  signals.Wait();
+  role.Drain();
+  const bool finished = FinishWork(role, signals, aSettings.m_drainTimeout);
+  role.Stop();
+  return finished ? kExitOk : kExitFailed;
+}
+
 int
 RunWithSettings(const std::string& aPath, bool aCheckOnly)
 {
@@ -21,10 +113,7 @@
     std::cerr << settings.error().m_detail << "\n";
     return kExitUsage;
   }
-  if (aCheckOnly) {
-    return kExitOk;
-  }
-  return kExitFailed;
+  return aCheckOnly ? kExitOk : Serve(settings.value());
 }
 
 int
--- a/packages/daemon/settings/settingfield.cpp
+++ b/packages/daemon/settings/settingfield.cpp
@@ -14,7 +14,8 @@
 constexpr std::array<std::string_view, 3> kPlacements = { "reported-load",
                                                           "random",
                                                           "probe" };
-constexpr std::array<std::string_view, 3> kLogLevels = { "info",
+constexpr std::array<std::string_view, 4> kLogLevels = { "verbose",
+                                                         "info",
                                                          "warning",
                                                          "error" };
 
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -27,6 +27,8 @@
 /** The least severe level that is logged. */
 enum class LogLevel : std::uint8_t
 {
+  /** With the events of each submission. */
+  Verbose,
   Info,
   Warning,
   Error,
--- a/packages/daemon/settings/settingsreader.cpp
+++ b/packages/daemon/settings/settingsreader.cpp
@@ -257,6 +257,9 @@
         m_settings.m_storeUrls.empty()) {
       AddFault("entries", "an agent needs `entries` or `store.urls`");
     }
+    if (!agent && m_settings.m_storeUrls.empty()) {
+      AddFault("store.urls", "an entry needs at least one");
+    }
     CheckAdvertised(m_settings.m_http.m_address,
                     m_settings.m_advertise.m_httpUrl,
                     "advertise.http_url");
--- a/packages/daemon/settings/settingtable.cpp
+++ b/packages/daemon/settings/settingtable.cpp
@@ -137,8 +137,8 @@
     [](Settings& aS) -> Slot {
       return TextListSlot{ &aS.m_storeUrls, TextForm::HttpUrl };
     },
-    "the platform's key-value service; without it the configuration can't be "
-    "changed" },
+    "the platform's key-value service; an entry needs at least one, an "
+    "agent without it dials only `entries`" },
   SettingField{ "entries",
                 kBoth,
                 false,
@@ -373,13 +373,15 @@
     "share of the time waited that is taken off an attempt's expected run "
     "time in the order of the queue" },
 
-  SettingField{ "log.level",
-                kBoth,
-                false,
-                [](Settings& aS) -> Slot {
-                  return ChoiceSlot<LogLevel>{ &aS.m_log.m_level };
-                },
-                "the least severe level that is logged" },
+  SettingField{
+    "log.level",
+    kBoth,
+    false,
+    [](Settings& aS) -> Slot {
+      return ChoiceSlot<LogLevel>{ &aS.m_log.m_level };
+    },
+    "the least severe level that is logged; `verbose` includes the events of "
+    "each submission" },
   SettingField{
     "log.directory",
     kBoth,
--- a/packages/daemon/tests/entryapi_test.cpp
+++ b/packages/daemon/tests/entryapi_test.cpp
@@ -29,7 +29,6 @@
                  m_core = core.get();
                  return core;
                })
-    , m_config([](const HeldConfig&) {})
     , m_api(m_shards, m_config, m_metrics, m_limits)
   {
     m_shards.Start(
@@ -38,7 +37,7 @@
         return std::make_unique<FakeTransport>(m_sent);
       });
     m_api.AddRoutes(m_router);
-    m_config.Take({ 1 }, R"({"services": {"photo-check": {}}})");
+    m_config.Set({});
   }
 
   void Call(std::string aMethod, std::string aPath, std::string aBody)
@@ -241,7 +240,7 @@
   void RefusesWithoutConfiguration()
   {
     Bench bench;
-    ConfigHolder none([](const HeldConfig&) {});
+    ConfigHolder none;
     EntryApi api(bench.m_shards, none, bench.m_metrics, bench.m_limits);
     bench.m_router = Router();
     api.AddRoutes(bench.m_router);
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::string_view kEntryHead =
-  R"("role": "entry", "name": "e", "zone": "z")";
+  R"("role": "entry", "name": "e", "zone": "z",
+     "store": {"urls": ["http://127.0.0.1:2379"]})";
 
 std::string
 Faults(std::string_view aText)
@@ -55,6 +56,7 @@
   {
     const core::Result<Settings> settings =
       ParseSettings(R"({"role": "entry", "name": "e", "zone": "z", // why
+        "store": {"urls": ["http://127.0.0.1:2379"]},
         "policy": {"placement": "probe", "probes": 3, "zone_delay_us": 1500},
         "seed": 9})");
     CPPUNIT_ASSERT(settings);
@@ -115,6 +117,8 @@
   {
     CPPUNIT_ASSERT(EntryFaults(R"("http": {"address": "0.0.0.0"})")
                      .starts_with("advertise.http_url: required"));
+    CPPUNIT_ASSERT(
+      EntryFaults(R"("store": {"urls": []})").starts_with("store.urls: "));
     CPPUNIT_ASSERT(Faults(R"({"role": "agent", "name": "a", "zone": "z"})")
                      .starts_with("entries: "));
   }
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -3,6 +3,7 @@
 #include "core/types/result.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -97,6 +98,10 @@
    * connections are closed once they have their answers. */
   virtual void StopAccepting() = 0;
 
+  /** @return answers that were given and are not yet written to their
+   * connections; streams are left out. */
+  virtual std::size_t Unwritten() const = 0;
+
   /** Ends all threads. Answers not yet written are lost. No hook is called
    * any more. Not to be called from a server thread. */
   virtual void Stop() = 0;
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -97,6 +97,10 @@
 {
   asio::io_context m_ioContext;
   std::shared_ptr<ConnectionRegistry> m_registry;
+  /** Answers that were given and not written. Shared with the writes, which
+   * the I/O context owns. */
+  std::shared_ptr<std::atomic<std::size_t>> m_unwritten =
+    std::make_shared<std::atomic<std::size_t>>(0);
 };
 
 using ContextPtr = std::shared_ptr<ServerContext>;
@@ -232,7 +236,11 @@
     if (close) {
       builder.connection_close();
     }
-    builder.done();
+    ++*m_context->m_unwritten;
+    builder.done(
+      [unwritten = m_context->m_unwritten](const asio::error_code&) {
+        --*unwritten;
+      });
   }
 
   void BeginStream(HttpResponse aResponse)
@@ -413,6 +421,8 @@
     }
   }
 
+  std::size_t Unwritten() const override { return *m_context->m_unwritten; }
+
   void Stop() override
   {
     if (m_stopped.exchange(true)) {
