--- /dev/null
+++ b/packages/daemon/settings/settingfield.cpp
@@ -0,0 +1,210 @@
+#include "daemon/settings/settingfield.h"
+
+#include <asio/ip/address.hpp>
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+constexpr std::array<std::string_view, 2> kRoles = { "entry", "agent" };
+constexpr std::array<std::string_view, 3> kPlacements = { "reported-load",
+                                                          "random",
+                                                          "probe" };
+constexpr std::array<std::string_view, 4> kLogLevels = { "verbose",
+                                                         "info",
+                                                         "warning",
+                                                         "error" };
+
+bool
+IsName(std::string_view aText)
+{
+  constexpr std::size_t kMostLetters = 64;
+  constexpr std::string_view kAllowed = "abcdefghijklmnopqrstuvwxyz"
+                                        "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                        "0123456789._-";
+  return !aText.empty() && aText.size() <= kMostLetters &&
+         aText.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
+bool
+IsAddress(std::string_view aText)
+{
+  asio::error_code error;
+  asio::ip::make_address(std::string(aText), error);
+  return !error;
+}
+
+bool
+IsPort(std::string_view aText)
+{
+  std::uint16_t port = 0;
+  const std::from_chars_result end =
+    std::from_chars(aText.data(), aText.data() + aText.size(), port);
+  return end.ec == std::errc() && end.ptr == aText.data() + aText.size() &&
+         port != 0;
+}
+
+/** Splits PREFIX HOST ':' PORT and checks the port. */
+std::optional<std::string_view>
+HostOfUrl(std::string_view aText, std::string_view aPrefix)
+{
+  if (!aText.starts_with(aPrefix)) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(aPrefix.size());
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos || !IsPort(aText.substr(colon + 1))) {
+    return std::nullopt;
+  }
+  std::string_view host = aText.substr(0, colon);
+  if (host.starts_with('[') && host.ends_with(']')) {
+    host = host.substr(1, host.size() - 2);
+  }
+  return host;
+}
+
+bool
+IsHttpUrl(std::string_view aText)
+{
+  const std::optional<std::string_view> host = HostOfUrl(aText, "http://");
+  return host && (IsName(*host) || IsAddress(*host));
+}
+
+bool
+IsMessageUrl(std::string_view aText)
+{
+  const std::optional<std::string_view> host = HostOfUrl(aText, "tcp://");
+  return host && IsAddress(*host);
+}
+
+std::string
+DescribeText(TextForm aForm)
+{
+  switch (aForm) {
+    case TextForm::Any:
+      return "a text";
+    case TextForm::Name:
+      return "1 to 64 letters, digits, dots, underscores or hyphens";
+    case TextForm::Address:
+      return "an IP number";
+    case TextForm::HttpUrl:
+      return "http://HOST:PORT";
+    case TextForm::MessageUrl:
+      return "tcp://IP:PORT";
+  }
+  return "a text";
+}
+
+template<typename Number>
+std::string
+DescribeRange(std::string_view aWhat, Number aLeast, Number aMost)
+{
+  return std::string(aWhat) + " from " + std::to_string(aLeast) + " to " +
+         std::to_string(aMost);
+}
+
+struct FormDescriber
+{
+  std::string operator()(bool* /*aValue*/) const { return "true or false"; }
+  std::string operator()(std::optional<std::uint64_t>* /*aValue*/) const
+  {
+    return "a whole number";
+  }
+  template<typename Number>
+  std::string operator()(const NumberSlot<Number>& aSlot) const
+  {
+    return DescribeRange("a whole number", aSlot.m_least, aSlot.m_most);
+  }
+  std::string operator()(const NumberSlot<double>& aSlot) const
+  {
+    return DescribeRange("a number",
+                         static_cast<std::int64_t>(aSlot.m_least),
+                         static_cast<std::int64_t>(aSlot.m_most));
+  }
+  std::string operator()(const DurationSlot& aSlot) const
+  {
+    return DescribeRange("a whole number", aSlot.m_least, aSlot.m_most);
+  }
+  std::string operator()(const TextSlot& aSlot) const
+  {
+    return DescribeText(aSlot.m_form);
+  }
+  std::string operator()(const TextListSlot& aSlot) const
+  {
+    return "a list, each " + DescribeText(aSlot.m_form);
+  }
+  template<typename Enum>
+  std::string operator()(const ChoiceSlot<Enum>& /*aSlot*/) const
+  {
+    std::string words;
+    for (const std::string_view name : ChoiceNames(Enum{})) {
+      words += words.empty() ? "" : ", ";
+      words += "\"" + std::string(name) + "\"";
+    }
+    return "one of " + words;
+  }
+};
+
+} // namespace
+
+bool
+IsForRole(const SettingField& aField, Role aRole)
+{
+  switch (aField.m_roles) {
+    case FieldRoles::Both:
+      return true;
+    case FieldRoles::Entry:
+      return aRole == Role::Entry;
+    case FieldRoles::Agent:
+      return aRole == Role::Agent;
+  }
+  return false;
+}
+
+std::span<const std::string_view>
+ChoiceNames(Role /*aKind*/)
+{
+  return kRoles;
+}
+
+std::span<const std::string_view>
+ChoiceNames(PlacementKind /*aKind*/)
+{
+  return kPlacements;
+}
+
+std::span<const std::string_view>
+ChoiceNames(LogLevel /*aKind*/)
+{
+  return kLogLevels;
+}
+
+std::string
+DescribeForm(const Slot& aSlot)
+{
+  return std::visit(FormDescriber{}, aSlot);
+}
+
+bool
+HasForm(std::string_view aText, TextForm aForm)
+{
+  switch (aForm) {
+    case TextForm::Any:
+      return true;
+    case TextForm::Name:
+      return IsName(aText);
+    case TextForm::Address:
+      return IsAddress(aText);
+    case TextForm::HttpUrl:
+      return IsHttpUrl(aText);
+    case TextForm::MessageUrl:
+      return IsMessageUrl(aText);
+  }
+  return false;
+}
+
+} // namespace mulberrysail::daemon
