--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -77,6 +77,7 @@
     OnConfig(std::move(aConfig));
   };
   hooks.m_onAvailable = [this](bool aAvailable) { OnStore(aAvailable); };
+  hooks.m_onAbsent = [this] { m_shards.Broadcast(core::PastIsEmpty{}); };
   m_service =
     platform::StartConfigService(m_platform.Store(),
                                  m_platform.Timer(),
