An agent is asked about keys of all services that peers know it by

A restarted entry met an agent whose endpoint was gone by then, so that it didn't ask the agent about a key that it held. What peers tell of the agent's services is now kept also when the agent itself is known.

--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -75,7 +75,11 @@
     m_board.m_timers.Add(aTurn.m_now + aAnnounce.m_leaseFor,
                          AgentLeaseTimer{ aFrom });
     std::erase_if(m_board.m_departed, [&](const DepartedRecord& aRecord) {
-      return aRecord.m_agent.m_agent == aFrom;
+      const bool same = aRecord.m_agent.m_agent == aFrom;
+      if (same) {
+        fresh.m_served.emplace(aRecord.m_agent.m_service, aTurn.m_now);
+      }
+      return same;
     });
   }
   AgentRecord& agent = m_board.m_agents.at(aFrom);
@@ -296,7 +300,10 @@
                                   const PeerHello& aHello)
 {
   for (const DepartedAgent& departed : aHello.m_departed) {
-    if (m_board.m_agents.contains(departed.m_agent)) {
+    const auto present = m_board.m_agents.find(departed.m_agent);
+    if (present != m_board.m_agents.end()) {
+      // It may have had a service before this entry knew it.
+      present->second.m_served.emplace(departed.m_service, aTurn.m_now);
       continue;
     }
     const auto known =
--- a/packages/core/tests/entry_claim_test.cpp
+++ b/packages/core/tests/entry_claim_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(AnAgentThatForgotKeysMakesItUncertain);
   CPPUNIT_TEST(AnAgentThatOnlyAPeerKnowsMakesItUncertain);
   CPPUNIT_TEST(AnAgentWithoutItsEndpointIsAskedToo);
+  CPPUNIT_TEST(AnAgentIsAskedForWhatPeersSayItServed);
   CPPUNIT_TEST(AllAgentsAreAskedAndAllDeparturesCount);
   CPPUNIT_TEST(AnAgentThatCameLaterIsNotUsed);
   CPPUNIT_TEST(PeersAreToldOfAgents);
@@ -168,6 +169,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.Sent<FenceQuery>().size());
   }
 
+  void AnAgentIsAskedForWhatPeersSayItServed()
+  {
+    EntryFixture entry;
+    PeerHello hello;
+    hello.m_remembersFor = std::chrono::hours(1);
+    hello.m_departed.push_back({ { "x", { 1 } }, "photo", {}, {} });
+    hello.m_departed.push_back({ { "y", { 1 } }, "photo", {}, {} });
+    Announce bare;
+    bare.m_leaseFor = std::chrono::hours(1);
+    entry.Receive({ "x", { 1 } }, bare);
+    entry.Receive({ "entry2", { 1 } }, hello);
+    entry.Receive({ "y", { 1 } }, bare);
+    entry.AddAgent("z", 1);
+    entry.KeyedRequest("k", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), entry.Sent<FenceQuery>().size());
+  }
+
   void AllAgentsAreAskedAndAllDeparturesCount()
   {
     EntryPolicy policy;
