Seeded schedules of entries and agents

Several cores run in one thread under a virtual clock, with a network that loses, repeats, delays and reorders messages and cuts links, back ends that fail and refuse, crashes, restarts, pauses beyond all leases, drains, cancellations, configurations and callers that submit again elsewhere. After each step the checks see to starts, answers, deadlines, slots, drains and configurations, and in the end to every 'not run'.

For each rule the driver can break it on purpose; a test proves that the checks see all eight. MULBERRYSAIL_SEED replays one schedule with its trace.

--- /dev/null
+++ b/packages/core/tests/schedule_backends.cpp
@@ -0,0 +1,142 @@
+#include "core/tests/schedule_backends.h"
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kRefusalDelay = std::chrono::milliseconds(1);
+constexpr Duration kShortestRun = std::chrono::milliseconds(20);
+constexpr Duration kUsualRun = std::chrono::milliseconds(500);
+constexpr Duration kLongestRun = std::chrono::seconds(3);
+constexpr double kLongRuns = 0.05;
+constexpr double kRepeatedOutcomes = 0.02;
+constexpr double kSabotage = 0.2;
+
+} // namespace
+
+ScheduleBackends::ScheduleBackends(ScheduleClock& aClock,
+                                   ScheduleRandom& aRandom,
+                                   const SchedulePlan& aPlan,
+                                   ScheduleChecks& aChecks,
+                                   Deliver aDeliver)
+  : m_clock(aClock)
+  , m_random(aRandom)
+  , m_plan(aPlan)
+  , m_checks(aChecks)
+  , m_deliver(std::move(aDeliver))
+{
+}
+
+void
+ScheduleBackends::Start(const ProcessId& aAgent, const StartRun& aStart)
+{
+  // The endpoint of each agent is a machine of its own.
+  const std::string target = aStart.m_target.m_kind == WorkKind::Request
+                               ? "endpoint of " + aAgent.m_name
+                               : aStart.m_target.m_name;
+  if (!IsUp(target) || m_random.Chance(m_plan.m_refusing)) {
+    m_clock.After(kRefusalDelay, [this, aAgent, run = aStart.m_run] {
+      m_deliver(aAgent, RunFinished{ run, RunOutcome::NeverSent, {} });
+    });
+    return;
+  }
+  Execute(aAgent, aStart, target);
+  if (m_plan.m_sabotage == Sabotage::StartTwice && m_random.Chance(kSabotage)) {
+    Execute(aAgent, aStart, target);
+  }
+}
+
+void
+ScheduleBackends::Execute(const ProcessId& aAgent,
+                          const StartRun& aStart,
+                          const std::string& aTarget)
+{
+  m_checks.Started(aStart.m_run, aStart.m_payload);
+  const WorkKind kind = aStart.m_target.m_kind;
+  m_active[aStart.m_run] = { aAgent, kind, aTarget };
+  if (kind == WorkKind::Request && ActiveOf(aAgent, kind) > kScheduleSlots) {
+    m_checks.Fail("more requests than slots at " + aTarget);
+  }
+  const Duration runs = m_random.Between(
+    kShortestRun, m_random.Chance(kLongRuns) ? kLongestRun : kUsualRun);
+  m_clock.After(
+    runs,
+    [this,
+     run = aStart.m_run,
+     outcome = Outcome(aTarget),
+     output = OutputOf(aStart.m_payload)] { End(run, outcome, output); });
+}
+
+RunOutcome
+ScheduleBackends::Outcome(const std::string& aTarget)
+{
+  if (m_plan.m_badWorker && aTarget == "worker0") {
+    return RunOutcome::Failed;
+  }
+  if (m_random.Chance(m_plan.m_failing)) {
+    return RunOutcome::Failed;
+  }
+  return m_random.Chance(m_plan.m_losing) ? RunOutcome::Lost
+                                          : RunOutcome::Completed;
+}
+
+void
+ScheduleBackends::End(RunId aRun, RunOutcome aOutcome, std::string aOutput)
+{
+  const auto found = m_active.find(aRun);
+  if (found == m_active.end()) {
+    return;
+  }
+  const ProcessId agent = found->second.m_agent;
+  m_active.erase(found);
+  const RunFinished finished{ aRun,
+                              aOutcome,
+                              aOutcome == RunOutcome::Completed
+                                ? std::move(aOutput)
+                                : std::string() };
+  m_deliver(agent, finished);
+  if (m_random.Chance(kRepeatedOutcomes)) {
+    m_deliver(agent, finished);
+  }
+}
+
+void
+ScheduleBackends::Stop(RunId aRun)
+{
+  m_clock.After(kRefusalDelay,
+                [this, aRun] { End(aRun, RunOutcome::Failed, {}); });
+}
+
+void
+ScheduleBackends::Crash(const std::string& aTarget, Duration aFor)
+{
+  m_downUntil[aTarget] = m_clock.Now() + aFor;
+  std::vector<RunId> ended;
+  for (const auto& [run, active] : m_active) {
+    if (active.m_target == aTarget) {
+      ended.push_back(run);
+    }
+  }
+  for (const RunId run : ended) {
+    End(run, RunOutcome::Lost, {});
+  }
+}
+
+bool
+ScheduleBackends::IsUp(const std::string& aTarget) const
+{
+  const auto down = m_downUntil.find(aTarget);
+  return down == m_downUntil.end() || down->second <= m_clock.Now();
+}
+
+std::size_t
+ScheduleBackends::ActiveOf(const ProcessId& aAgent, WorkKind aKind) const
+{
+  std::size_t count = 0;
+  for (const auto& [run, active] : m_active) {
+    count += active.m_agent == aAgent && active.m_kind == aKind ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_callers.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/tests/schedule_plan.h"
+#include "core/tests/schedule_world.h"
+
+#include <string>
+
+namespace mulberrysail::core {
+
+/** The callers of one schedule: they submit, submit again and go away. */
+class ScheduleCallers
+{
+public:
+  ScheduleCallers(ScheduleWorld& aWorld, const SchedulePlan& aPlan)
+    : m_world(aWorld)
+    , m_plan(aPlan)
+  {
+  }
+
+  /** Plans all submissions, from @p aFrom on. */
+  void Plan(Instant aFrom);
+
+private:
+  void SubmitRequest(const std::string& aWork);
+  void SubmitJob(const std::string& aWork);
+  void PlanKeyed(const std::string& aWork, Instant aFirst);
+  void SubmitKeyed(const std::string& aWork,
+                   std::uint32_t aTimes,
+                   bool aNumbered);
+  ScheduledSubmission Describe(Duration aDeadline);
+  void MaybeCancel(std::size_t aEntry, CallerToken aCaller);
+  std::string Service();
+
+  ScheduleWorld& m_world;
+  const SchedulePlan& m_plan;
+  std::uint64_t m_nextCaller = 1;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_checks.cpp
@@ -0,0 +1,209 @@
+#include "core/tests/schedule_checks.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kTolerance = std::chrono::milliseconds(5);
+
+std::string
+NameOf(const ProcessId& aProcess)
+{
+  return aProcess.m_name + "/" + std::to_string(aProcess.m_incarnation.m_value);
+}
+
+} // namespace
+
+std::string
+WorkOf(const std::string& aPayload)
+{
+  return aPayload.substr(0, aPayload.find('#'));
+}
+
+std::string
+OutputOf(const std::string& aPayload)
+{
+  return "output of " + aPayload;
+}
+
+void
+ScheduleChecks::Fail(const std::string& aBreach)
+{
+  if (m_breach.empty()) {
+    m_breach = aBreach;
+  }
+}
+
+void
+ScheduleChecks::HandedIn(ScheduledSubmission aSubmission)
+{
+  if (aSubmission.m_repeatable) {
+    for (const std::string& payload : aSubmission.m_payloads) {
+      m_repeatable.insert(WorkOf(payload));
+    }
+  }
+  // A pause before it was handed in doesn't matter.
+  aSubmission.m_handedIn -= m_paused[aSubmission.m_entry];
+  m_submissions.emplace(aSubmission.m_caller, std::move(aSubmission));
+}
+
+void
+ScheduleChecks::Started(RunId aRun, const std::string& aPayload)
+{
+  const bool fresh = m_runs.insert(aRun).second;
+  ++m_starts[aPayload];
+  const std::string work = WorkOf(aPayload);
+  const std::uint32_t starts = ++m_startsOfWork[work];
+  if (!fresh) {
+    Fail("run " + std::to_string(aRun.m_value) + " started twice");
+  }
+  if (starts > 1 && !m_repeatable.contains(work)) {
+    Fail("started more than once: " + aPayload);
+  }
+}
+
+void
+ScheduleChecks::Answered(CallerToken aCaller,
+                         const Answer& aAnswer,
+                         Instant aNow)
+{
+  const std::string name = "caller " + std::to_string(aCaller.m_value);
+  const auto found = m_submissions.find(aCaller);
+  if (found == m_submissions.end()) {
+    Fail(name + " is not known");
+    return;
+  }
+  if (!m_answers.emplace(aCaller, aAnswer).second) {
+    Fail(name + " was answered twice");
+    return;
+  }
+  const ScheduledSubmission& submission = found->second;
+  const Instant latest = submission.m_handedIn + submission.m_deadline +
+                         m_paused[submission.m_entry] + kTolerance;
+  if (aNow > latest) {
+    Fail(name + " was answered late");
+  }
+  if (aAnswer.m_kind == ErrorKind::None) {
+    ++m_complete;
+    CheckOutputs(submission, aAnswer);
+  } else if (!aAnswer.m_outputs.empty()) {
+    Fail(name + " got outputs with a failure");
+  }
+}
+
+void
+ScheduleChecks::CheckOutputs(const ScheduledSubmission& aSubmission,
+                             const Answer& aAnswer)
+{
+  const std::string name =
+    "caller " + std::to_string(aSubmission.m_caller.m_value);
+  if (aAnswer.m_outputs.size() != aSubmission.m_payloads.size()) {
+    Fail(name + " got an answer in part");
+    return;
+  }
+  for (std::size_t i = 0; i < aAnswer.m_outputs.size(); ++i) {
+    const std::string& output = aAnswer.m_outputs[i];
+    const std::string wanted = OutputOf(aSubmission.m_payloads[i]);
+    const bool right =
+      aSubmission.m_keyed ? WorkOf(output) == WorkOf(wanted) : output == wanted;
+    if (!right) {
+      Fail(name + " got a foreign output: " + output);
+    }
+  }
+}
+
+void
+ScheduleChecks::EntryCrashed(const ProcessId& aEntry)
+{
+  m_crashed.insert(aEntry);
+}
+
+void
+ScheduleChecks::EntryEnded(const ProcessId& aEntry)
+{
+  for (const auto& [caller, submission] : m_submissions) {
+    if (submission.m_entry == aEntry && !m_answers.contains(caller)) {
+      Fail(NameOf(aEntry) + " ended without an answer to caller " +
+           std::to_string(caller.m_value));
+    }
+  }
+}
+
+void
+ScheduleChecks::Paused(const ProcessId& aEntry, Duration aFor)
+{
+  m_paused[aEntry] += aFor;
+}
+
+void
+ScheduleChecks::ConfigInForce(const ProcessId& aProcess, ConfigVersion aVersion)
+{
+  ConfigVersion& last = m_configs[aProcess];
+  if (aVersion < last) {
+    Fail(NameOf(aProcess) + " went back to configuration " +
+         std::to_string(aVersion.m_value));
+  }
+  last = aVersion;
+}
+
+void
+ScheduleChecks::Finish()
+{
+  for (const auto& [caller, submission] : m_submissions) {
+    const auto answer = m_answers.find(caller);
+    if (answer == m_answers.end()) {
+      if (!m_crashed.contains(submission.m_entry)) {
+        Fail("caller " + std::to_string(caller.m_value) +
+             " was never answered");
+      }
+      continue;
+    }
+    switch (answer->second.m_execution) {
+      case Execution::NotRun:
+        CheckNotRun(submission);
+        break;
+      case Execution::Ran:
+        CheckRan(submission);
+        break;
+      case Execution::MayHaveRun:
+        break;
+    }
+  }
+}
+
+bool
+ScheduleChecks::HasStarted(const std::string& aPayload,
+                           bool aAnySubmission) const
+{
+  return aAnySubmission ? m_startsOfWork.contains(WorkOf(aPayload))
+                        : m_starts.contains(aPayload);
+}
+
+void
+ScheduleChecks::CheckNotRun(const ScheduledSubmission& aSubmission)
+{
+  for (const std::string& payload : aSubmission.m_payloads) {
+    if (HasStarted(payload, false)) {
+      Fail("answered with not-run, but it did: " + payload);
+    }
+  }
+}
+
+void
+ScheduleChecks::CheckRan(const ScheduledSubmission& aSubmission)
+{
+  const bool any =
+    std::any_of(aSubmission.m_payloads.begin(),
+                aSubmission.m_payloads.end(),
+                [this, &aSubmission](const std::string& aPayload) {
+                  return HasStarted(aPayload, aSubmission.m_keyed);
+                });
+  if (!any) {
+    Fail("answered with ran, but nothing did: " +
+         aSubmission.m_payloads.front());
+  }
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_network.cpp
@@ -0,0 +1,95 @@
+#include "core/tests/schedule_network.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kLeastDelay = std::chrono::microseconds(200);
+constexpr Duration kUsualDelay = std::chrono::milliseconds(2);
+/** A late message may come when all that it was about is over. */
+constexpr Duration kLongestDelay = std::chrono::seconds(8);
+constexpr double kFailureNoticed = 0.5;
+
+} // namespace
+
+ScheduleNetwork::ScheduleNetwork(ScheduleClock& aClock,
+                                 ScheduleRandom& aRandom,
+                                 const SchedulePlan& aPlan,
+                                 Hooks aHooks)
+  : m_clock(aClock)
+  , m_random(aRandom)
+  , m_plan(aPlan)
+  , m_hooks(std::move(aHooks))
+{
+}
+
+ScheduleNetwork::Link&
+ScheduleNetwork::LinkBetween(const std::string& aFrom, const std::string& aTo)
+{
+  return m_links[{ aFrom, aTo }];
+}
+
+void
+ScheduleNetwork::Send(const ProcessId& aFrom, const SendMessage& aSend)
+{
+  const Link& link = LinkBetween(aFrom.m_name, aSend.m_to.m_name);
+  if (m_clock.Now() < link.m_cutUntil) {
+    if (m_random.Chance(kFailureNoticed)) {
+      m_clock.After(Duration(1), [this, aFrom, aSend] {
+        m_hooks.m_fail(aFrom, SendFailed{ aSend.m_to, aSend.m_message });
+      });
+    }
+    return;
+  }
+  if (!m_calm && m_random.Chance(m_plan.m_loss)) {
+    return;
+  }
+  Post(aFrom, aSend, Delay());
+  if (!m_calm && m_random.Chance(m_plan.m_duplication)) {
+    Post(aFrom, aSend, Delay() + Delay());
+  }
+}
+
+Duration
+ScheduleNetwork::Delay()
+{
+  const bool late = !m_calm && m_random.Chance(m_plan.m_lateness);
+  return m_random.Between(kLeastDelay, late ? kLongestDelay : kUsualDelay);
+}
+
+void
+ScheduleNetwork::Post(const ProcessId& aFrom,
+                      const SendMessage& aSend,
+                      Duration aDelay)
+{
+  Link& link = LinkBetween(aFrom.m_name, aSend.m_to.m_name);
+  Instant arrival = m_clock.Now() + aDelay;
+  if (!m_plan.m_reorders) {
+    arrival = std::max(arrival, link.m_lastArrival);
+    link.m_lastArrival = arrival;
+  }
+  m_clock.At(arrival, [this, aFrom, aSend, epoch = link.m_epoch] {
+    if (LinkBetween(aFrom.m_name, aSend.m_to.m_name).m_epoch == epoch) {
+      m_hooks.m_deliver(aSend.m_to, MessageReceived{ aFrom, aSend.m_message });
+    }
+  });
+}
+
+void
+ScheduleNetwork::Cut(const std::string& aLeft,
+                     const std::string& aRight,
+                     Duration aFor)
+{
+  const Instant until = m_clock.Now() + aFor;
+  for (Link* link :
+       { &LinkBetween(aLeft, aRight), &LinkBetween(aRight, aLeft) }) {
+    ++link->m_epoch;
+    link->m_cutUntil = std::max(link->m_cutUntil, until);
+    link->m_lastArrival = Instant();
+  }
+  m_clock.At(until, [this, aLeft, aRight] { m_hooks.m_linkUp(aLeft, aRight); });
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_network.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/tests/schedule_clock.h"
+#include "core/tests/schedule_plan.h"
+#include "core/tests/schedule_random.h"
+#include "core/types/commands.h"
+#include "core/types/events.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace mulberrysail::core {
+
+/** Carries messages between processes as badly as the plan says. */
+class ScheduleNetwork
+{
+public:
+  struct Hooks
+  {
+    std::function<void(const ProcessId& aTo, MessageReceived)> m_deliver;
+    std::function<void(const ProcessId& aFrom, SendFailed)> m_fail;
+    /** The link between two processes works again. */
+    std::function<void(const std::string&, const std::string&)> m_linkUp;
+  };
+
+  ScheduleNetwork(ScheduleClock& aClock,
+                  ScheduleRandom& aRandom,
+                  const SchedulePlan& aPlan,
+                  Hooks aHooks);
+
+  void Send(const ProcessId& aFrom, const SendMessage& aSend);
+
+  /** Loses what is on its way between two processes, and what is sent. */
+  void Cut(const std::string& aLeft, const std::string& aRight, Duration aFor);
+
+  /** While calm, it loses, repeats and delays nothing. */
+  void SetCalm(bool aCalm) { m_calm = aCalm; }
+
+private:
+  struct Link
+  {
+    std::uint64_t m_epoch = 0;
+    Instant m_cutUntil;
+    Instant m_lastArrival;
+  };
+
+  Link& LinkBetween(const std::string& aFrom, const std::string& aTo);
+  Duration Delay();
+  void Post(const ProcessId& aFrom, const SendMessage& aSend, Duration aDelay);
+
+  ScheduleClock& m_clock;
+  ScheduleRandom& m_random;
+  const SchedulePlan& m_plan;
+  Hooks m_hooks;
+  bool m_calm = true;
+  std::map<std::pair<std::string, std::string>, Link> m_links;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_test.cpp
@@ -0,0 +1,152 @@
+#include "core/tests/schedule_run.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr std::uint64_t kSchedules = 10000;
+/** A broken rule has to be seen in one of so many schedules. */
+constexpr std::uint64_t kSabotagedSchedules = 200;
+constexpr std::uint64_t kSeedBase = 20260000;
+/** Replays the schedule of this seed alone, with its trace. */
+constexpr const char* kSeedVariable = "MULBERRYSAIL_SEED";
+
+std::optional<std::uint64_t>
+SeedToReplay()
+{
+  const char* text = std::getenv(kSeedVariable);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  return std::strtoull(text, nullptr, 10);
+}
+
+/** Totals of many schedules, and the first breaches. */
+class Totals
+{
+public:
+  void Add(const ScheduleResult& aResult)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_steps += aResult.m_steps;
+    m_answers += aResult.m_answers;
+    m_complete += aResult.m_complete;
+    if (!aResult.m_breach.empty()) {
+      ++m_breaches;
+      std::cout << "\nseed " << aResult.m_seed << ": " << aResult.m_breach
+                << "  (replay with " << kSeedVariable << ")" << std::endl;
+    }
+  }
+
+  std::uint64_t m_steps = 0;
+  std::size_t m_answers = 0;
+  std::size_t m_complete = 0;
+  std::uint64_t m_breaches = 0;
+
+private:
+  std::mutex m_mutex;
+};
+
+void
+RunMany(Totals& aTotals)
+{
+  std::atomic<std::uint64_t> next{ 0 };
+  std::vector<std::thread> threads;
+  const unsigned count = std::max(1U, std::thread::hardware_concurrency());
+  threads.reserve(count);
+  for (unsigned i = 0; i < count; ++i) {
+    threads.emplace_back([&] {
+      for (std::uint64_t n = next++; n < kSchedules; n = next++) {
+        aTotals.Add(RunSchedule(kSeedBase + n, Sabotage::None, nullptr));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+/** @return how many schedules see that the rule is broken. */
+std::uint64_t
+CaughtOf(Sabotage aSabotage)
+{
+  std::uint64_t caught = 0;
+  for (std::uint64_t n = 0; n < kSabotagedSchedules; ++n) {
+    caught +=
+      RunSchedule(kSeedBase + n, aSabotage, nullptr).m_breach.empty() ? 0 : 1;
+  }
+  return caught;
+}
+
+class ScheduleTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ScheduleTest);
+  CPPUNIT_TEST(RulesHoldInAllSchedules);
+  CPPUNIT_TEST(SameSeedGivesTheSameSchedule);
+  CPPUNIT_TEST(EveryBrokenRuleIsSeen);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void RulesHoldInAllSchedules()
+  {
+    if (const std::optional<std::uint64_t> seed = SeedToReplay()) {
+      const ScheduleResult result =
+        RunSchedule(*seed, Sabotage::None, &std::cerr);
+      CPPUNIT_ASSERT_EQUAL(std::string(), result.m_breach);
+      return;
+    }
+    Totals totals;
+    RunMany(totals);
+    std::cout << kSchedules << " schedules from seed " << kSeedBase << ": "
+              << totals.m_steps << " steps, " << totals.m_answers
+              << " answers, " << totals.m_complete << " of them complete"
+              << std::endl;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, totals.m_breaches);
+    // Schedules in which nothing succeeds would prove nothing.
+    CPPUNIT_ASSERT(totals.m_complete > totals.m_answers / 4);
+  }
+
+  void SameSeedGivesTheSameSchedule()
+  {
+    const ScheduleResult first =
+      RunSchedule(kSeedBase, Sabotage::None, nullptr);
+    const ScheduleResult second =
+      RunSchedule(kSeedBase, Sabotage::None, nullptr);
+    CPPUNIT_ASSERT_EQUAL(first.m_steps, second.m_steps);
+    CPPUNIT_ASSERT_EQUAL(first.m_complete, second.m_complete);
+  }
+
+  void EveryBrokenRuleIsSeen()
+  {
+    const std::vector<std::pair<Sabotage, std::string>> rules = {
+      { Sabotage::StartTwice, "start twice" },
+      { Sabotage::AnswerTwice, "answer twice" },
+      { Sabotage::AnswerNever, "answer never" },
+      { Sabotage::AnswerLate, "answer late" },
+      { Sabotage::CrossOutputs, "cross outputs" },
+      { Sabotage::DenyRun, "deny a run" },
+      { Sabotage::CutDrain, "cut a drain" },
+      { Sabotage::RevertConfig, "revert the configuration" },
+    };
+    for (const auto& [sabotage, name] : rules) {
+      CPPUNIT_ASSERT_MESSAGE(name, CaughtOf(sabotage) > 0);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ScheduleTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_world.cpp
@@ -0,0 +1,387 @@
+#include "core/tests/schedule_world.h"
+
+#include "core/internal/overloaded.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr Duration kEndpointInterval = std::chrono::seconds(1);
+constexpr Duration kWorkerInterval = std::chrono::seconds(2);
+constexpr Duration kLateBy = std::chrono::seconds(10);
+constexpr Duration kClockSpread = std::chrono::hours(1);
+constexpr double kReachesNextLife = 0.5;
+constexpr double kWorkerMoves = 0.05;
+/** More steps than any schedule needs; a timer that stands still. */
+constexpr std::uint64_t kMaxSteps = 300000;
+constexpr std::uint64_t kLowMemory = 6000;
+
+} // namespace
+
+ScheduleWorld::ScheduleWorld(const SchedulePlan& aPlan, std::ostream* aTrace)
+  : m_plan(aPlan)
+  , m_trace(aTrace)
+  , m_random(aPlan.m_seed)
+  , m_network(m_clock,
+              m_random,
+              m_plan,
+              { [this](const ProcessId& aTo, MessageReceived aMessage) {
+                 Deliver(aTo, std::move(aMessage));
+               },
+                [this](const ProcessId& aFrom, SendFailed aFailed) {
+                  if (EntryProcess* entry = FindEntry(aFrom.m_name)) {
+                    entry->Give(std::move(aFailed));
+                  } else if (AgentProcess* agent = FindAgent(aFrom.m_name)) {
+                    agent->Give(std::move(aFailed));
+                  }
+                },
+                [this](const std::string& aLeft, const std::string& aRight) {
+                  LinkUp(aLeft, aRight);
+                } })
+  , m_backends(m_clock,
+               m_random,
+               m_plan,
+               m_checks,
+               [this](const ProcessId& aAgent, RunFinished aFinished) {
+                 AgentProcess* agent = FindAgent(aAgent.m_name);
+                 if (agent->Id() == aAgent) {
+                   agent->Give(std::move(aFinished));
+                 }
+               })
+{
+  for (std::size_t i = 0; i < m_plan.m_entries; ++i) {
+    m_entries.push_back(std::make_unique<EntryProcess>(
+      m_clock,
+      [this, i](EntryCommands& aCommands) { ExecuteEntry(i, aCommands); }));
+  }
+  for (std::size_t i = 0; i < m_plan.m_agents; ++i) {
+    m_agents.push_back(std::make_unique<AgentProcess>(
+      m_clock,
+      [this, i](AgentCommands& aCommands) { ExecuteAgent(i, aCommands); }));
+  }
+  m_entryDraining.resize(m_plan.m_entries);
+  m_agentDraining.resize(m_plan.m_agents);
+}
+
+void
+ScheduleWorld::Boot()
+{
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    BootEntry(i);
+  }
+  for (std::size_t i = 0; i < m_agents.size(); ++i) {
+    BootAgent(i);
+    m_clock.After(m_random.Between(Duration(0), kEndpointInterval),
+                  [this, i] { AnnounceEndpoint(i); });
+  }
+  for (std::size_t i = 0; i < m_plan.m_workers; ++i) {
+    m_workerHomes.push_back(m_random.Below(m_agents.size()));
+    m_clock.After(m_random.Between(Duration(0), kWorkerInterval),
+                  [this, i] { AnnounceWorker(i); });
+  }
+}
+
+bool
+ScheduleWorld::RunUntil(Instant aEnd)
+{
+  while (!m_checks.Failed() && m_clock.Step(aEnd)) {
+    EndDrained();
+    if (++m_steps > kMaxSteps) {
+      m_checks.Fail("the schedule doesn't end");
+    }
+  }
+  return !m_checks.Failed();
+}
+
+void
+ScheduleWorld::Trace(const std::string& aText)
+{
+  if (m_trace != nullptr) {
+    *m_trace << m_clock.Now().time_since_epoch().count() << ' ' << aText
+             << '\n';
+  }
+}
+
+void
+ScheduleWorld::BootEntry(std::size_t aEntry)
+{
+  const ProcessId id{ "entry" + std::to_string(aEntry),
+                      Incarnation{ m_nextIncarnation++ } };
+  EntryPolicy policy;
+  policy.m_keyMemory = kScheduleKeyMemory;
+  policy.m_keyCandidates = 2;
+  m_entryDraining[aEntry] = false;
+  m_entries[aEntry]->Boot(id,
+                          MakeEntry(id, 0, policy, m_random.Below(1ULL << 40U)),
+                          m_random.Between(Duration(0), kClockSpread));
+  Trace("boot " + id.m_name);
+  GiveConfig(aEntry, m_config);
+  AnnounceEntries();
+  ConnectEntry(aEntry);
+}
+
+void
+ScheduleWorld::BootAgent(std::size_t aAgent)
+{
+  const ProcessId id{ "agent" + std::to_string(aAgent),
+                      Incarnation{ m_nextIncarnation++ } };
+  AgentPolicy policy;
+  policy.m_keyMemory = kScheduleKeyMemory;
+  policy.m_maxQueuedRequests = 4;
+  if (m_plan.m_lowMemory) {
+    policy.m_memoryLimit = kLowMemory;
+  }
+  m_agentDraining[aAgent] = false;
+  m_agents[aAgent]->Boot(id,
+                         MakeAgent(id, policy, m_random.Below(1ULL << 40U)),
+                         m_random.Between(Duration(0), kClockSpread));
+  Trace("boot " + id.m_name);
+  AnnounceEntries();
+}
+
+void
+ScheduleWorld::AnnounceEntries()
+{
+  PeersChanged peers;
+  for (const std::unique_ptr<EntryProcess>& entry : m_entries) {
+    if (entry->Alive()) {
+      peers.m_entries.push_back(entry->Id());
+    }
+  }
+  for (const std::unique_ptr<EntryProcess>& entry : m_entries) {
+    entry->Give(peers);
+  }
+  for (const std::unique_ptr<AgentProcess>& agent : m_agents) {
+    agent->Give(peers);
+  }
+}
+
+void
+ScheduleWorld::ConnectEntry(std::size_t aEntry)
+{
+  for (const std::unique_ptr<EntryProcess>& peer : m_entries) {
+    if (peer->Alive() && peer != m_entries[aEntry]) {
+      LinkUp(m_entries[aEntry]->Id().m_name, peer->Id().m_name);
+    }
+  }
+}
+
+void
+ScheduleWorld::AnnounceEndpoint(std::size_t aAgent)
+{
+  const std::string name = "agent" + std::to_string(aAgent);
+  const std::string service = aAgent % 3 == 2 ? "stock" : "photo";
+  if (m_backends.IsUp("endpoint of " + name)) {
+    m_agents[aAgent]->Give(EndpointAnnounced{
+      { service, kScheduleSlots, kScheduleSlots * 2, false }, "http://e" });
+  }
+  m_clock.After(kEndpointInterval,
+                [this, aAgent] { AnnounceEndpoint(aAgent); });
+}
+
+void
+ScheduleWorld::AnnounceWorker(std::size_t aWorker)
+{
+  const std::string name = "worker" + std::to_string(aWorker);
+  std::size_t& home = m_workerHomes[aWorker];
+  if (!m_agents[home]->Alive() || m_random.Chance(kWorkerMoves)) {
+    home = m_random.Below(m_agents.size());
+  }
+  if (m_backends.IsUp(name)) {
+    m_agents[home]->Give(WorkerAnnounced{
+      { name, "rack", { 4000, 4096, 0 }, false }, "http://w", false, {} });
+  }
+  m_clock.After(kWorkerInterval, [this, aWorker] { AnnounceWorker(aWorker); });
+}
+
+void
+ScheduleWorld::ExecuteEntry(std::size_t aEntry, EntryCommands& aCommands)
+{
+  const ProcessId self = m_entries[aEntry]->Id();
+  for (EntryCommand& command : aCommands) {
+    std::visit(Overloaded{
+                 [&](const SendMessage& aSend) { m_network.Send(self, aSend); },
+                 [&](const AnswerCaller& aAnswer) { Answer(self, aAnswer); },
+                 [](const SubmissionOpened&) {},
+                 [&](const RecordEvent& aRecord) {
+                   Trace(self.m_name + " " +
+                         std::string(EventName(aRecord.m_code)) + " " +
+                         std::to_string(aRecord.m_subject) + " " +
+                         aRecord.m_detail);
+                   NoteConfig(self, aRecord);
+                 } },
+               command);
+  }
+}
+
+void
+ScheduleWorld::ExecuteAgent(std::size_t aAgent, AgentCommands& aCommands)
+{
+  const ProcessId self = m_agents[aAgent]->Id();
+  for (AgentCommand& command : aCommands) {
+    std::visit(
+      Overloaded{ [&](SendMessage& aSend) {
+                   Sabotaged(aSend.m_message);
+                   m_network.Send(self, aSend);
+                 },
+                  [&](const StartRun& aStart) {
+                    Trace(self.m_name + " starts " + aStart.m_payload);
+                    m_backends.Start(self, aStart);
+                  },
+                  [&](const StopRun& aStop) { m_backends.Stop(aStop.m_run); },
+                  [&](const RecordEvent& aRecord) {
+                    Trace(self.m_name + " " +
+                          std::string(EventName(aRecord.m_code)) + " " +
+                          std::to_string(aRecord.m_subject) + " " +
+                          aRecord.m_detail);
+                    NoteConfig(self, aRecord);
+                  } },
+      command);
+  }
+}
+
+void
+ScheduleWorld::Sabotaged(Message& aMessage) const
+{
+  ReportBatch* batch = std::get_if<ReportBatch>(&aMessage);
+  if (m_plan.m_sabotage != Sabotage::DenyRun || batch == nullptr) {
+    return;
+  }
+  for (AttemptReport& report : batch->m_reports) {
+    if (report.m_fate == AttemptFate::Lost) {
+      report.m_fate = AttemptFate::Refused;
+      report.m_kind = ErrorKind::AttemptExpired;
+    }
+  }
+}
+
+void
+ScheduleWorld::Answer(const ProcessId& aEntry, const AnswerCaller& aAnswer)
+{
+  core::Answer answer = aAnswer.m_answer;
+  Trace(aEntry.m_name + " answers " + std::to_string(aAnswer.m_caller.m_value) +
+        " " + std::string(DescribeError(answer.m_kind).m_name) + " " +
+        std::string(ExecutionName(answer.m_execution)) + ": " +
+        answer.m_detail);
+  const Sabotage sabotage = m_plan.m_sabotage;
+  if (sabotage == Sabotage::AnswerNever) {
+    return;
+  }
+  if (sabotage == Sabotage::CrossOutputs && !answer.m_outputs.empty()) {
+    std::swap(answer.m_outputs.front(), m_lastOutput);
+  }
+  if (sabotage == Sabotage::AnswerLate) {
+    m_clock.After(kLateBy, [this, caller = aAnswer.m_caller, answer] {
+      m_checks.Answered(caller, answer, m_clock.Now());
+    });
+    return;
+  }
+  m_checks.Answered(aAnswer.m_caller, answer, m_clock.Now());
+  if (sabotage == Sabotage::AnswerTwice) {
+    m_checks.Answered(aAnswer.m_caller, answer, m_clock.Now());
+  }
+}
+
+void
+ScheduleWorld::NoteConfig(const ProcessId& aProcess, const RecordEvent& aRecord)
+{
+  if (aRecord.m_code != EventCode::ConfigInForce) {
+    return;
+  }
+  const ConfigVersion version{ aRecord.m_subject };
+  m_checks.ConfigInForce(aProcess, version);
+  if (m_plan.m_sabotage == Sabotage::RevertConfig && version.m_value > 1) {
+    m_checks.ConfigInForce(aProcess, ConfigVersion{ version.m_value - 1 });
+  }
+}
+
+void
+ScheduleWorld::Deliver(const ProcessId& aTo, MessageReceived aMessage)
+{
+  EntryProcess* entry = FindEntry(aTo.m_name);
+  AgentProcess* agent = FindAgent(aTo.m_name);
+  const ProcessId& receiver = entry != nullptr ? entry->Id() : agent->Id();
+  if (receiver != aTo && !m_random.Chance(kReachesNextLife)) {
+    return;
+  }
+  if (entry != nullptr) {
+    DeliverToEntry(*entry, std::move(aMessage));
+  } else {
+    agent->Give(std::move(aMessage));
+  }
+}
+
+void
+ScheduleWorld::DeliverToEntry(EntryProcess& aEntry, MessageReceived aMessage)
+{
+  // The process around the core takes in configurations.
+  if (const ConfigUpdate* update =
+        std::get_if<ConfigUpdate>(&aMessage.m_message)) {
+    aEntry.Give(ConfigOf(update->m_version));
+    return;
+  }
+  aEntry.Give(std::move(aMessage));
+}
+
+void
+ScheduleWorld::LinkUp(const std::string& aLeft, const std::string& aRight)
+{
+  const std::pair<const std::string&, const std::string&> ends[] = {
+    { aLeft, aRight }, { aRight, aLeft }
+  };
+  for (const auto& [here, there] : ends) {
+    EntryProcess* peerEntry = FindEntry(there);
+    const ProcessId& peer =
+      peerEntry != nullptr ? peerEntry->Id() : FindAgent(there)->Id();
+    if (EntryProcess* entry = FindEntry(here)) {
+      entry->Give(LinkReset{ peer });
+    } else {
+      FindAgent(here)->Give(LinkReset{ peer });
+    }
+  }
+}
+
+ConfigChanged
+ScheduleWorld::ConfigOf(ConfigVersion aVersion) const
+{
+  ConfigChanged changed;
+  changed.m_configuration.m_version = aVersion;
+  changed.m_configuration.m_services["photo"] = {};
+  changed.m_configuration.m_services["stock"] = {};
+  changed.m_document = "version " + std::to_string(aVersion.m_value);
+  return changed;
+}
+
+void
+ScheduleWorld::GiveConfig(std::size_t aEntry, ConfigVersion aVersion)
+{
+  m_entries[aEntry]->Give(ConfigOf(aVersion));
+}
+
+ScheduleWorld::EntryProcess*
+ScheduleWorld::FindEntry(const std::string& aName)
+{
+  const auto found =
+    std::find_if(m_entries.begin(),
+                 m_entries.end(),
+                 [&](const std::unique_ptr<EntryProcess>& aEntry) {
+                   return aEntry->Id().m_name == aName;
+                 });
+  return found == m_entries.end() ? nullptr : found->get();
+}
+
+ScheduleWorld::AgentProcess*
+ScheduleWorld::FindAgent(const std::string& aName)
+{
+  const auto found =
+    std::find_if(m_agents.begin(),
+                 m_agents.end(),
+                 [&](const std::unique_ptr<AgentProcess>& aAgent) {
+                   return aAgent->Id().m_name == aName;
+                 });
+  return found == m_agents.end() ? nullptr : found->get();
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_world.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "core/iagent.h"
+#include "core/ientry.h"
+#include "core/tests/schedule_backends.h"
+#include "core/tests/schedule_checks.h"
+#include "core/tests/schedule_clock.h"
+#include "core/tests/schedule_network.h"
+#include "core/tests/schedule_plan.h"
+#include "core/tests/schedule_process.h"
+#include "core/tests/schedule_random.h"
+
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** Entries, agents and what is around them, in one process and one thread. */
+class ScheduleWorld
+{
+public:
+  using EntryProcess = ScheduleProcess<IEntry, EntryEvent, EntryCommands>;
+  using AgentProcess = ScheduleProcess<IAgent, AgentEvent, AgentCommands>;
+
+  /** @param aTrace where each step is told; null for nowhere. */
+  ScheduleWorld(const SchedulePlan& aPlan, std::ostream* aTrace);
+
+  /** Boots all processes; they go on announcing themselves. */
+  void Boot();
+  /** Lets happen what is due until then. @return false if it doesn't end. */
+  bool RunUntil(Instant aEnd);
+  /** Checks what must hold when nothing happens any more. */
+  void Finish();
+
+  // Callers
+  /** @return an entry that takes work, if there is one. */
+  std::optional<std::size_t> ReadyEntry();
+  void Submit(std::size_t aEntry,
+              EntryEvent aEvent,
+              ScheduledSubmission aSubmission);
+  void CancelLater(std::size_t aEntry, CallerToken aCaller, Duration aAfter);
+
+  // Faults and operators
+  void CutLink();
+  void CrashAgent();
+  void CrashEntry();
+  void Pause();
+  void CrashBackend();
+  void DrainAgent();
+  void DrainEntry();
+  void PatchConfig();
+
+  ScheduleClock& Clock() { return m_clock; }
+  ScheduleRandom& Random() { return m_random; }
+  ScheduleChecks& Checks() { return m_checks; }
+  ScheduleNetwork& Network() { return m_network; }
+  std::uint64_t Steps() const { return m_steps; }
+
+private:
+  void BootEntry(std::size_t aEntry);
+  void BootAgent(std::size_t aAgent);
+  void AnnounceEntries();
+  void ConnectEntry(std::size_t aEntry);
+  void AnnounceEndpoint(std::size_t aAgent);
+  void AnnounceWorker(std::size_t aWorker);
+
+  void ExecuteEntry(std::size_t aEntry, EntryCommands& aCommands);
+  void ExecuteAgent(std::size_t aAgent, AgentCommands& aCommands);
+  void Answer(const ProcessId& aEntry, const AnswerCaller& aAnswer);
+  void Sabotaged(Message& aMessage) const;
+  void NoteConfig(const ProcessId& aProcess, const RecordEvent& aRecord);
+  void EndDrained();
+  void EndAgent(std::size_t aAgent);
+  void Deliver(const ProcessId& aTo, MessageReceived aMessage);
+  void DeliverToEntry(EntryProcess& aEntry, MessageReceived aMessage);
+  void LinkUp(const std::string& aLeft, const std::string& aRight);
+  void GiveConfig(std::size_t aEntry, ConfigVersion aVersion);
+  ConfigChanged ConfigOf(ConfigVersion aVersion) const;
+  void Trace(const std::string& aText);
+
+  EntryProcess* FindEntry(const std::string& aName);
+  AgentProcess* FindAgent(const std::string& aName);
+
+  const SchedulePlan m_plan;
+  std::ostream* m_trace;
+  ScheduleClock m_clock;
+  ScheduleRandom m_random;
+  ScheduleChecks m_checks;
+  ScheduleNetwork m_network;
+  ScheduleBackends m_backends;
+  std::vector<std::unique_ptr<EntryProcess>> m_entries;
+  std::vector<std::unique_ptr<AgentProcess>> m_agents;
+  std::vector<std::size_t> m_workerHomes;
+  std::vector<bool> m_entryDraining;
+  std::vector<bool> m_agentDraining;
+  std::uint64_t m_nextIncarnation = 1;
+  ConfigVersion m_config{ 1 };
+  std::string m_lastOutput = "output of nothing";
+  std::uint64_t m_steps = 0;
+};
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/schedule_world_faults.cpp
@@ -0,0 +1,241 @@
+#include "core/tests/schedule_world.h"
+
+#include <algorithm>
+
+namespace mulberrysail::core {
+
+namespace {
+
+/** Agents are forgotten by entries in this time; pauses exceed it. */
+constexpr Duration kLongestPause = std::chrono::seconds(9);
+constexpr Duration kShortPause = std::chrono::seconds(1);
+constexpr Duration kShortestPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestCut = std::chrono::seconds(3);
+constexpr Duration kLongestDown = std::chrono::seconds(4);
+constexpr Duration kLongestConfigDelay = std::chrono::seconds(2);
+constexpr double kRestarts = 0.8;
+
+} // namespace
+
+std::optional<std::size_t>
+ScheduleWorld::ReadyEntry()
+{
+  std::vector<std::size_t> ready;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    const EntryProcess& entry = *m_entries[i];
+    if (entry.Alive() && !entry.Paused() && !m_entryDraining[i]) {
+      ready.push_back(i);
+    }
+  }
+  if (ready.empty()) {
+    return std::nullopt;
+  }
+  return m_random.OneOf(ready);
+}
+
+void
+ScheduleWorld::Submit(std::size_t aEntry,
+                      EntryEvent aEvent,
+                      ScheduledSubmission aSubmission)
+{
+  aSubmission.m_entry = m_entries[aEntry]->Id();
+  aSubmission.m_handedIn = m_clock.Now();
+  Trace(aSubmission.m_entry.m_name + " gets " + aSubmission.m_payloads.front() +
+        " from caller " + std::to_string(aSubmission.m_caller.m_value));
+  m_checks.HandedIn(std::move(aSubmission));
+  m_entries[aEntry]->Give(std::move(aEvent));
+}
+
+void
+ScheduleWorld::CancelLater(std::size_t aEntry,
+                           CallerToken aCaller,
+                           Duration aAfter)
+{
+  m_clock.After(aAfter,
+                [this, aEntry, aCaller, life = m_entries[aEntry]->Id()] {
+                  if (m_entries[aEntry]->Id() == life) {
+                    m_entries[aEntry]->Give(CallerGone{ aCaller });
+                  }
+                });
+}
+
+void
+ScheduleWorld::CutLink()
+{
+  const std::string entry = m_random.OneOf(m_entries)->Id().m_name;
+  const bool toPeer = m_entries.size() > 1 && m_random.Chance(0.2);
+  const std::string other = toPeer ? m_random.OneOf(m_entries)->Id().m_name
+                                   : m_random.OneOf(m_agents)->Id().m_name;
+  if (entry != other) {
+    Trace("cut " + entry + " " + other);
+    m_network.Cut(entry, other, m_random.Between(Duration(0), kLongestCut));
+  }
+}
+
+void
+ScheduleWorld::CrashAgent()
+{
+  const std::size_t index = m_random.Below(m_agents.size());
+  if (!m_agents[index]->Alive()) {
+    return;
+  }
+  Trace("crash " + m_agents[index]->Id().m_name);
+  EndAgent(index);
+}
+
+void
+ScheduleWorld::EndAgent(std::size_t aAgent)
+{
+  m_agents[aAgent]->End();
+  m_clock.After(m_random.Between(Duration(0), kLongestDown),
+                [this, aAgent] { BootAgent(aAgent); });
+}
+
+void
+ScheduleWorld::CrashEntry()
+{
+  const std::size_t index = m_random.Below(m_entries.size());
+  EntryProcess& entry = *m_entries[index];
+  if (!entry.Alive()) {
+    return;
+  }
+  Trace("crash " + entry.Id().m_name);
+  m_checks.EntryCrashed(entry.Id());
+  entry.End();
+  m_clock.After(m_random.Between(Duration(0), kLongestDown), [this, index] {
+    if (!m_entries[index]->Alive()) {
+      BootEntry(index);
+    }
+  });
+}
+
+void
+ScheduleWorld::Pause()
+{
+  const Duration length = m_random.Between(
+    kShortestPause, m_random.Chance(0.5) ? kLongestPause : kShortPause);
+  if (m_random.Chance(0.5)) {
+    EntryProcess& entry = *m_random.OneOf(m_entries);
+    if (entry.Alive() && !entry.Paused()) {
+      Trace("pause " + entry.Id().m_name);
+      m_checks.Paused(entry.Id(), length);
+      entry.Pause(length);
+    }
+    return;
+  }
+  AgentProcess& agent = *m_random.OneOf(m_agents);
+  if (agent.Alive() && !agent.Paused()) {
+    Trace("pause " + agent.Id().m_name);
+    agent.Pause(length);
+  }
+}
+
+void
+ScheduleWorld::CrashBackend()
+{
+  const bool worker = m_plan.m_workers > 0 && m_random.Chance(0.5);
+  const std::string target =
+    worker ? "worker" + std::to_string(m_random.Below(m_plan.m_workers))
+           : "endpoint of " + m_random.OneOf(m_agents)->Id().m_name;
+  Trace("crash " + target);
+  m_backends.Crash(target, m_random.Between(Duration(0), kLongestDown));
+}
+
+void
+ScheduleWorld::DrainAgent()
+{
+  const std::size_t index = m_random.Below(m_agents.size());
+  if (!m_agents[index]->Alive()) {
+    return;
+  }
+  Trace("drain " + m_agents[index]->Id().m_name);
+  m_agentDraining[index] = true;
+  m_agents[index]->Give(DrainRequested{});
+}
+
+void
+ScheduleWorld::DrainEntry()
+{
+  const std::size_t index = m_random.Below(m_entries.size());
+  if (!m_entries[index]->Alive()) {
+    return;
+  }
+  Trace("drain " + m_entries[index]->Id().m_name);
+  m_entryDraining[index] = true;
+  m_entries[index]->Give(DrainRequested{});
+}
+
+void
+ScheduleWorld::EndDrained()
+{
+  const bool cut = m_plan.m_sabotage == Sabotage::CutDrain;
+  for (std::size_t i = 0; i < m_agents.size(); ++i) {
+    AgentProcess& agent = *m_agents[i];
+    if (!m_agentDraining[i] || !agent.Alive() || agent.Paused() ||
+        !(cut || agent.Get().Idle())) {
+      continue;
+    }
+    if (m_backends.ActiveOf(agent.Id(), WorkKind::Request) +
+          m_backends.ActiveOf(agent.Id(), WorkKind::Task) >
+        0) {
+      m_checks.Fail(agent.Id().m_name + " ended while work ran");
+    }
+    Trace("end " + agent.Id().m_name);
+    EndAgent(i);
+  }
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    EntryProcess& entry = *m_entries[i];
+    if (!m_entryDraining[i] || !entry.Alive() || entry.Paused() ||
+        !(cut || entry.Get().Idle())) {
+      continue;
+    }
+    Trace("end " + entry.Id().m_name);
+    m_checks.EntryEnded(entry.Id());
+    entry.End();
+    if (m_random.Chance(kRestarts)) {
+      m_clock.After(m_random.Between(Duration(0), kLongestDown),
+                    [this, i] { BootEntry(i); });
+    }
+  }
+}
+
+void
+ScheduleWorld::PatchConfig()
+{
+  ++m_config.m_value;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    m_clock.After(m_random.Between(Duration(0), kLongestConfigDelay),
+                  [this, i, version = m_config] { GiveConfig(i, version); });
+  }
+}
+
+void
+ScheduleWorld::Finish()
+{
+  for (const std::unique_ptr<AgentProcess>& agent : m_agents) {
+    if (!agent->Alive()) {
+      continue;
+    }
+    const AgentCounters counters = agent->Get().Counters();
+    if (counters.m_queued + counters.m_running > 0) {
+      m_checks.Fail(agent->Id().m_name + " still has work");
+    }
+    const bool anyEntry =
+      std::any_of(m_entries.begin(),
+                  m_entries.end(),
+                  [](const std::unique_ptr<EntryProcess>& aEntry) {
+                    return aEntry->Alive();
+                  });
+    if (anyEntry && agent->Get().Status().m_load.m_config != m_config) {
+      m_checks.Fail(agent->Id().m_name + " has an old configuration");
+    }
+  }
+  for (const std::unique_ptr<EntryProcess>& entry : m_entries) {
+    if (entry->Alive() && !entry->Get().Idle()) {
+      m_checks.Fail(entry->Id().m_name + " still has open submissions");
+    }
+  }
+  m_checks.Finish();
+}
+
+} // namespace mulberrysail::core
