Demo: end the wait when a process has ended

The demo waited its whole timeout after a process had failed at its start. Seen: with a daemon that ends at once it now gives up in 3 s instead of 33 s.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -54,13 +54,20 @@
   done >&2
 }
 
+all_run() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -0 "$pid" 2>/dev/null || return 1
+  done
+}
+
 # wait_for WHAT COMMAND... : until the command succeeds.
 wait_for() {
   local what=$1 end=$((SECONDS + ready_timeout_s))
   shift
   until "$@"; do
-    if [ "$SECONDS" -ge "$end" ]; then
-      echo "demo: no $what within $ready_timeout_s s" >&2
+    if [ "$SECONDS" -ge "$end" ] || ! all_run; then
+      echo "demo: no $what within $ready_timeout_s s, or a process ended" >&2
       show_logs
       exit 1
     fi
