Agents push load only to entries with waiting work

Change: an entry subscribes when work waits at it, and is told only when room appears where it knew of none (after the paper's rule that a subscription follows a second request). Offers no longer subscribe.

--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -21,8 +21,6 @@
 
 namespace {
 
-/** A batch of offers asks for load reports for so long. */
-constexpr Duration kOfferSubscription = std::chrono::seconds(2);
 constexpr std::uint64_t kRunPrefixMask = 0xFFFFFFFF00000000ULL;
 
 /** Run ids of different agents, and of lives of one, are to differ, since
@@ -127,9 +125,6 @@
 void
 Agent::TakeOffers(EntryIndex aEntry, OfferBatch& aBatch)
 {
-  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
-  entry.m_subscribedUntil =
-    std::max(entry.m_subscribedUntil, m_board.m_now + kOfferSubscription);
   Admission(m_board).Take(aEntry, std::move(aBatch));
 }
 
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -10,36 +10,18 @@
 
 namespace {
 
-/** A number has changed much if it did by this share of the larger one. */
-constexpr std::uint64_t kMuchDivisor = 4;
-/** Smaller changes of a count are never told. */
-constexpr std::uint64_t kLeastChange = 2;
-/** Smaller changes of free cores, in thousandths, are never told. */
-constexpr std::uint64_t kLeastCoreChange = 2000;
-
-bool
-DiffersMuch(std::uint64_t aOld, std::uint64_t aNew, std::uint64_t aLeast)
-{
-  if ((aOld == 0) != (aNew == 0)) {
-    return true;
-  }
-  const std::uint64_t larger = std::max(aOld, aNew);
-  const std::uint64_t difference = larger - std::min(aOld, aNew);
-  return difference >= std::max(aLeast, larger / kMuchDivisor);
-}
+/** Less free than this, in thousandths of a core, is no room for a task. */
+constexpr std::uint32_t kLeastRoom = 1000;
 
 } // namespace
 
 bool
-DiffersMuch(const LoadReport& aOld, const LoadReport& aNew)
+RoomAppeared(const LoadReport& aOld, const LoadReport& aNew)
 {
-  return DiffersMuch(aOld.m_freeSlots, aNew.m_freeSlots, kLeastChange) ||
-         DiffersMuch(
-           aOld.m_queuedRequests, aNew.m_queuedRequests, kLeastChange) ||
-         DiffersMuch(aOld.m_queuedTasks, aNew.m_queuedTasks, kLeastChange) ||
-         DiffersMuch(aOld.m_freeRoom.m_milliCores,
-                     aNew.m_freeRoom.m_milliCores,
-                     kLeastCoreChange);
+  const bool forRequest = aOld.m_freeSlots == 0 && aNew.m_freeSlots > 0;
+  const bool forTask = aOld.m_freeRoom.m_milliCores < kLeastRoom &&
+                       aNew.m_freeRoom.m_milliCores >= kLeastRoom;
+  return forRequest || forTask;
 }
 
 LoadReport
@@ -86,7 +68,7 @@
       due = std::min(due, entry.m_lastSent + aBoard.m_policy.m_heartbeat);
     }
     if (!entry.m_unreachable && entry.m_subscribedUntil > aBoard.m_now &&
-        DiffersMuch(entry.m_lastLoad, load)) {
+        RoomAppeared(entry.m_lastLoad, load)) {
       due = std::min(
         due, entry.m_lastLoad.m_agentNow + aBoard.m_policy.m_reportInterval);
     }
@@ -134,7 +116,7 @@
   return aEntry.m_subscribedUntil > m_board.m_now &&
          m_board.m_now - aEntry.m_lastLoad.m_agentNow >=
            m_board.m_policy.m_reportInterval &&
-         DiffersMuch(aEntry.m_lastLoad, CurrentLoad(m_board));
+         RoomAppeared(aEntry.m_lastLoad, CurrentLoad(m_board));
 }
 
 void
--- a/packages/core/internal/agent/reporter.h
+++ b/packages/core/internal/agent/reporter.h
@@ -42,8 +42,10 @@
 std::vector<WorkerInfo>
 LiveWorkers(const AgentBoard& aBoard);
 
-/** @return whether an entry should learn of the difference. */
+/** @return whether there is room now where there was none, so that an entry
+ * with waiting work can use it. Everything else can wait for the next message
+ * that is sent anyway. */
 bool
-DiffersMuch(const LoadReport& aOld, const LoadReport& aNew);
+RoomAppeared(const LoadReport& aOld, const LoadReport& aNew);
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -157,13 +157,38 @@
 DispatchController::DispatchRequests(EntryTurn& aTurn,
                                      const std::string& aService)
 {
-  Dispatch(aTurn, m_board.Service(aService).m_requests.m_queue);
+  ServiceState& service = m_board.Service(aService);
+  Dispatch(aTurn, service.m_requests.m_queue);
+  AskForRoom(aTurn, service.m_requests, service.m_agents);
 }
 
 void
 DispatchController::DispatchTasks(EntryTurn& aTurn)
 {
   Dispatch(aTurn, m_board.m_tasks.m_queue);
+  AskForRoom(aTurn, m_board.m_tasks, m_board.m_taskAgents);
+}
+
+void
+DispatchController::AskForRoom(EntryTurn& aTurn,
+                               WaitPool& aPool,
+                               const std::vector<AgentRecord*>& aAgents)
+{
+  const Duration lease = m_board.m_policy.m_subscription;
+  if (aPool.m_queue.Empty() || lease <= Duration::zero() ||
+      aTurn.m_now < aPool.m_askedAt + lease / 2) {
+    return;
+  }
+  aPool.m_askedAt = aTurn.m_now;
+  EntryHello hello;
+  hello.m_config = m_board.m_config.m_version;
+  hello.m_draining = m_board.m_draining;
+  hello.m_subscribeFor = lease;
+  for (const AgentRecord* agent : aAgents) {
+    if (agent->m_reachable) {
+      aTurn.Send(agent->m_id, hello);
+    }
+  }
 }
 
 void
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -56,6 +56,10 @@
   };
 
   void Dispatch(EntryTurn& aTurn, WaitQueue& aQueue);
+  /** Subscribes to news of room at the agents, while work waits for it. */
+  void AskForRoom(EntryTurn& aTurn,
+                  WaitPool& aPool,
+                  const std::vector<AgentRecord*>& aAgents);
   Placed Place(EntryTurn& aTurn, const WaitKey& aKey);
   void Offer(EntryTurn& aTurn,
              Submission& aSubmission,
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -48,6 +48,8 @@
   /** Slots of the endpoints, or cores of the workers, of all agents. */
   double m_slots = 0;
   TeamTurns m_turns;
+  /** When the agents were last asked to tell of room. */
+  Instant m_askedAt = Instant(std::chrono::hours(-1));
 };
 
 /** State of one service at this entry. */
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -52,7 +52,7 @@
    * after which an offer lapses by itself. */
   Duration m_fenceMemory = std::chrono::minutes(2);
   Duration m_heartbeat = std::chrono::seconds(2);
-  /** How long one offer asks for load reports. */
+  /** How long agents tell an entry with waiting work of room; 0 for never. */
   Duration m_subscription = std::chrono::seconds(2);
   /** An entry that has heard nothing about an attempt for this long after it
    * should have ended asks the agent. */
@@ -77,7 +77,7 @@
   Duration m_endpointLease = std::chrono::milliseconds(2500);
   Duration m_workerLease = std::chrono::seconds(6);
   /** Least time between two load reports to one entry. */
-  Duration m_reportInterval = std::chrono::milliseconds(50);
+  Duration m_reportInterval = std::chrono::milliseconds(10);
   /** Answers are kept this long for a reconcile. */
   Duration m_answerMemory = std::chrono::seconds(30);
   /** Answers and fences of caller keys are kept this long. */
