--- a/packages/network/internal/connectionregistry.cpp
+++ b/packages/network/internal/connectionregistry.cpp
@@ -1,11 +1,30 @@
 #include "network/internal/connectionregistry.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace mulberrysail::network {
 
+namespace {
+
+/** Without this, running out of files would end accepting for good. */
+std::size_t
+ClampConnections(std::size_t aWanted)
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return aWanted;
+  }
+  return std::min<std::size_t>(aWanted, limit.rlim_cur / 4 * 3);
+}
+
+} // namespace
+
 ConnectionRegistry::ConnectionRegistry(std::size_t aMaxConnections)
-  : m_maxConnections(aMaxConnections)
+  : m_maxConnections(ClampConnections(aMaxConnections))
 {
 }
 
--- a/packages/network/internal/connectionregistry.h
+++ b/packages/network/internal/connectionregistry.h
@@ -22,6 +22,7 @@
 class ConnectionRegistry
 {
 public:
+  /** The limit is lowered to three quarters of that of open files. */
   explicit ConnectionRegistry(std::size_t aMaxConnections);
 
   bool HasRoom() const;
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -6,8 +6,6 @@
 #include <restinio/http_server.hpp>
 #include <restinio/uri_helpers.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <atomic>
 #include <cctype>
@@ -198,8 +196,11 @@
 
   ~Responder()
   {
-    Respond(MakeErrorResponse(core::ErrorKind::Internal,
-                              { .m_detail = "the request was not answered" }));
+    if (!m_answered) {
+      Respond(
+        MakeErrorResponse(core::ErrorKind::Internal,
+                          { .m_detail = "the request was not answered" }));
+    }
   }
 
   void Respond(HttpResponse aResponse)
@@ -364,18 +365,6 @@
   }
 }
 
-/** Without this, running out of files would end accepting for good. */
-std::size_t
-ClampConnections(std::size_t aWanted)
-{
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-      limit.rlim_cur == RLIM_INFINITY) {
-    return aWanted;
-  }
-  return std::min<std::size_t>(aWanted, limit.rlim_cur / 4 * 3);
-}
-
 class HttpServer : public IHttpServer
 {
 public:
@@ -383,8 +372,8 @@
     : m_options(aOptions)
     , m_handler(std::move(aHandler))
   {
-    m_context->m_registry = std::make_shared<ConnectionRegistry>(
-      ClampConnections(m_options.m_maxConnections));
+    m_context->m_registry =
+      std::make_shared<ConnectionRegistry>(m_options.m_maxConnections);
   }
 
   HttpServer(const HttpServer&) = delete;
--- a/packages/platform/internal/patchoperation.cpp
+++ b/packages/platform/internal/patchoperation.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** About 3 s in all, beside the time that the store takes. */
-constexpr int kMaxRetries = 5;
+/** No call to the store is begun after so long. */
+constexpr core::Duration kPatience = std::chrono::seconds(8);
 
 StoredValue
 FindValue(const StoreRead& aRead)
@@ -34,6 +34,7 @@
   , m_patch(std::move(aPatch))
   , m_atLeast(aInForce)
   , m_done(std::move(aDone))
+  , m_giveUpAt(aTimer.Now() + kPatience)
 {
 }
 
@@ -152,12 +153,12 @@
 void
 PatchOperation::Retry(const std::string& aDetail)
 {
-  if (++m_retries > kMaxRetries) {
+  const core::Duration delay = m_backoff.Next();
+  if (m_timer.Now() + delay > m_giveUpAt) {
     Fail(core::ErrorKind::StoreUnavailable, aDetail);
     return;
   }
-  m_timer.After(m_backoff.Next(),
-                [self = shared_from_this()] { self->Read(); });
+  m_timer.After(delay, [self = shared_from_this()] { self->Read(); });
 }
 
 void
--- a/packages/platform/internal/patchoperation.h
+++ b/packages/platform/internal/patchoperation.h
@@ -53,7 +53,7 @@
   /** The newest version seen; a read of an older one is stale. */
   core::ConfigVersion m_atLeast;
   PatchDone m_done;
-  int m_retries = 0;
+  const core::Instant m_giveUpAt;
   /** A write was sent whose outcome isn't known. */
   bool m_uncertain = false;
 };
