Wake the cores at most once a millisecond

Cause: at 5,000 requests a second the timer's thread woke as often, for timers of attempts long ended, and fought for the shard's lock. Change: instants are put off to the next millisecond.

--- a/packages/daemon/internal/wakeuptimer.cpp
+++ b/packages/daemon/internal/wakeuptimer.cpp
@@ -12,6 +12,20 @@
 /** Bounds each sleep, as the clock of the wait can't express kNever. */
 constexpr core::Duration kLongestSleep = std::chrono::minutes(1);
 
+/** Instants are put off to the next multiple of this, so that thousands of
+ * instants a second don't make as many wake-ups. */
+constexpr core::Duration kResolution = std::chrono::milliseconds(1);
+
+core::Instant
+RoundUp(core::Instant aWhen)
+{
+  if (aWhen == core::kNever) {
+    return aWhen;
+  }
+  const core::Duration rest = aWhen.time_since_epoch() % kResolution;
+  return rest == core::Duration::zero() ? aWhen : aWhen + kResolution - rest;
+}
+
 } // namespace
 
 WakeupTimer::WakeupTimer(std::size_t aClients, Callback aCallback)
@@ -30,8 +44,8 @@
 WakeupTimer::Set(std::size_t aClient, core::Instant aWhen)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_wakes[aClient] = aWhen;
-  if (aWhen < m_sleepsUntil) {
+  m_wakes[aClient] = RoundUp(aWhen);
+  if (m_wakes[aClient] < m_sleepsUntil) {
     m_changed.notify_one();
   }
 }
--- a/packages/daemon/internal/wakeuptimer.h
+++ b/packages/daemon/internal/wakeuptimer.h
@@ -11,7 +11,8 @@
 
 namespace mulberrysail::daemon {
 
-/** One thread that wakes each of several clients at an instant of theirs. */
+/** One thread that wakes each of several clients at an instant of theirs, or
+ * up to a millisecond later. */
 class WakeupTimer
 {
 public:
