--- a/packages/daemon/internal/entryapi.cpp
+++ b/packages/daemon/internal/entryapi.cpp
@@ -225,6 +225,7 @@
     }
   }
   std::vector<std::string> names;
+  names.reserve(urls.size());
   for (const auto& [name, url] : urls) {
     names.push_back(name);
   }
--- /dev/null
+++ b/packages/daemon/tests/peerdialer_test.cpp
@@ -0,0 +1,83 @@
+#include "daemon/internal/peerdialer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+const core::Instant kStart{ std::chrono::hours(1) };
+
+platform::EntryRecord
+MakeRecord(const std::string& aName, const std::string& aUrl)
+{
+  platform::EntryRecord record;
+  record.m_id = { aName, { 1 } };
+  record.m_messageUrl = aUrl;
+  return record;
+}
+
+using Addresses = std::vector<network::PeerAddress>;
+
+class PeerDialerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PeerDialerTest);
+  CPPUNIT_TEST(DialsListedAndAlways);
+  CPPUNIT_TEST(LingersOnceUnlisted);
+  CPPUNIT_TEST(ListedAgainStays);
+  CPPUNIT_TEST(OfTwoEntriesOneDials);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void DialsListedAndAlways()
+  {
+    PeerDialer dialer({ "tcp://a" });
+    CPPUNIT_ASSERT((dialer.Update(kStart, {}) == Addresses{ { "tcp://a" } }));
+    CPPUNIT_ASSERT((dialer.Update(kStart, { MakeRecord("b", "tcp://b") }) ==
+                    Addresses{ { "tcp://a" }, { "tcp://b" } }));
+  }
+
+  void LingersOnceUnlisted()
+  {
+    PeerDialer dialer({});
+    const core::Instant left = kStart + std::chrono::hours(1);
+    dialer.Update(kStart, { MakeRecord("b", "tcp://b") });
+    dialer.Update(left, {});
+    const core::Duration moment(1);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      dialer.Update(left + PeerDialer::kLinger - moment, {}).size());
+    CPPUNIT_ASSERT(dialer.Update(left + PeerDialer::kLinger, {}).empty());
+  }
+
+  void ListedAgainStays()
+  {
+    PeerDialer dialer({});
+    const std::vector<platform::EntryRecord> listed = { MakeRecord("b",
+                                                                   "tcp://b") };
+    dialer.Update(kStart, listed);
+    dialer.Update(kStart, {});
+    dialer.Update(kStart, listed);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      dialer.Update(kStart + 2 * PeerDialer::kLinger, listed).size());
+  }
+
+  void OfTwoEntriesOneDials()
+  {
+    const std::vector<platform::EntryRecord> listed = {
+      MakeRecord("a", "tcp://a"), MakeRecord("b", "tcp://b"), {}
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         PeersToDial(listed, { "a", {} }).size());
+    CPPUNIT_ASSERT(PeersToDial(listed, { "b", {} }).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, IdsOfOthers(listed, "a").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, IdsOfOthers(listed, "").size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerDialerTest);
+
+} // namespace
+
+} // namespace mulberrysail::daemon
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -237,10 +237,9 @@
       builder.connection_close();
     }
     ++*m_context->m_unwritten;
-    builder.done(
-      [unwritten = m_context->m_unwritten](const asio::error_code&) {
-        --*unwritten;
-      });
+    builder.done([unwritten = m_context->m_unwritten](const asio::error_code&) {
+      --*unwritten;
+    });
   }
 
   void BeginStream(HttpResponse aResponse)
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace mulberrysail::network {
@@ -47,6 +48,7 @@
   CPPUNIT_TEST(ThousandsOfOpenConnectionsBlockNothing);
   CPPUNIT_TEST(ConnectionsOverTheLimitAreClosed);
   CPPUNIT_TEST(DrainAnswersAndCloses);
+  CPPUNIT_TEST(AnswerIsUnwrittenUntilItIsRead);
   CPPUNIT_TEST(ResponderOutlivesTheServer);
   CPPUNIT_TEST(TakenPortIsAnError);
   CPPUNIT_TEST_SUITE_END();
@@ -242,6 +244,25 @@
     CPPUNIT_ASSERT_THROW(Open(), asio::system_error);
   }
 
+  void AnswerIsUnwrittenUntilItIsRead()
+  {
+    // More than the buffers of a connection hold.
+    constexpr std::size_t kSize = 64UL << 20U;
+    StartHolding();
+    RawSocket socket = Open();
+    socket.Send(Get("/"));
+    const Received received = m_received.get_future().get();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, m_server->Unwritten());
+    received.m_responder(
+      { .m_headers = {}, .m_body = std::string(kSize, 'a') });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_server->Unwritten());
+    m_server->StopAccepting();
+    CPPUNIT_ASSERT(socket.ReadAll().size() > kSize);
+    while (m_server->Unwritten() != 0) {
+      std::this_thread::yield();
+    }
+  }
+
   void ResponderOutlivesTheServer()
   {
     StartHolding();
