Histogram of the time added to the run time

Cause: the users weigh the response time against the ideal; the response time alone doesn't show what the system adds. Change: a complete answer carries how long its work ran, as the agent saw it (of a job, its longest task); the entry exports response time less run time as mulberrysail_added_seconds.

--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -112,6 +112,7 @@
   Answer answer;
   for (WorkItem& item : aSubmission.m_items) {
     answer.m_outputs.push_back(std::move(item.m_output));
+    answer.m_ranFor = std::max(answer.m_ranFor, item.m_ranFor);
   }
   ++m_board.m_counters.m_completed;
   Answered(aTurn, aSubmission, std::move(answer));
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -129,6 +129,7 @@
   WorkItem& item = submission.m_items.at(aWork.m_index);
   item.m_state = WorkState::Done;
   item.m_output = std::move(aReport.m_output);
+  item.m_ranFor = aReport.m_ranFor;
   ++submission.m_done;
 
   ServiceState& service = m_board.Service(submission.m_service);
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -45,6 +45,8 @@
   /** An earlier attempt may have run, so that 'not run' can't be said. */
   bool m_doubtful = false;
   std::string m_output;
+  /** From start to finish, as the agent saw it. */
+  Duration m_ranFor{};
 };
 
 /** A request (one item) or a job (one item a task), until it is answered. */
--- a/packages/core/types/answer.h
+++ b/packages/core/types/answer.h
@@ -23,6 +23,9 @@
   /** The outputs of all tasks in their order (one for a request); empty
    * unless the answer is complete. */
   std::vector<std::string> m_outputs;
+  /** How long it ran, as agents saw it (of a job, its longest task); zero if
+   * that isn't known. */
+  Duration m_ranFor{};
 };
 
 } // namespace mulberrysail::core
--- a/packages/daemon/internal/entryapi.cpp
+++ b/packages/daemon/internal/entryapi.cpp
@@ -241,7 +241,7 @@
 {
   return [this, aKind, responder = std::move(aResponder), arrived = Now()](
            const core::Answer& aAnswer) {
-    m_metrics.ObserveAnswer(aKind, aAnswer.m_kind, Now() - arrived);
+    m_metrics.ObserveAnswer(aKind, aAnswer, Now() - arrived);
     responder(aKind == core::WorkKind::Request ? MakeRequestResponse(aAnswer)
                                                : MakeJobResponse(aAnswer));
   };
--- a/packages/daemon/internal/responsemetrics.cpp
+++ b/packages/daemon/internal/responsemetrics.cpp
@@ -13,6 +13,12 @@
   0.3,   0.4,    0.6,   0.8,  1,     1.5,  2,     3,   5,    10
 };
 
+/** In seconds; from a network's delay to a long wait. */
+const prometheus::Histogram::BucketBoundaries kAddedBuckets = {
+  0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.02,
+  0.05,   0.1,   0.2,   0.5,   1,     2,      5,    10
+};
+
 constexpr std::array kKindNames = { "request", "job" };
 constexpr std::array kOutcomeNames = { "complete", "error" };
 constexpr int kStatusesOfClass = 100;
@@ -26,7 +32,14 @@
       .Name("mulberrysail_response_seconds")
       .Help("From the arrival of a submission to its answer.")
       .Register(m_registry);
+  prometheus::Family<prometheus::Histogram>& added =
+    prometheus::BuildHistogram()
+      .Name("mulberrysail_added_seconds")
+      .Help("Part of the response time of complete answers in which the work, "
+            "or the longest task of the job, wasn't running.")
+      .Register(m_registry);
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
+    m_added[kind] = &added.Add({ { "kind", kKindNames[kind] } }, kAddedBuckets);
     for (std::size_t outcome = 0; outcome < kOutcomes; ++outcome) {
       m_answers[kind][outcome] = &answers.Add(
         { { "kind", kKindNames[kind] }, { "outcome", kOutcomeNames[outcome] } },
@@ -46,13 +59,18 @@
 
 void
 ResponseMetrics::ObserveAnswer(core::WorkKind aKind,
-                               core::ErrorKind aError,
+                               const core::Answer& aAnswer,
                                core::Duration aTook)
 {
   const std::size_t kind = aKind == core::WorkKind::Request ? 0 : 1;
-  const std::size_t outcome = aError == core::ErrorKind::None ? 0 : 1;
+  const std::size_t outcome = aAnswer.m_kind == core::ErrorKind::None ? 0 : 1;
   m_answers[kind][outcome]->Observe(
     std::chrono::duration<double>(aTook).count());
+  if (aAnswer.m_ranFor > core::Duration::zero()) {
+    const core::Duration added =
+      std::max(aTook - aAnswer.m_ranFor, core::Duration::zero());
+    m_added[kind]->Observe(std::chrono::duration<double>(added).count());
+  }
 }
 
 void
--- a/packages/daemon/internal/responsemetrics.h
+++ b/packages/daemon/internal/responsemetrics.h
@@ -21,7 +21,7 @@
 
   /** @param aTook from arrival to the answer. */
   void ObserveAnswer(core::WorkKind aKind,
-                     core::ErrorKind aError,
+                     const core::Answer& aAnswer,
                      core::Duration aTook);
 
   /** Counts one HTTP response. */
@@ -36,6 +36,7 @@
 
   prometheus::Registry m_registry;
   std::array<std::array<prometheus::Histogram*, kOutcomes>, kKinds> m_answers{};
+  std::array<prometheus::Histogram*, kKinds> m_added{};
   std::array<prometheus::Counter*, kStatusClasses> m_responses{};
 };
 
--- a/packages/daemon/tests/entryapi_test.cpp
+++ b/packages/daemon/tests/entryapi_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/internal/entryapi.h"
 
+#include "daemon/internal/metriclist.h"
 #include "daemon/tests/fakes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -131,6 +132,7 @@
   CPPUNIT_TEST(AnswersStatusOfHeldSubmissions);
   CPPUNIT_TEST(CancelsRepeatedly);
   CPPUNIT_TEST(LocatesAgentsOfWorker);
+  CPPUNIT_TEST(MeasuresAddedTime);
   CPPUNIT_TEST(AnswersUnknownPaths);
   CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +368,28 @@
     CPPUNIT_ASSERT_EQUAL(400, bench.Status());
   }
 
+  void MeasuresAddedTime()
+  {
+    Bench bench;
+    bench.AnswerWith(Complete({ "x" }));
+    bench.Call("POST", kRequests, R"({"payload": "p"})");
+    core::Answer answer = Complete({ "x" });
+    answer.m_ranFor = std::chrono::hours(1);
+    bench.AnswerWith(answer);
+    bench.Call("POST", kRequests, R"({"payload": "p"})");
+    MetricList metrics;
+    metrics.Append(bench.m_metrics.Collect());
+    const std::string text = metrics.Text();
+    CPPUNIT_ASSERT(
+      text.find(
+        R"(_response_seconds_count{kind="request",outcome="complete"} 2)") !=
+      std::string::npos);
+    CPPUNIT_ASSERT(text.find(R"(_added_seconds_count{kind="request"} 1)") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(text.find(R"(_added_seconds_sum{kind="request"} 0)") !=
+                   std::string::npos);
+  }
+
   void AnswersUnknownPaths()
   {
     Bench bench;
