--- a/packages/ctl/tests/runner_test.cpp
+++ b/packages/ctl/tests/runner_test.cpp
@@ -56,6 +56,11 @@
 
 const std::string kA = "http://a:1";
 const std::string kB = "http://b:2";
+const std::vector<std::string> kSubmit = { "submit",
+                                           "request",
+                                           "s",
+                                           "--payload",
+                                           "p" };
 
 class RunnerTest : public CppUnit::TestFixture
 {
@@ -193,12 +198,6 @@
   }
 
 private:
-  const std::vector<std::string> kSubmit = { "submit",
-                                             "request",
-                                             "s",
-                                             "--payload",
-                                             "p" };
-
   static HttpOutcome Timeline(const std::string& aProcess,
                               int aStamp,
                               int aCode)
