--- /dev/null
+++ b/packages/daemon/internal/clock.cpp
@@ -0,0 +1,46 @@
+#include "daemon/internal/clock.h"
+
+#include <xxhash.h>
+
+#include <chrono>
+#include <random>
+
+namespace mulberrysail::daemon {
+
+core::Instant
+Now()
+{
+  return core::Instant(std::chrono::duration_cast<core::Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+core::Incarnation
+MakeIncarnation()
+{
+  // The random bits tell apart two lives that begin at the same instant.
+  constexpr std::uint64_t kRandomMask = 0xFF;
+  const std::uint64_t wall = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<core::Duration>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+  return { (wall & ~kRandomMask) | (MakeSeed() & kRandomMask) };
+}
+
+std::uint64_t
+MakeSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::uint64_t
+SeedFor(std::optional<std::uint64_t> aSeed, const core::ProcessId& aProcess)
+{
+  if (!aSeed) {
+    return MakeSeed();
+  }
+  const std::string& name = aProcess.m_name;
+  return XXH3_64bits_withSeed(name.data(), name.size(), *aSeed);
+}
+
+} // namespace mulberrysail::daemon
