--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -92,8 +92,7 @@
   item.m_state = WorkState::Waiting;
   item.m_order = aOrder;
   const WorkRef work{ aSubmission.m_id, aIndex };
-  m_board.QueueOf(aSubmission)
-    .Insert({ item.m_order, work }, item.m_expectedRun);
+  m_board.QueueOf(aSubmission).Insert({ aOrder, work }, item.m_expectedRun);
   m_board.m_timers.Add(std::max(item.m_startBy - kUrgentBefore, aTurn.m_now),
                        StartByTimer{ work });
 }
@@ -106,10 +105,11 @@
     return;
   }
   WorkItem& item = submission->m_items.at(aWork.m_index);
-  std::int64_t order = item.m_order;
-  if (order == 0) {
-    order = OrderOf(aTurn, *submission, item.m_expectedRun, item.m_expectedRun);
-  }
+  // What was refused keeps the place that it had.
+  const std::int64_t order =
+    item.m_order
+      ? *item.m_order
+      : OrderOf(aTurn, *submission, item.m_expectedRun, item.m_expectedRun);
   Wait(aTurn, *submission, aWork.m_index, order);
 }
 
@@ -157,13 +157,38 @@
 DispatchController::DispatchRequests(EntryTurn& aTurn,
                                      const std::string& aService)
 {
-  Dispatch(aTurn, m_board.Service(aService).m_requests.m_queue);
+  ServiceState& service = m_board.Service(aService);
+  Dispatch(aTurn, service.m_requests.m_queue);
+  AskForRoom(aTurn, service.m_requests, service.m_agents);
 }
 
 void
 DispatchController::DispatchTasks(EntryTurn& aTurn)
 {
   Dispatch(aTurn, m_board.m_tasks.m_queue);
+  AskForRoom(aTurn, m_board.m_tasks, m_board.m_taskAgents);
+}
+
+void
+DispatchController::AskForRoom(EntryTurn& aTurn,
+                               WaitPool& aPool,
+                               const std::vector<AgentRecord*>& aAgents)
+{
+  const Duration lease = m_board.m_policy.m_subscription;
+  if (aPool.m_queue.Empty() || lease <= Duration::zero() ||
+      aTurn.m_now < aPool.m_askedAt + lease / 2) {
+    return;
+  }
+  aPool.m_askedAt = aTurn.m_now;
+  EntryHello hello;
+  hello.m_config = m_board.m_config.m_version;
+  hello.m_draining = m_board.m_draining;
+  hello.m_subscribeFor = lease;
+  for (const AgentRecord* agent : aAgents) {
+    if (agent->m_reachable) {
+      aTurn.Send(agent->m_id, hello);
+    }
+  }
 }
 
 void
@@ -303,9 +328,9 @@
     return;
   }
   WaitQueue& queue = m_board.QueueOf(*submission);
-  queue.Erase({ item.m_order, aWork }, item.m_expectedRun);
+  queue.Erase({ *item.m_order, aWork }, item.m_expectedRun);
   item.m_order = kUrgentOrder + item.m_startBy.time_since_epoch().count();
-  queue.Insert({ item.m_order, aWork }, item.m_expectedRun);
+  queue.Insert({ *item.m_order, aWork }, item.m_expectedRun);
   m_board.m_timers.Add(item.m_startBy, StartByTimer{ aWork });
   Dispatch(aTurn, queue);
 }
