More work is kept for the time after the crowd; three faults mended

The same rule refused a burst that fits its deadline (the failing BurstWithinItsDeadlineIsTaken). Change: the arrival rate refuses only when the backlog takes a quarter of the time to the deadline; and since some of what is admitted gets near its last useful start, an agent starts first what must start within 250 ms.

Also: an agent that only has its settings' list stays present while its links are open; status pages leave out what is not reachable.

--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -169,7 +169,9 @@
 Agent::On(LinkReset& aEvent)
 {
   const EntryIndex index = Membership(m_board).Hear(aEvent.m_peer);
-  m_board.m_entries.m_records.at(index).m_announceDue = true;
+  EntryRecord& entry = m_board.m_entries.m_records.at(index);
+  entry.m_linked = true;
+  entry.m_announceDue = true;
 }
 
 void
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -24,6 +24,8 @@
   ProcessId m_id;
   /** Named by the last list of entries. */
   bool m_listed = false;
+  /** A link to it was opened, and nothing has failed to be sent since. */
+  bool m_linked = false;
   Instant m_lastHeard;
   Instant m_lastSent;
   Instant m_subscribedUntil;
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -32,7 +32,7 @@
 bool
 IsPresent(const AgentBoard& aBoard, const EntryRecord& aEntry)
 {
-  return aEntry.m_listed ||
+  return aEntry.m_listed || aEntry.m_linked ||
          aBoard.m_now - aEntry.m_lastHeard < aBoard.m_policy.m_lease;
 }
 
@@ -73,6 +73,7 @@
                              record.m_id.m_incarnation < aEntry.m_incarnation;
     if (earlierLife) {
       record.m_listed = false;
+      record.m_linked = false;
       RefuseQueuedOf(index);
     }
   }
@@ -105,6 +106,10 @@
     const EntryIndex index = Meet(entry);
     m_board.m_entries.m_records.at(index).m_listed = true;
   }
+  // The list is the better evidence: a link to what is gone may linger.
+  for (auto& [index, record] : m_board.m_entries.m_records) {
+    record.m_linked = record.m_linked && record.m_listed;
+  }
 }
 
 void
--- a/packages/core/internal/agent/queues.cpp
+++ b/packages/core/internal/agent/queues.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t kMilli = 1000;
+/** What must start within this time goes before everything else. */
+constexpr Duration kUrgentBefore = std::chrono::milliseconds(250);
 
 /** The share of the time waited that is taken off is the same for all at any
  * instant, so that the order never changes while they wait. */
@@ -83,6 +85,21 @@
   return first->second;
 }
 
+const Attempt*
+Queues::FirstUrgentRequest() const
+{
+  const Instant until = m_board.m_now + kUrgentBefore;
+  for (const auto& [key, attempt] : m_board.m_expiry) {
+    if (key.first > until) {
+      return nullptr;
+    }
+    if (attempt->m_offer.m_kind == WorkKind::Request) {
+      return attempt;
+    }
+  }
+  return nullptr;
+}
+
 void
 Queues::AddRequest(Attempt& aAttempt)
 {
--- a/packages/core/internal/agent/queues.h
+++ b/packages/core/internal/agent/queues.h
@@ -20,6 +20,9 @@
    * @p aUpTo. */
   Attempt* FirstExpired(Instant aUpTo) const;
 
+  /** @return the queued request that must start soonest, if that is soon. */
+  const Attempt* FirstUrgentRequest() const;
+
 private:
   void AddRequest(Attempt& aAttempt);
   void RemoveRequest(Attempt& aAttempt);
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -165,6 +165,7 @@
   }
   EntryRecord& entry = m_board.m_entries.m_records.at(known->second);
   entry.m_unreachable = true;
+  entry.m_linked = false;
   entry.m_announceDue = true;
   if (ReportBatch* batch = std::get_if<ReportBatch>(&aMessage)) {
     entry.m_reports.insert(entry.m_reports.begin(),
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -77,7 +77,10 @@
 {
   RequestQueue& queue = m_board.m_requests;
   while (!queue.m_order.empty() && FreeSlots(m_board) > 0) {
-    Attempt& attempt = *queue.m_order.begin()->second;
+    const Attempt* urgent = Queues(m_board).FirstUrgentRequest();
+    Attempt& attempt = urgent != nullptr
+                         ? m_board.m_attempts.m_open.at(urgent->m_key)
+                         : *queue.m_order.begin()->second;
     Queues(m_board).Remove(attempt);
     ++m_board.m_endpoint.m_running;
     Start(attempt,
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/** Below this wait the arrival rate alone refuses nothing. */
-constexpr Duration kCalmBacklog = std::chrono::milliseconds(200);
+/** While the backlog takes less than this share of the time to the deadline,
+ * the arrival rate alone refuses nothing: what waits then is work for the time
+ * after the crowd. */
+constexpr double kCalmShare = 0.25;
+/** A team that is behind by more than this has its turn soon. */
+constexpr Duration kTurnIsNear = std::chrono::milliseconds(200);
 /** The share of the time to the deadline that may be spent on waiting. */
 constexpr double kUsableSlack = 0.8;
 
@@ -188,10 +192,10 @@
   // would wait until the crowd is gone, and then be refused late. A team that
   // is behind the one that makes the crowd has its turn before it.
   const bool crowded =
-    backlog > kCalmBacklog &&
+    backlog > Scaled(slack, kCalmShare) &&
     service.m_arrivals.SlotsNeeded(aTurn.m_now, aExpectedRun) > ownSlots;
   const bool turnIsNear =
-    service.m_requests.m_turns.Behind(aTurn.m_now, aTeam) > kCalmBacklog;
+    service.m_requests.m_turns.Behind(aTurn.m_now, aTeam) > kTurnIsNear;
   if (!turnIsNear && (crowded || ahead > Scaled(slack, kUsableSlack))) {
     return Refusal{ ErrorKind::DeadlineUnreachable,
                     "too much work is ahead of it",
--- a/packages/daemon/internal/statuscodec.cpp
+++ b/packages/daemon/internal/statuscodec.cpp
@@ -51,7 +51,7 @@
 bool
 Serves(const core::AgentStatus& aAgent, std::string_view aService)
 {
-  return !aAgent.m_leaving && aAgent.m_endpoint &&
+  return aAgent.m_reachable && !aAgent.m_leaving && aAgent.m_endpoint &&
          !aAgent.m_endpoint->m_leaving &&
          aAgent.m_endpoint->m_service == aService;
 }
@@ -128,6 +128,10 @@
 {
   json list = json::array();
   for (const core::AgentStatus& agent : aAgents) {
+    // Its workers have announced themselves to other agents by now.
+    if (!agent.m_reachable) {
+      continue;
+    }
     for (const core::WorkerInfo& worker : agent.m_workers) {
       json item = WorkerToJson(worker);
       item["agent"] = agent.m_agent.m_name;
