What is longer than the mean is kept for after the crowd only while little waits

Cause: while a crowd lasts, the backlog swings round the threshold; each time it was below it long work was let in, which then starved behind shorter work or, near its last start, displaced ten short ones. Change: the share of the time to the deadline that may be filled before the arrival rate refuses is 0.6, divided by the length over the mean run.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -8,8 +8,8 @@
 
 /** While the backlog takes less than this share of the time to the deadline,
  * the arrival rate alone refuses nothing: what waits then is work for the time
- * after the crowd. */
-constexpr double kCalmShare = 0.25;
+ * after the crowd. Less for work that is longer than the mean. */
+constexpr double kCalmShare = 0.6;
 /** A team that is behind by more than this has its turn soon. */
 constexpr Duration kTurnIsNear = std::chrono::milliseconds(200);
 /** The share of the time to the deadline that may be spent on waiting. */
@@ -191,8 +191,11 @@
   // While shorter work alone arrives faster than it can be done, longer work
   // would wait until the crowd is gone, and then be refused late. A team that
   // is behind the one that makes the crowd has its turn before it.
+  const double length = static_cast<double>(aExpectedRun.count()) /
+                        std::max<double>(service.m_meanRun.count(), 1);
+  const double calmShare = kCalmShare / std::max(length, 1.0);
   const bool crowded =
-    backlog > Scaled(slack, kCalmShare) &&
+    backlog > Scaled(slack, calmShare) &&
     service.m_arrivals.SlotsNeeded(aTurn.m_now, aExpectedRun) > ownSlots;
   const bool turnIsNear =
     service.m_requests.m_turns.Behind(aTurn.m_now, aTeam) > kTurnIsNear;
