Drain tests with a job, late offers; entry found in an outage

JobGoesOnWhenAgentDrains: 48 tasks on 3 workers while an agent that runs and queues some of them drains. LeavingEndpointGetsNoLateOffers: offers frozen on their way arrive after the endpoint has left. EntryRestartedInOutageIsFoundByAgents: agents without a list of their own find a restarted entry again while the store is down.

--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -39,26 +39,14 @@
   CPPUNIT_TEST(PatchReachesEntryCutOffFromStore);
   CPPUNIT_TEST(StaleReadDoesNotRevert);
   CPPUNIT_TEST(EntryRestartedInOutageLearnsConfiguration);
+  CPPUNIT_TEST(EntryRestartedInOutageIsFoundByAgents);
   CPPUNIT_TEST(EntryRestartedUnderStaleReadsDoesNotRevert);
   CPPUNIT_TEST(WorkGoesOnInOutage);
   CPPUNIT_TEST(BadPatchChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override
-  {
-    ClusterOptions options;
-    options.m_workers = 1;
-    options.m_proxies = true;
-    m_cluster = std::make_unique<Cluster>(options);
-    m_cluster->Start();
-    m_observer = std::make_unique<VersionObserver>(
-      *m_cluster,
-      std::vector<std::string>{
-        "entry-1", "entry-2", "agent-1", "agent-2", "agent-3" });
-    m_load = std::make_unique<CallerLoad>(*m_cluster, 2);
-    CPPUNIT_ASSERT(m_observer->WaitFor(1, kInForceBound));
-  }
+  void setUp() override { StartCluster(true); }
 
   void tearDown() override
   {
@@ -148,6 +136,18 @@
     CheckInvariants();
   }
 
+  /** Agents that know entries only from the store keep those that they knew,
+   * and the entry learns the configuration from them. */
+  void EntryRestartedInOutageIsFoundByAgents()
+  {
+    StartCluster(false);
+    PatchAndSpread("entry-1", 1);
+    m_cluster->Control("store", { { "mode", "down" } });
+    RestartEntry("entry-2");
+    CheckDocument("entry-2", 2, 1);
+    CheckInvariants();
+  }
+
   void EntryRestartedUnderStaleReadsDoesNotRevert()
   {
     PatchAndSpread("entry-1", 1);
@@ -203,6 +203,22 @@
   }
 
 private:
+  void StartCluster(bool aProxies)
+  {
+    tearDown();
+    ClusterOptions options;
+    options.m_workers = 1;
+    options.m_proxies = aProxies;
+    m_cluster = std::make_unique<Cluster>(options);
+    m_cluster->Start();
+    m_observer = std::make_unique<VersionObserver>(
+      *m_cluster,
+      std::vector<std::string>{
+        "entry-1", "entry-2", "agent-1", "agent-2", "agent-3" });
+    m_load = std::make_unique<CallerLoad>(*m_cluster, 2);
+    CPPUNIT_ASSERT(m_observer->WaitFor(1, kInForceBound));
+  }
+
   /** @return a patch of two sections, both with @p aMark. */
   static json Change(std::uint32_t aMark)
   {
--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -1,5 +1,6 @@
 #include "support/callerload.h"
 #include "support/cluster.h"
+#include "support/submissions.h"
 #include "support/waituntil.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -8,6 +9,7 @@
 #include <iostream>
 #include <memory>
 #include <sstream>
+#include <vector>
 
 namespace mulberrysail::testsupport {
 
@@ -22,6 +24,10 @@
 constexpr std::uint32_t kAgents = 3;
 constexpr std::size_t kOpen = 150;
 constexpr std::size_t kSteadyOpen = 40;
+constexpr std::uint32_t kWorkers = 3;
+constexpr std::size_t kTasks = 48;
+constexpr milliseconds kTaskRun = 300ms;
+constexpr double kTaskCores = 4.0;
 /** "At once" for a process on a busy machine. */
 constexpr milliseconds kAtOnce = 500ms;
 /** An endpoint that leaves gets no start later than this. */
@@ -53,7 +59,9 @@
   CPPUNIT_TEST(AgentDrains);
   CPPUNIT_TEST(LeavingEndpointGetsNoStart);
   CPPUNIT_TEST(LeavingEndpointGetsNoStartFromEntryCutOff);
+  CPPUNIT_TEST(LeavingEndpointGetsNoLateOffers);
   CPPUNIT_TEST(RollingReplacement);
+  CPPUNIT_TEST(JobGoesOnWhenAgentDrains);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,10 +139,48 @@
   {
     StartCluster(true);
     KeepLoadUntil(5s, [this] { return HasStarts("endpoint-2"); });
-    m_cluster->SetLink("agent-2/entry-1", { { "mode", "cut" } });
-    CheckLeaving([this] {
-      m_cluster->SetLink("agent-2/entry-1", { { "mode", "pass" } });
-    });
+    LeaveBehindLink("cut");
+  }
+
+  /** Offers of before the leaving are held up on their way and arrive after
+   * the bound. */
+  void LeavingEndpointGetsNoLateOffers()
+  {
+    StartCluster(true);
+    KeepLoadUntil(5s, [this] { return HasStarts("endpoint-2"); });
+    LeaveBehindLink("freeze");
+  }
+
+  /** The tasks that the agent has started end at its workers; the others are
+   * placed by other agents. */
+  void JobGoesOnWhenAgentDrains()
+  {
+    StartCluster(false, kWorkers);
+    const std::string url = m_cluster->Layout().DirectUrl("entry-1");
+    std::vector<SubmittedWork> tasks;
+    for (std::size_t i = 0; i < kTasks; ++i) {
+      tasks.push_back(MakeWork("task-" + std::to_string(i), kTaskRun));
+    }
+    std::future<network::HttpOutcome> job = m_cluster->Http().StartPost(
+      url + "/v1/services/photo-check/jobs", JobBody(tasks, kTaskCores, 10s));
+    std::string agent;
+    CPPUNIT_ASSERT(WaitUntil(5s, [&] {
+      agent = AgentWithTasks();
+      return !agent.empty();
+    }));
+    Process& process = m_cluster->Member(agent);
+    process.Signal(SIGTERM);
+    const network::HttpOutcome outcome = job.get();
+    const CallerAnswer answer = ReadAnswer(tasks, outcome);
+    CPPUNIT_ASSERT_MESSAGE(outcome.m_body + outcome.m_detail,
+                           answer.m_outcome == ToldOutcome::Complete);
+    CPPUNIT_ASSERT_EQUAL(0, process.Wait(10s).value_or(-1));
+    JournalChecker checker;
+    checker.AddAnswer(answer);
+    m_cluster->AddJournals(checker);
+    for (const std::string& violation : checker.Violations()) {
+      CPPUNIT_FAIL(violation);
+    }
   }
 
   void RollingReplacement()
@@ -151,12 +197,35 @@
   }
 
 private:
-  void StartCluster(bool aProxies)
+  void LeaveBehindLink(const std::string& aMode)
+  {
+    m_cluster->SetLink("agent-2/entry-1", { { "mode", aMode } });
+    CheckLeaving([this] {
+      m_cluster->SetLink("agent-2/entry-1", { { "mode", "pass" } });
+    });
+  }
+
+  /** @return an agent that runs tasks and holds more of them, if any. */
+  std::string AgentWithTasks()
+  {
+    for (std::uint32_t i = 1; i <= kAgents; ++i) {
+      std::string name = "agent-" + std::to_string(i);
+      const json status = m_cluster->Http().GetJson(
+        m_cluster->Layout().DirectUrl(name) + "/v1/status");
+      if (status.is_object() && status.at("counters").at("running") > 0 &&
+          status.at("counters").at("queued") > 0) {
+        return name;
+      }
+    }
+    return {};
+  }
+
+  void StartCluster(bool aProxies, std::uint32_t aWorkers = 0)
   {
     ClusterOptions options;
     options.m_entries = kEntries;
     options.m_agents = kAgents;
-    options.m_workers = 0;
+    options.m_workers = aWorkers;
     options.m_proxies = aProxies;
     // Whatever is refused here is refused for the drain.
     options.m_serviceConfig = { { "admission", false } };
