--- a/bench/internal/experiment.cpp
+++ b/bench/internal/experiment.cpp
@@ -34,6 +34,12 @@
   return Duration(static_cast<Duration::rep>(aMillis * 1000));
 }
 
+bool
+HasDelays(const Place& aPlace)
+{
+  return aPlace.m_zoneDelayMs > 0 || aPlace.m_callerDelayMs > 0;
+}
+
 ClusterOptions
 OptionsFor(const Experiment& aExperiment)
 {
@@ -45,7 +51,7 @@
   options.m_slots = aExperiment.m_fleet.m_slots;
   options.m_workerCores = aExperiment.m_place.m_workerCores;
   options.m_workerMemoryMb = aExperiment.m_place.m_workerMemoryMb;
-  options.m_proxies = true;
+  options.m_proxies = HasDelays(aExperiment.m_place);
   options.m_zones = kZones;
   options.m_entrySettings = aExperiment.m_entrySettings;
   options.m_agentSettings = aExperiment.m_agentSettings;
@@ -232,6 +238,9 @@
   if (aName == "tala") {
     return { aName, 1.5, 3, 64, 131072 };
   }
+  if (aName == "local") {
+    return { aName, 0, 0, 16, 32768 };
+  }
   throw std::invalid_argument("no place is called " + aName);
 }
 
@@ -242,7 +251,9 @@
     aExperiment.m_profile, aExperiment.m_fleet, aExperiment.m_seed);
   Cluster cluster(OptionsFor(aExperiment));
   cluster.Start();
-  SetDelays(cluster, aExperiment);
+  if (HasDelays(aExperiment.m_place)) {
+    SetDelays(cluster, aExperiment);
+  }
   if (aExperiment.m_slowEndpoint != 1) {
     cluster.Control("endpoint-1", { { "speed", aExperiment.m_slowEndpoint } });
   }
--- a/bench/internal/profile.cpp
+++ b/bench/internal/profile.cpp
@@ -75,12 +75,22 @@
   jobs.m_jobsPerSecond = 5;
   Profile& idle = add("idle");
   idle.m_load = 0;
+  for (const double rate : { 2500.0, 5000.0 }) {
+    const std::string name = "rate" + std::to_string(static_cast<int>(rate));
+    Profile& cost = add(name.c_str());
+    cost.m_requestsPerSecond = rate;
+    cost.m_fixedRun = std::chrono::milliseconds(1);
+    cost.m_length = std::chrono::seconds(10);
+  }
   return all;
 }
 
 TaskLoad
 DrawTask(const Profile& aProfile, Random& aRandom)
 {
+  if (aProfile.m_requestsPerSecond > 0) {
+    return { aProfile.m_fixedRun, aProfile.m_fixedRun, {} };
+  }
   const bool isLong = Uniform(aRandom, 0, 1) < kShareOfLong;
   const double run =
     isLong ? Uniform(aRandom, kLongestUsualSeconds, kLongestSeconds)
@@ -144,11 +154,13 @@
   for (;;) {
     const bool opening = at < aProfile.m_openingFor;
     const double load = opening ? aProfile.m_openingLoad : aProfile.m_load;
-    if (load <= 0) {
+    const double rate = aProfile.m_requestsPerSecond > 0
+                          ? aProfile.m_requestsPerSecond
+                          : load * slots / meanSeconds;
+    if (rate <= 0) {
       return;
     }
-    boost::random::exponential_distribution<double> gap(load * slots /
-                                                        meanSeconds);
+    boost::random::exponential_distribution<double> gap(rate);
     at += Seconds(gap(aRandom));
     if (at >= aProfile.m_length) {
       return;
--- a/bench/internal/profile.h
+++ b/bench/internal/profile.h
@@ -16,6 +16,9 @@
   std::string m_name;
   /** Share of all slots that the requests keep busy. */
   double m_load = 0.7;
+  /** If set, requests come at this rate and all run for m_fixedRun. */
+  double m_requestsPerSecond = 0;
+  core::Duration m_fixedRun{};
   /** Load of the first part, as in an opening minute; m_load after it. */
   double m_openingLoad = 0;
   core::Duration m_openingFor{};
--- a/bench/internal/summary.cpp
+++ b/bench/internal/summary.cpp
@@ -116,8 +116,8 @@
       ++summary.m_complete;
       summary.m_wrong += outcome.m_own ? 0 : 1;
       // The deadline counts from when the request was really sent.
-      const bool inTime = outcome.m_response <=
-                          arrival.m_deadline + aHops + outcome.m_sentLate;
+      const bool inTime =
+        outcome.m_response <= arrival.m_deadline + aHops + outcome.m_sentLate;
       ++(inTime ? summary.m_completeInTime : summary.m_late);
       samples.AddComplete(arrival, outcome.m_response, aHops);
     }
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -62,6 +62,11 @@
   add("slow-endpoint",
       "factor on the run times of endpoint-1",
       cxxopts::value<double>()->default_value("1"));
+  add(
+    "entries", "entries", cxxopts::value<std::uint32_t>()->default_value("3"));
+  add("endpoints",
+      "endpoints, each with its agent",
+      cxxopts::value<std::uint32_t>()->default_value("11"));
   add(
     "workers", "workers", cxxopts::value<std::uint32_t>()->default_value("0"));
   add("entry-settings",
@@ -94,6 +99,8 @@
       std::chrono::seconds(aArguments["seconds"].as<int>());
   }
   experiment.m_place = bench::PlaceNamed(aArguments["place"].as<std::string>());
+  experiment.m_fleet.m_entries = aArguments["entries"].as<std::uint32_t>();
+  experiment.m_fleet.m_endpoints = aArguments["endpoints"].as<std::uint32_t>();
   experiment.m_seed = aArguments["seed"].as<std::uint64_t>();
   experiment.m_slowEndpoint = aArguments["slow-endpoint"].as<double>();
   experiment.m_workers = aArguments["workers"].as<std::uint32_t>();
