--- a/bench/internal/experiment.cpp
+++ b/bench/internal/experiment.cpp
@@ -82,8 +82,11 @@
   const auto read = [&](const std::string& aMember) {
     const network::HttpOutcome status =
       aCluster.Http().Get(aCluster.Layout().DirectUrl(aMember) + "/v1/status");
-    counters[aMember] =
-      json::parse(status.m_body, nullptr, false).value("counters", json());
+    const json body = json::parse(status.m_body, nullptr, false);
+    // A member that was killed answers nothing.
+    if (body.is_object()) {
+      counters[aMember] = body.value("counters", json::object());
+    }
   };
   for (std::uint32_t e = 1; e <= aExperiment.m_fleet.m_entries; ++e) {
     read(Numbered("entry", e));
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -9,7 +9,7 @@
 /** While the backlog takes less than this share of the time to the deadline,
  * the arrival rate alone refuses nothing: what waits then is work for the time
  * after the crowd. Less for work that is longer than the mean. */
-constexpr double kCalmShare = 0.6;
+constexpr double kCalmShare = 0.35;
 /** A team that is behind by more than this has its turn soon. */
 constexpr Duration kTurnIsNear = std::chrono::milliseconds(200);
 /** Arrivals after which an old one counts little in the mean. */
