An agent is silent from the first sign of life that it leaves unanswered

Cause: silence counted from the last message, so that an agent without work was taken for silent with its first offer, and its tasks were started again.

--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -32,6 +33,8 @@
   /** When the last message came from it, and went to it. */
   Instant m_heardAt;
   Instant m_sentAt;
+  /** When it was asked for a sign of life that it has not given yet. */
+  std::optional<Instant> m_askedAt;
   /** Its clock less ours, never more than the truth: the message that told
    * us was on its way for a while. */
   Duration m_clockOffset{};
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -151,6 +151,7 @@
   }
   AgentRecord& agent = found->second;
   agent.m_heardAt = aTurn.m_now;
+  agent.m_askedAt.reset();
   if (!agent.m_reachable) {
     agent.m_reachable = true;
     RebuildIndex();
@@ -240,14 +241,20 @@
       continue;
     }
     anyOpen = true;
-    const Duration silent = aTurn.m_now - agent.m_heardAt;
-    if (silent >= interval || aTurn.m_now - agent.m_sentAt >= interval) {
-      aTurn.Send(id, hello);
-      agent.m_sentAt = aTurn.m_now;
-    }
+    const Duration silent =
+      agent.m_askedAt ? aTurn.m_now - *agent.m_askedAt : Duration::zero();
     if (silent < m_board.m_policy.m_agentSilence) {
+      const bool due = aTurn.m_now - agent.m_heardAt >= interval ||
+                       aTurn.m_now - agent.m_sentAt >= interval;
+      if (due) {
+        aTurn.Send(id, hello);
+        agent.m_sentAt = aTurn.m_now;
+        agent.m_askedAt = agent.m_askedAt.value_or(aTurn.m_now);
+      }
       continue;
     }
+    // From here on it gets no sign of life, so that it ends what runs there
+    // even if it still hears this entry.
     if (agent.m_reachable) {
       agent.m_reachable = false;
       changed = true;
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -193,7 +193,7 @@
 void
 OutcomeController::OnSilentAttempts(EntryTurn& aTurn, AgentRecord& aAgent)
 {
-  const Instant ended = aAgent.m_heardAt + m_board.m_policy.m_runsEndAfter;
+  const Instant ended = aAgent.m_sentAt + m_board.m_policy.m_runsEndAfter;
   std::vector<AttemptId> open(aAgent.m_open.begin(), aAgent.m_open.end());
   std::sort(open.begin(), open.end());
   for (const AttemptId attempt : open) {
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -63,8 +63,9 @@
   /** An agent with open attempts that is silent for this long gets no more
    * work, and is asked what became of them; zero for the lease alone. */
   Duration m_agentSilence{};
-  /** What ran at an agent that is silent for this long has ended; zero if that
-   * is never known. Longer than the agents' entry silence and run lease. */
+  /** What ran at an agent has ended this long after the last message to it;
+   * zero if that is never known. Longer than the agents' entry silence and run
+   * lease together: an agent may be cut off first and stand still then. */
   Duration m_runsEndAfter{};
   /** Finished jobs stay readable by status for this long. */
   Duration m_statusMemory = std::chrono::minutes(1);
--- a/packages/daemon/settings/settingtable.cpp
+++ b/packages/daemon/settings/settingtable.cpp
@@ -329,8 +329,8 @@
                 [](Settings& aS) -> Slot {
                   return Millis(aS.m_entryPolicy.m_runsEndAfter, 0, 600000);
                 },
-                "silence after which nothing runs at an agent any more; longer "
-                "than its entry silence, and than its run lease" },
+                "nothing runs at an agent so long after the last message to it; "
+                "longer than its entry silence and run lease together" },
 
   SettingField{
     "policy.declared_room",
