--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/jobpolicy.h"
 
+#include "core/internal/overloaded.h"
+
 #include <algorithm>
 
 namespace mulberrysail::core {
@@ -28,6 +30,18 @@
   return Duration(static_cast<Duration::rep>(aMicros));
 }
 
+std::int64_t
+SizeOrder(const EntryBoard& aBoard, const Submission& aJob)
+{
+  const auto queue = aBoard.m_queues.find(aJob.m_queue);
+  const bool known = queue != aBoard.m_queues.end() &&
+                     queue->second.m_meanWork > Duration::zero();
+  const double work = static_cast<double>(CoreWorkOf(aJob).count());
+  const double mean =
+    known ? static_cast<double>(queue->second.m_meanWork.count()) : work;
+  return static_cast<std::int64_t>(kMeanOrder * work / std::max(mean, 1.0));
+}
+
 } // namespace
 
 Duration
@@ -53,13 +67,14 @@
 std::int64_t
 JobOrder(const EntryBoard& aBoard, const Submission& aJob)
 {
-  const auto queue = aBoard.m_queues.find(aJob.m_queue);
-  const bool known = queue != aBoard.m_queues.end() &&
-                     queue->second.m_meanWork > Duration::zero();
-  const double work = static_cast<double>(CoreWorkOf(aJob).count());
-  const double mean =
-    known ? static_cast<double>(queue->second.m_meanWork.count()) : work;
-  return static_cast<std::int64_t>(kMeanOrder * work / std::max(mean, 1.0));
+  return std::visit(
+    Overloaded{ [&](const SmallestFirst&) { return SizeOrder(aBoard, aJob); },
+                [&](const LeastSlackFirst&) {
+                  const Instant startBy = aJob.m_due - LongestOf(aJob);
+                  return static_cast<std::int64_t>(
+                    startBy.time_since_epoch().count());
+                } },
+    aBoard.m_policy.m_jobOrder);
 }
 
 std::optional<Duration>
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -17,9 +17,10 @@
 /**
  * The place of a queue's job among those that wait; a lower one goes first.
  *
- * Answers a load beyond the workers' room: jobs that are small for their queue
- * go first, so that most callers are served while no queue is starved by one
- * whose jobs are smaller throughout.
+ * Answers a load beyond the workers' room: with SmallestFirst, jobs that are
+ * small for their queue go first, so that most callers are served; with
+ * LeastSlackFirst those whose time is up first, so that large ones are served
+ * as often as others.
  */
 std::int64_t
 JobOrder(const EntryBoard& aBoard, const Submission& aJob);
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -30,11 +30,24 @@
 using PlacementPolicy =
   std::variant<RandomPlacement, ProbePlacement, ReportedLoadPlacement>;
 
+/** Jobs of queues go in the order of their size, relative to their queue's
+ * mean. Serves the most jobs, and the largest ones last. A baseline. */
+struct SmallestFirst
+{};
+
+/** Jobs of queues go in the order in which they must start to meet their
+ * objectives. */
+struct LeastSlackFirst
+{};
+
+using JobOrderPolicy = std::variant<SmallestFirst, LeastSlackFirst>;
+
 /** How an entry decides. */
 struct EntryPolicy
 {
   std::string m_zone;
   PlacementPolicy m_placement = ReportedLoadPlacement{};
+  JobOrderPolicy m_jobOrder = LeastSlackFirst{};
   /** Offers that may wait at an agent beyond its free slots. */
   std::uint32_t m_agentQueueDepth = 4;
   /** Waiting work is promoted by its age: this share of the time waited is
