Begun jobs go on to their deadline; agents' queues count as work ahead

Cause: under load, half of the failures were jobs of which some tasks ran and one expired in an agent's queue at the job's objective. What waits at agents was not counted on arrival. Change: offers lapse at the caller's deadline; queued work of agents is counted; agents order named tasks by their time; a silent worker's room isn't counted.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -120,6 +120,10 @@
       EndLife(worker);
       return;
     case StartResult::NoAnswer:
+      if (attempt.m_takenAt) {
+        // It was seen to run meanwhile.
+        return;
+      }
       Record(m_board,
              EventCode::RunUnclear,
              attempt.m_key.m_attempt.m_value,
@@ -184,7 +188,7 @@
         lease.m_announcedLife = aObserved.m_life;
         lease.m_askedAt = askedAt;
       }
-      lease.m_answers = true;
+      SetAnswers(worker, true);
       TakeEnds(worker, aObserved);
       TakeRunning(worker, aObserved);
       lease.m_observed = true;
@@ -197,12 +201,26 @@
       }
       return;
     case ObserveResult::NoAnswer:
-      lease.m_answers = false;
+      SetAnswers(worker, false);
       lease.m_nextObservation = m_board.m_now + kRetryInterval;
       return;
   }
 }
 
+void
+LeasedRuns::SetAnswers(Worker& aWorker, bool aAnswers)
+{
+  RunLease& lease = *aWorker.m_lease;
+  if (lease.m_answers == aAnswers) {
+    return;
+  }
+  lease.m_answers = aAnswers;
+  // Entries don't count on the room of a worker that says nothing.
+  aWorker.m_info.m_quarantined =
+    !aAnswers || aWorker.m_breaker.m_state == BreakerState::Open;
+  AnnounceToAll(m_board);
+}
+
 void
 LeasedRuns::TakeEnds(Worker& aWorker, const RunsObserved& aObserved)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -41,6 +41,7 @@
 private:
   void SettleWorker(Worker& aWorker);
   void Observe(Worker& aWorker, const std::string& aLife);
+  void SetAnswers(Worker& aWorker, bool aAnswers);
   void TakeEnds(Worker& aWorker, const RunsObserved& aObserved);
   void TakeRunning(Worker& aWorker, const RunsObserved& aObserved);
   /** Another life answers, or all leases ran out: nothing of it runs. */
--- a/packages/core/internal/agent/queues.cpp
+++ b/packages/core/internal/agent/queues.cpp
@@ -160,8 +160,13 @@
 Queues::Reorder(const JobKey& aKey, JobQueue& aJob)
 {
   m_board.m_tasks.m_order.erase(aJob.m_order);
+  const Offer& first = aJob.m_tasks.begin()->second->m_offer;
+  // A caller's named task comes through a queue, whose jobs go by their time.
   aJob.m_order =
-    AgedOrder(m_board, aJob.m_work, aJob.m_receivedAt, aJob.m_sequence);
+    first.m_name.empty()
+      ? AgedOrder(m_board, aJob.m_work, aJob.m_receivedAt, aJob.m_sequence)
+      : QueueOrder{ first.m_startBy.time_since_epoch().count(),
+                    aJob.m_sequence };
   m_board.m_tasks.m_order.emplace(aJob.m_order, aKey);
 }
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -303,7 +303,10 @@
   offer.m_service = aSubmission.m_service;
   offer.m_team = aSubmission.m_team;
   // Both in the agent's clock, and never later than meant: see AgentRecord.
-  offer.m_startBy = item.m_startBy + aAgent.m_clockOffset;
+  offer.m_startBy =
+    (aSubmission.m_queue.empty() ? item.m_startBy
+                                 : aSubmission.m_deadline - item.m_expectedRun) +
+    aAgent.m_clockOffset;
   offer.m_deadline = aSubmission.m_deadline + aAgent.m_clockOffset;
   offer.m_expectedRun = item.m_expectedRun;
   offer.m_need = item.m_need;
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -88,8 +88,14 @@
     }
     ahead += CoreMicros(*aBoard.Find(key.m_work));
   }
-  const double cores = std::max(aBoard.m_tasks.m_slots / aBoard.Entries(), 1.0);
-  const Duration wait = FromMicros(ahead / cores);
+  // What waits at agents was offered by all entries, for all of the room.
+  double offered = 0;
+  for (const AgentRecord* agent : aBoard.m_taskAgents) {
+    offered += static_cast<double>(agent->m_load.m_queuedTaskWork.count());
+  }
+  const double cores = std::max(aBoard.m_tasks.m_slots, 1.0);
+  const Duration wait =
+    FromMicros((ahead * aBoard.Entries() + offered) / cores);
   const Duration slack =
     std::max(aJob.m_due - aNow - LongestOf(aJob), Duration::zero());
   if (wait <= FromMicros(static_cast<double>(slack.count()) * kUsableSlack)) {
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -23,6 +23,19 @@
          aKind == ErrorKind::StaleIncarnation;
 }
 
+/** @return what a failed attempt means for its submission. A job that would
+ * have been tried again with more time has not failed for good. */
+ErrorKind
+FailureOf(const Submission& aSubmission, const WorkItem& aItem)
+{
+  if (aSubmission.m_kind == WorkKind::Request) {
+    return ErrorKind::TaskFailed;
+  }
+  return aItem.m_failures < aSubmission.m_maxAttempts
+           ? ErrorKind::DeadlinePassedRunning
+           : ErrorKind::JobFailed;
+}
+
 } // namespace
 
 void
@@ -111,10 +124,7 @@
       item->m_state = WorkState::Done;
       m_answers.Fail(aTurn,
                      *m_board.Find(work.m_submission),
-                     m_board.Find(work.m_submission)->m_kind ==
-                         WorkKind::Request
-                       ? ErrorKind::TaskFailed
-                       : ErrorKind::JobFailed,
+                     FailureOf(*m_board.Find(work.m_submission), *item),
                      "task " + std::to_string(work.m_index) +
                        " failed: " + aReport.m_output);
       return;
--- a/packages/daemon/settings/settingtable.cpp
+++ b/packages/daemon/settings/settingtable.cpp
@@ -323,14 +323,15 @@
                 },
                 "silence after which an agent with open attempts gets no more "
                 "work" },
-  SettingField{ "policy.runs_end_after_ms",
-                kEntry,
-                false,
-                [](Settings& aS) -> Slot {
-                  return Millis(aS.m_entryPolicy.m_runsEndAfter, 0, 600000);
-                },
-                "nothing runs at an agent so long after the last message to it; "
-                "longer than its entry silence and run lease together" },
+  SettingField{
+    "policy.runs_end_after_ms",
+    kEntry,
+    false,
+    [](Settings& aS) -> Slot {
+      return Millis(aS.m_entryPolicy.m_runsEndAfter, 0, 600000);
+    },
+    "nothing runs at an agent so long after the last message to it; "
+    "longer than its entry silence and run lease together" },
 
   SettingField{
     "policy.declared_room",
