The caller's own deadline bounds a job

Cause: a job's deadline was the lesser of the caller's and its queue's timeout, and 13% of the longest queue's jobs run longer than that timeout, though their callers wait for 2 s and more. The bound failed them all. Change: the queue's timeout is used only where the caller names no deadline.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -179,8 +179,7 @@
   submission.m_name = std::move(aJob.m_name);
   Duration deadline = aJob.m_deadline.value_or(config.m_defaultDeadline);
   if (aQueue != nullptr) {
-    deadline =
-      std::min(aJob.m_deadline.value_or(aQueue->m_timeout), aQueue->m_timeout);
+    deadline = aJob.m_deadline.value_or(aQueue->m_timeout);
     submission.m_priority = aQueue->m_priority;
     submission.m_maxAttempts = aQueue->m_maxAttempts;
   }
