--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -326,7 +326,8 @@
       Stop(*attempt);
     }
   }
-  if (lease.m_ticket != 0 || m_board.m_now < lease.m_nextObservation) {
+  if (m_board.m_now < lease.m_nextObservation ||
+      (lease.m_ticket != 0 && !WantsProof(aWorker))) {
     return;
   }
   if (lease.m_announcedLife != lease.m_life) {
@@ -337,6 +338,16 @@
   }
 }
 
+bool
+LeasedRuns::WantsProof(const Worker& aWorker)
+{
+  const std::vector<Attempt*> runs = RunsOn(aWorker);
+  return std::any_of(runs.begin(), runs.end(), [&](const Attempt* aAttempt) {
+    return aAttempt->m_stoppedAt &&
+           *aAttempt->m_stoppedAt > aWorker.m_lease->m_askedAt;
+  });
+}
+
 void
 LeasedRuns::Observe(Worker& aWorker, const std::string& aLife)
 {
@@ -351,7 +362,8 @@
     const bool own = lease.m_answers && !lease.m_foreignRuns;
     if (own && aWorker.m_running > 0) {
       observe.m_renewFor = m_board.m_policy.m_runLease;
-      observe.m_wait = m_board.m_policy.m_observeWait;
+      observe.m_wait =
+        WantsProof(aWorker) ? Duration::zero() : m_board.m_policy.m_observeWait;
       Sent(aWorker);
     }
   }
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -40,6 +40,9 @@
 
 private:
   void SettleWorker(Worker& aWorker);
+  /** @return whether a run was stopped since the worker was last asked, so
+   * that only a new observation can tell what became of it. */
+  bool WantsProof(const Worker& aWorker);
   void Observe(Worker& aWorker, const std::string& aLife);
   void SetAnswers(Worker& aWorker, bool aAnswers);
   void TakeEnds(Worker& aWorker, const RunsObserved& aObserved);
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -16,7 +16,6 @@
 constexpr Duration kTurnIsNear = std::chrono::milliseconds(200);
 /** Arrivals after which an old one counts little in the mean. */
 constexpr int kMeanWindow = 64;
-constexpr std::int64_t kMicrosPerMs = 1000;
 /** The share of the time to the deadline that may be spent on waiting. */
 constexpr double kUsableSlack = 0.8;
 
@@ -210,15 +209,13 @@
 AdmissionController::CheckJobLoad(const EntryTurn& aTurn,
                                   const Submission& aJob)
 {
-  const std::optional<Duration> ahead =
-    TooMuchAhead(m_board, aTurn.m_now, aJob);
-  if (!ahead) {
+  const JobLoad load = LoadAhead(m_board, aTurn.m_now, aJob);
+  if (load.m_wait <= load.m_mostWait) {
     return std::nullopt;
   }
   return Refusal{ ErrorKind::DeadlineUnreachable,
-                  "work ahead of it takes " +
-                    std::to_string(ahead->count() / kMicrosPerMs) + " ms",
-                  m_answers.RetryAfter(*ahead) };
+                  DescribeLoad(load),
+                  m_answers.RetryAfter(load.m_wait) };
 }
 
 std::optional<AdmissionController::Refusal>
--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -75,7 +75,8 @@
   ++m_board.m_counters.m_refused;
   aTurn.Record(EventCode::SubmissionRefused,
                aCaller.m_value,
-               std::string(DescribeError(aKind).m_name));
+               std::string(DescribeError(aKind).m_name) + " " +
+                 answer.m_detail);
   aTurn.m_commands.emplace_back(AnswerCaller{ aCaller, std::move(answer) });
 }
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -303,10 +303,10 @@
   offer.m_service = aSubmission.m_service;
   offer.m_team = aSubmission.m_team;
   // Both in the agent's clock, and never later than meant: see AgentRecord.
-  offer.m_startBy =
-    (aSubmission.m_queue.empty() ? item.m_startBy
-                                 : aSubmission.m_deadline - item.m_expectedRun) +
-    aAgent.m_clockOffset;
+  offer.m_startBy = (aSubmission.m_queue.empty()
+                       ? item.m_startBy
+                       : aSubmission.m_deadline - item.m_expectedRun) +
+                    aAgent.m_clockOffset;
   offer.m_deadline = aSubmission.m_deadline + aAgent.m_clockOffset;
   offer.m_expectedRun = item.m_expectedRun;
   offer.m_need = item.m_need;
@@ -320,6 +320,7 @@
   offer.m_name = item.m_name;
   offer.m_start = item.m_offers;
   offer.m_requiredLabel = item.m_requiredLabel;
+  offer.m_turn = TurnOf(m_board, aSubmission) + aAgent.m_clockOffset;
   OfferBatch& batch = m_pendingOffers[aAgent.m_id];
   batch.m_agentIncarnation = aAgent.m_id.m_incarnation;
   batch.m_sequence = aAgent.m_offersSent;
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -3,6 +3,8 @@
 #include "core/internal/overloaded.h"
 
 #include <algorithm>
+#include <sstream>
+#include <variant>
 
 namespace mulberrysail::core {
 
@@ -64,22 +66,32 @@
   return longest;
 }
 
+Instant
+TurnOf(const EntryBoard& aBoard, const Submission& aJob)
+{
+  const LeastSlackFirst* const policy =
+    std::get_if<LeastSlackFirst>(&aBoard.m_policy.m_jobOrder);
+  const Duration step =
+    policy == nullptr ? Duration::zero() : policy->m_priorityStep;
+  return aJob.m_due - LongestOf(aJob) + step * aJob.m_priority;
+}
+
 std::int64_t
 JobOrder(const EntryBoard& aBoard, const Submission& aJob)
 {
   return std::visit(
     Overloaded{ [&](const SmallestFirst&) { return SizeOrder(aBoard, aJob); },
                 [&](const LeastSlackFirst&) {
-                  const Instant startBy = aJob.m_due - LongestOf(aJob);
                   return static_cast<std::int64_t>(
-                    startBy.time_since_epoch().count());
+                    TurnOf(aBoard, aJob).time_since_epoch().count());
                 } },
     aBoard.m_policy.m_jobOrder);
 }
 
-std::optional<Duration>
-TooMuchAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob)
+JobLoad
+LoadAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob)
 {
+  JobLoad load;
   const std::int64_t order = JobOrder(aBoard, aJob);
   double ahead = 0;
   for (const WaitKey& key : aBoard.m_tasks.m_queue.Ordered()) {
@@ -92,16 +104,32 @@
   double offered = 0;
   for (const AgentRecord* agent : aBoard.m_taskAgents) {
     offered += static_cast<double>(agent->m_load.m_queuedTaskWork.count());
+    load.m_freeMilliCores += agent->m_load.m_freeRoom.m_milliCores;
   }
   const double cores = std::max(aBoard.m_tasks.m_slots, 1.0);
-  const Duration wait =
-    FromMicros((ahead * aBoard.Entries() + offered) / cores);
+  load.m_ahead = FromMicros(ahead);
+  load.m_offered = FromMicros(offered);
+  load.m_cores = cores;
+  load.m_wait = FromMicros((ahead * aBoard.Entries() + offered) / cores);
   const Duration slack =
     std::max(aJob.m_due - aNow - LongestOf(aJob), Duration::zero());
-  if (wait <= FromMicros(static_cast<double>(slack.count()) * kUsableSlack)) {
-    return std::nullopt;
-  }
-  return wait;
+  load.m_mostWait =
+    FromMicros(static_cast<double>(slack.count()) * kUsableSlack);
+  return load;
+}
+
+std::string
+DescribeLoad(const JobLoad& aLoad)
+{
+  constexpr std::int64_t kMicrosPerMs = 1000;
+  std::ostringstream text;
+  text << "wait_ms=" << aLoad.m_wait.count() / kMicrosPerMs
+       << " most_ms=" << aLoad.m_mostWait.count() / kMicrosPerMs
+       << " ahead_core_ms=" << aLoad.m_ahead.count() / kMicrosPerMs
+       << " at_agents_core_ms=" << aLoad.m_offered.count() / kMicrosPerMs
+       << " cores=" << aLoad.m_cores
+       << " free_millicores=" << aLoad.m_freeMilliCores;
+  return text.str();
 }
 
 void
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -25,16 +25,40 @@
 std::int64_t
 JobOrder(const EntryBoard& aBoard, const Submission& aJob);
 
+/** When the turn of a queue's job comes, as an instant to compare by. */
+Instant
+TurnOf(const EntryBoard& aBoard, const Submission& aJob);
+
+/** What a job finds ahead of it when it arrives. */
+struct JobLoad
+{
+  /** How long it is expected to wait, and may to meet its objective. */
+  Duration m_wait{};
+  Duration m_mostWait{};
+  /** Core time that waits at this entry and goes first. */
+  Duration m_ahead{};
+  /** Core time that waits at agents. */
+  Duration m_offered{};
+  /** Of all workers that get work. */
+  double m_cores = 0;
+  /** As last reported. */
+  std::uint64_t m_freeMilliCores = 0;
+};
+
 /**
- * Decides on arrival whether a queue's job can still meet its objective.
+ * Looks at what a queue's job finds ahead of it. One that would wait too long
+ * is refused on arrival.
  *
  * Answers a load beyond the workers' room, under which work that is taken in
  * regardless makes all later answers late.
  * @param aJob its tasks, m_due and m_queue are set.
- * @return how long the work ahead of it takes, if that is too long.
  */
-std::optional<Duration>
-TooMuchAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob);
+JobLoad
+LoadAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob);
+
+/** @return the load as name=value pairs, for logs and answers. */
+std::string
+DescribeLoad(const JobLoad& aLoad);
 
 /** Takes note of a job that arrived, refused or not. */
 void
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -71,9 +71,9 @@
   std::optional<Duration> m_declaredRun;
   std::string m_payload;
   /** The caller's name for it; empty if there is none. */
-  std::string m_name;
+  std::string m_name = {};
   /** Label that its worker must have; empty for any worker. */
-  std::string m_requiredLabel;
+  std::string m_requiredLabel = {};
 };
 
 /** A job, read and checked for form. */
@@ -92,7 +92,7 @@
   std::string m_queue;
   /** The caller's name for it. While a job of this name is open, another
    * submission of it waits for the same answer. Empty if there is none. */
-  std::string m_name;
+  std::string m_name = {};
 };
 
 struct CancelSubmission
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -69,6 +69,9 @@
   std::uint32_t m_start = 1;
   /** Label that the worker must have; empty for any worker. */
   std::string m_requiredLabel;
+  /** In the agent's clock: of queues' tasks that wait, the one with the
+   * earliest turn goes first. */
+  Instant m_turn;
 };
 
 /** Offers to one agent; the agent refuses those for another incarnation. */
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -36,9 +36,12 @@
 {};
 
 /** Jobs of queues go in the order in which they must start to meet their
- * objectives. */
+ * objectives; one of a lower priority as if it had this much more time for each
+ * step between the priorities. */
 struct LeastSlackFirst
-{};
+{
+  Duration m_priorityStep = std::chrono::milliseconds(150);
+};
 
 using JobOrderPolicy = std::variant<SmallestFirst, LeastSlackFirst>;
 
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -219,6 +219,7 @@
   offer.m_name = std::move(*aFrom.mutable_name());
   offer.m_start = std::max<std::uint32_t>(aFrom.start(), 1);
   offer.m_requiredLabel = std::move(*aFrom.mutable_required_label());
+  offer.m_turn = InstantFrom(aFrom.turn());
   return offer;
 }
 
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -56,6 +56,7 @@
     aTo.set_name(aFrom.m_name);
     aTo.set_start(aFrom.m_start);
     aTo.set_required_label(aFrom.m_requiredLabel);
+    aTo.set_turn(ToWire(aFrom.m_turn));
   }
 }
 
