--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -12,7 +12,7 @@
 
 /** The share of the time to the objective that may be spent on waiting; the
  * rest is for what the estimates of run times are off. */
-constexpr double kUsableSlack = 0.8;
+constexpr double kUsableSlack = 0.4;
 /** Arrivals after which an old one counts little in the mean. */
 constexpr int kMeanWindow = 64;
 /** Order of a job of its queue's mean size. */
