Entries hear of any room for a task; agents hold no queue of their own

Cause: an agent told of room only when it had none before, so that entries kept a task waiting at each agent, which costs 18 ms (p50) to 80 ms (p90).

--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -19,8 +19,8 @@
 RoomAppeared(const LoadReport& aOld, const LoadReport& aNew)
 {
   const bool forRequest = aOld.m_freeSlots == 0 && aNew.m_freeSlots > 0;
-  const bool forTask = aOld.m_freeRoom.m_milliCores < kLeastRoom &&
-                       aNew.m_freeRoom.m_milliCores >= kLeastRoom;
+  const bool forTask =
+    aNew.m_freeRoom.m_milliCores >= aOld.m_freeRoom.m_milliCores + kLeastRoom;
   return forRequest || forTask;
 }
 
