Retries of queues' tasks go by the caller's deadline; tests of leases and queues

Cause (found by SilentAgentGetsNoSignOfLife, which failed first): what was placed again kept the last useful start of its first turn, the objective's, so that a retry after it was dropped though the caller still waited; and what a silent agent's end freed was not placed until something else happened. Change: the last useful start is reckoned anew; tasks are placed in that turn.

--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -12,13 +12,6 @@
 
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(500);
 
-bool
-MayHaveRun(const WorkItem& aItem)
-{
-  return aItem.m_doubtful || aItem.m_state == WorkState::Offered ||
-         aItem.m_state == WorkState::Done;
-}
-
 Execution
 Worse(Execution aProved, Execution aOfKind)
 {
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -84,10 +84,8 @@
                                     const Submission& aSubmission,
                                     const WorkItem& aItem)
 {
-  const bool begun =
-    std::any_of(aSubmission.m_items.begin(),
-                aSubmission.m_items.end(),
-                [](const WorkItem& aOther) { return aOther.m_offers > 0; });
+  const bool begun = std::any_of(
+    aSubmission.m_items.begin(), aSubmission.m_items.end(), MayHaveRun);
   // Once some of a job runs, a late answer is better than none.
   const Instant end = begun ? aSubmission.m_deadline : aSubmission.m_due;
   return std::max(end - aItem.m_expectedRun, aTurn.m_now);
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -47,6 +47,12 @@
   /** Counts out offers that @p aLoad reflects, and takes the load over. */
   static void TakeLoad(AgentRecord& aAgent, const LoadReport& aLoad);
 
+  /** @return the last instant at which a start of a queue's task is still of
+   * use to the caller. */
+  static Instant LastUsefulStart(const EntryTurn& aTurn,
+                                 const Submission& aSubmission,
+                                 const WorkItem& aItem);
+
 private:
   enum class Placed : std::uint8_t
   {
@@ -74,11 +80,6 @@
                        const Submission& aSubmission,
                        Duration aLength,
                        Duration aWork);
-  /** @return the last instant at which a start of a queue's task is still of
-   * use to the caller. */
-  static Instant LastUsefulStart(const EntryTurn& aTurn,
-                                 const Submission& aSubmission,
-                                 const WorkItem& aItem);
   void ArmHeartbeat(EntryTurn& aTurn);
   void Wait(EntryTurn& aTurn,
             Submission& aSubmission,
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -233,6 +233,7 @@
   const Duration interval = m_board.m_policy.m_openHeartbeat;
   bool anyOpen = false;
   bool changed = false;
+  bool placedAgain = false;
   EntryHello hello;
   hello.m_config = m_board.m_config.m_version;
   hello.m_draining = m_board.m_draining;
@@ -261,6 +262,7 @@
       aTurn.Record(EventCode::AgentSilent, 0, id.m_name);
     }
     m_outcomes.OnSilentAttempts(aTurn, agent);
+    placedAgain = true;
   }
   m_board.m_heartbeatArmed = anyOpen;
   if (anyOpen) {
@@ -268,6 +270,8 @@
   }
   if (changed) {
     RebuildIndex();
+  }
+  if (changed || placedAgain) {
     m_dispatch.DispatchAll(aTurn);
   }
 }
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -246,6 +246,10 @@
   aTurn.Record(EventCode::AttemptRetried,
                submission.m_id.m_value,
                std::string(DescribeError(aKind).m_name));
+  if (!submission.m_queue.empty()) {
+    item.m_startBy =
+      DispatchController::LastUsefulStart(aTurn, submission, item);
+  }
   const bool forGood =
     aKind == ErrorKind::Superseded || aKind == ErrorKind::Unsatisfiable ||
     aTurn.m_now >= item.m_startBy || item.m_refusals > kMostRefusals;
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -56,6 +56,14 @@
   Duration m_ranFor{};
 };
 
+/** @return whether something of @p aItem has started, or may have. */
+inline bool
+MayHaveRun(const WorkItem& aItem)
+{
+  return aItem.m_doubtful || aItem.m_state == WorkState::Offered ||
+         aItem.m_state == WorkState::Done;
+}
+
 /** A request (one item) or a job (one item a task), until it is answered. */
 struct Submission
 {
--- a/packages/core/tests/schedule_world.cpp
+++ b/packages/core/tests/schedule_world.cpp
@@ -234,6 +234,8 @@
                     m_backends.Start(self, aStart);
                   },
                   [&](const StopRun& aStop) { m_backends.Stop(aStop.m_run); },
+                  // The schedules' workers hold no leases.
+                  [](const ObserveRuns&) {},
                   [&](const RecordEvent& aRecord) {
                     Trace(self.m_name + " " +
                           std::string(EventName(aRecord.m_code)) + " " +
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -66,7 +66,7 @@
   /** The worker may stop the task after this long. */
   Duration m_lease{};
   std::string m_payload;
-  RunName m_name;
+  RunName m_name = {};
 };
 
 /** Stops a task if it still runs. Best effort. */
@@ -75,7 +75,7 @@
   /** Zero if this life of the agent did not start it. */
   RunId m_run;
   RunTarget m_target;
-  RunName m_name;
+  RunName m_name = {};
 };
 
 /** Asks a worker what runs there and what has ended. */
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -34,7 +34,11 @@
            { 500, 128, 2 },
            { 1ULL << 54U },
            core::CallerKey{ "slip-7", 2, 5 },
-           std::string("\0payload\xff", 9) };
+           std::string("\0payload\xff", 9),
+           "5c0e.0.1.17",
+           2,
+           "kind-a",
+           core::Instant(core::Duration(77)) };
 }
 
 core::Announce
@@ -77,7 +81,11 @@
                   aOffer.m_need,
                   aOffer.m_job,
                   aOffer.m_key,
-                  aOffer.m_payload);
+                  aOffer.m_payload,
+                  aOffer.m_name,
+                  aOffer.m_start,
+                  aOffer.m_requiredLabel,
+                  aOffer.m_turn);
 }
 
 auto
--- a/packages/store/iconfigservice.h
+++ b/packages/store/iconfigservice.h
@@ -58,7 +58,7 @@
    * known here. */
   std::function<void()> m_onAbsent;
   /** A value could not be read; the configuration in force stays. */
-  std::function<void(std::string aDetail)> m_onUnreadable;
+  std::function<void(std::string aDetail)> m_onUnreadable = nullptr;
 };
 
 /** A configuration as it was read from a value of the store. */
