--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -391,7 +391,10 @@
   }
   for (const auto& [run, key] : aBoard.m_attempts.m_byRun) {
     const Attempt& attempt = aBoard.m_attempts.m_open.at(key);
-    if (attempt.m_offer.m_kind != WorkKind::Task || attempt.m_stoppedAt) {
+    const auto worker = aBoard.m_workers.m_workers.find(attempt.m_worker);
+    const bool leased = worker != aBoard.m_workers.m_workers.end() &&
+                        worker->second.m_lease.has_value();
+    if (!leased || attempt.m_stoppedAt) {
       continue;
     }
     const Instant stopAt = attempt.m_stopSentAt
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -108,7 +108,7 @@
     envelope.set_sender_name("agent-1");
     wire::AttemptReport& report =
       *envelope.mutable_report_batch()->add_reports();
-    report.set_fate(static_cast<wire::AttemptFate>(7));
+    report.set_fate(static_cast<wire::AttemptFate>(8));
     CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
     report.set_fate(wire::ATTEMPT_FATE_LOST);
     CPPUNIT_ASSERT(Decode(envelope.SerializeAsString()));
--- a/packages/store/internal/backoff.cpp
+++ b/packages/store/internal/backoff.cpp
@@ -7,13 +7,12 @@
 namespace {
 
 constexpr core::Duration kFirst = std::chrono::milliseconds(100);
-/** A store that is back is found again within this time. */
-constexpr core::Duration kLast = std::chrono::seconds(1);
 
 } // namespace
 
-Backoff::Backoff(std::uint32_t aSeed)
+Backoff::Backoff(std::uint32_t aSeed, core::Duration aLimit)
   : m_random(aSeed)
+  , m_last(aLimit)
   , m_limit(kFirst)
 {
 }
@@ -24,7 +23,7 @@
   std::uniform_int_distribution<core::Duration::rep> spread(m_limit.count() / 2,
                                                             m_limit.count());
   const core::Duration delay(spread(m_random));
-  m_limit = std::min(2 * m_limit, kLast);
+  m_limit = std::min(2 * m_limit, m_last);
   return delay;
 }
 
--- a/packages/store/internal/backoff.h
+++ b/packages/store/internal/backoff.h
@@ -11,7 +11,8 @@
 class Backoff
 {
 public:
-  explicit Backoff(std::uint32_t aSeed);
+  /** @param aLimit of the delays. */
+  Backoff(std::uint32_t aSeed, core::Duration aLimit);
 
   /** @return the delay before the next try: between half of the current limit
    * and the whole. */
@@ -21,6 +22,7 @@
 
 private:
   std::minstd_rand m_random;
+  const core::Duration m_last;
   core::Duration m_limit;
 };
 
--- a/packages/store/internal/patchoperation.cpp
+++ b/packages/store/internal/patchoperation.cpp
@@ -30,7 +30,7 @@
                                PatchDone aDone)
   : m_store(aStore)
   , m_timer(aTimer)
-  , m_backoff(aSeed)
+  , m_backoff(aSeed, aStore.RetryLimit())
   , m_patch(std::move(aPatch))
   , m_atLeast(aInForce)
   , m_done(std::move(aDone))
--- a/packages/store/internal/registration.cpp
+++ b/packages/store/internal/registration.cpp
@@ -23,7 +23,7 @@
   , m_key(std::move(aKey))
   , m_value(std::move(aValue))
   , m_ttl(aTtl)
-  , m_backoff(aSeed)
+  , m_backoff(aSeed, aStore.RetryLimit())
 {
 }
 
--- a/packages/store/internal/storewatcher.cpp
+++ b/packages/store/internal/storewatcher.cpp
@@ -19,7 +19,7 @@
   : m_store(aStore)
   , m_timer(aTimer)
   , m_prefix(std::move(aPrefix))
-  , m_backoff(aSeed)
+  , m_backoff(aSeed, aStore.RetryLimit())
   , m_hooks(std::move(aHooks))
 {
 }
--- a/packages/store/istore.h
+++ b/packages/store/istore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types/result.h"
+#include "core/types/time.h"
 
 #include <chrono>
 #include <cstdint>
@@ -84,6 +85,10 @@
                      std::function<void(StoredValue)> aOnChange,
                      std::function<void(core::Error)> aOnEnd) = 0;
 
+  /** @return how long to wait at most between two tries of a call that has
+   * failed. */
+  virtual core::Duration RetryLimit() const { return std::chrono::seconds(5); }
+
   /** @return calls made so far, watches included. */
   virtual std::uint64_t Calls() const = 0;
 };
