A test that plays the users' mix against the order of queues' jobs

It checks what callers get: nearly all in time below the room; under overload the largest tenth of each kind at least half as often as the kind, more than with the earlier order, and no queue starved. The entry's lease in the store is a setting.

--- /dev/null
+++ b/packages/core/tests/queue_load_test.cpp
@@ -0,0 +1,378 @@
+#include "core/ientry.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <numeric>
+#include <queue>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 7;
+constexpr int kAgents = 11;
+constexpr std::uint32_t kTaskMilliCores = 1600;
+constexpr std::uint32_t kAgentMilliCores = 16000;
+constexpr Duration kLength = seconds(20);
+/** The first seconds, in which run times are learned, aren't counted. */
+constexpr Duration kWarmUp = seconds(3);
+constexpr Duration kHop = milliseconds(1);
+constexpr double kSlackFactor = 1.6;
+constexpr Duration kTarget = milliseconds(60);
+
+constexpr const char* kDocument = R"({
+  "services": {"photo": {}},
+  "queues": {
+    "short": {"prefix": "/a/", "service": "photo", "priority": 0,
+              "slack_factor": 1.6, "target_duration_ms": 60},
+    "long": {"prefix": "/b/", "service": "photo", "priority": 2,
+             "slack_factor": 1.6, "target_duration_ms": 60},
+    "plain": {"prefix": "/c/", "service": "photo", "priority": 1,
+              "slack_factor": 1.6, "target_duration_ms": 60}
+  }
+})";
+
+/** One kind of job; a mix of the users' own. */
+struct Kind
+{
+  const char* m_queue;
+  double m_perSecond;
+  double m_tasks;
+  double m_runMs;
+};
+
+constexpr std::array kKinds = {
+  Kind{ "short", 34.4, 8, 60 },
+  Kind{ "long", 6.25, 4, 900 },
+  Kind{ "plain", 100, 2, 200 },
+};
+
+struct Job
+{
+  std::size_t m_kind = 0;
+  Instant m_arrivedAt;
+  std::vector<Duration> m_runs;
+  std::optional<Instant> m_doneAt;
+
+  Duration Longest() const
+  {
+    return *std::max_element(m_runs.begin(), m_runs.end());
+  }
+  double Work() const
+  {
+    const Duration sum =
+      std::accumulate(m_runs.begin(), m_runs.end(), Duration::zero());
+    return static_cast<double>(sum.count());
+  }
+  bool InTime() const
+  {
+    const Duration objective(static_cast<Duration::rep>(
+      kSlackFactor * static_cast<double>(Longest().count())));
+    return m_doneAt && *m_doneAt - m_arrivedAt <= objective + kTarget;
+  }
+};
+
+/** What callers got. */
+struct Shares
+{
+  std::array<double, kKinds.size()> m_inTime{};
+  /** Of the largest tenth of each kind. */
+  std::array<double, kKinds.size()> m_largest{};
+  double m_all = 0;
+};
+
+/** An entry core before simple agents, on a clock of its own. */
+class LoadWorld
+{
+public:
+  LoadWorld(JobOrderPolicy aOrder, double aLoad)
+    : m_load(aLoad)
+    , m_random(kSeed)
+  {
+    EntryPolicy policy;
+    policy.m_agentQueueDepth = 0;
+    policy.m_jobOrder = aOrder;
+    m_entry = MakeEntry({ "entry", { 1 } }, 0, policy, kSeed);
+    m_now = Instant(std::chrono::hours(1));
+    Give(
+      ConfigChanged{ ParseConfiguration({ 1 }, kDocument).value(), kDocument });
+    for (int i = 0; i < kAgents; ++i) {
+      m_free.push_back(kAgentMilliCores);
+      Announce announce;
+      announce.m_leaseFor = std::chrono::hours(1);
+      announce.m_workers.push_back(
+        { "w", "r", { kAgentMilliCores, 65536, 0 }, false });
+      announce.m_load = Load(i);
+      Give(MessageReceived{ IdOf(i), announce });
+    }
+    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+      ArriveLater(kind);
+    }
+  }
+
+  Shares Run()
+  {
+    const Instant end = m_now + kLength;
+    while (true) {
+      const Instant next = std::min(
+        m_entry->NextWake(), m_events.empty() ? kNever : m_events.top().m_at);
+      if (next >= end) {
+        return Count();
+      }
+      m_now = std::max(m_now, next);
+      if (!m_events.empty() && m_events.top().m_at <= m_now) {
+        const Event event = m_events.top();
+        m_events.pop();
+        event.m_act();
+      } else {
+        Give(TimerFired{});
+      }
+    }
+  }
+
+private:
+  struct Event
+  {
+    Instant m_at;
+    std::uint64_t m_order = 0;
+    std::function<void()> m_act;
+
+    bool operator<(const Event& aOther) const
+    {
+      return m_at != aOther.m_at ? m_at > aOther.m_at
+                                 : m_order > aOther.m_order;
+    }
+  };
+
+  static ProcessId IdOf(int aAgent)
+  {
+    return { "agent" + std::to_string(aAgent), { 1 } };
+  }
+
+  void At(Instant aWhen, std::function<void()> aAct)
+  {
+    m_events.push({ aWhen, m_nextOrder++, std::move(aAct) });
+  }
+
+  LoadReport Load(int aAgent)
+  {
+    LoadReport load;
+    load.m_sequence = ++m_loadSequence;
+    load.m_agentNow = m_now;
+    load.m_offersSeen = m_offersSeen[aAgent];
+    load.m_freeRoom = { m_free[aAgent], 65536, 0 };
+    load.m_config = { 1 };
+    return load;
+  }
+
+  void ArriveLater(std::size_t aKind)
+  {
+    const double mean = 1e6 / (kKinds[aKind].m_perSecond * m_load);
+    const double gap =
+      boost::random::exponential_distribution<double>(1 / mean)(m_random);
+    At(m_now + Duration(static_cast<Duration::rep>(gap)), [this, aKind] {
+      Arrive(aKind);
+      ArriveLater(aKind);
+    });
+  }
+
+  double Spread(double aMedian, double aSigma)
+  {
+    return boost::random::lognormal_distribution<double>(std::log(aMedian),
+                                                         aSigma)(m_random);
+  }
+
+  void Arrive(std::size_t aKind)
+  {
+    const Kind& kind = kKinds[aKind];
+    const std::uint64_t number = m_jobs.size() + 1;
+    Job job;
+    job.m_kind = aKind;
+    job.m_arrivedAt = m_now;
+    SubmitJob submit;
+    submit.m_caller = { number };
+    submit.m_queue = kind.m_queue;
+    submit.m_name = std::to_string(number);
+    submit.m_deadline = seconds(3);
+    const double run = Spread(kind.m_runMs * 0.92, 0.4);
+    const double declared = run * Spread(1, 0.4);
+    const int tasks = std::max(
+      1, static_cast<int>(std::lround(Spread(kind.m_tasks * 0.92, 0.4))));
+    for (int i = 0; i < tasks; ++i) {
+      job.m_runs.push_back(
+        Duration(static_cast<Duration::rep>(1000 * run * Spread(1, 0.15))));
+      TaskSpec task;
+      task.m_need = { kTaskMilliCores, 64, 0 };
+      task.m_declaredRun =
+        Duration(static_cast<Duration::rep>(1000 * declared));
+      task.m_name = submit.m_name + "." + std::to_string(i);
+      submit.m_tasks.push_back(task);
+    }
+    m_jobs.push_back(std::move(job));
+    Give(submit);
+  }
+
+  void Give(EntryEvent aEvent)
+  {
+    EntryCommands commands;
+    m_entry->Handle(m_now, std::move(aEvent), commands);
+    for (EntryCommand& command : commands) {
+      if (SendMessage* send = std::get_if<SendMessage>(&command)) {
+        if (OfferBatch* batch = std::get_if<OfferBatch>(&send->m_message)) {
+          Deliver(send->m_to, *batch);
+        }
+      } else if (AnswerCaller* answer = std::get_if<AnswerCaller>(&command)) {
+        if (answer->m_answer.m_kind == ErrorKind::None) {
+          m_jobs[answer->m_caller.m_value - 1].m_doneAt = m_now;
+        }
+      }
+    }
+  }
+
+  void Deliver(const ProcessId& aTo, const OfferBatch& aBatch)
+  {
+    const int agent = std::stoi(aTo.m_name.substr(5));
+    At(m_now + kHop, [this, agent, batch = aBatch] {
+      m_offersSeen[agent] = batch.m_sequence;
+      for (const Offer& offer : batch.m_offers) {
+        Start(agent, offer);
+      }
+    });
+  }
+
+  void Start(int aAgent, const Offer& aOffer)
+  {
+    // With one entry, which knows the room, no offer is too many.
+    CPPUNIT_ASSERT(m_free[aAgent] >= aOffer.m_need.m_milliCores);
+    m_free[aAgent] -= aOffer.m_need.m_milliCores;
+    const std::size_t dot = aOffer.m_name.find('.');
+    const Job& job = m_jobs[std::stoul(aOffer.m_name.substr(0, dot)) - 1];
+    const Duration run = job.m_runs[std::stoul(aOffer.m_name.substr(dot + 1))];
+    At(m_now + run, [this, aAgent, id = aOffer.m_attempt, run] {
+      m_free[aAgent] += kTaskMilliCores;
+      ReportBatch batch;
+      AttemptReport report;
+      report.m_attempt = id;
+      report.m_fate = AttemptFate::Completed;
+      report.m_ranFor = run;
+      batch.m_reports.push_back(report);
+      batch.m_load = Load(aAgent);
+      At(m_now + kHop, [this, aAgent, batch] {
+        Give(MessageReceived{ IdOf(aAgent), batch });
+      });
+    });
+  }
+
+  Shares Count() const
+  {
+    Shares shares;
+    std::size_t counted = 0;
+    std::size_t inTime = 0;
+    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+      std::vector<const Job*> jobs;
+      for (const Job& job : m_jobs) {
+        const Duration after = job.m_arrivedAt - Instant(std::chrono::hours(1));
+        if (job.m_kind == kind && after > kWarmUp &&
+            after < kLength - seconds(3)) {
+          jobs.push_back(&job);
+        }
+      }
+      std::sort(
+        jobs.begin(), jobs.end(), [](const Job* aLeft, const Job* aRight) {
+          return aLeft->Work() > aRight->Work();
+        });
+      shares.m_inTime[kind] = ShareOf(jobs, jobs.size());
+      shares.m_largest[kind] = ShareOf(jobs, jobs.size() / 10);
+      counted += jobs.size();
+      inTime += static_cast<std::size_t>(
+        std::lround(shares.m_inTime[kind] * static_cast<double>(jobs.size())));
+    }
+    shares.m_all = static_cast<double>(inTime) / static_cast<double>(counted);
+    return shares;
+  }
+
+  static double ShareOf(const std::vector<const Job*>& aJobs,
+                        std::size_t aFirst)
+  {
+    const auto end = aJobs.begin() + static_cast<std::ptrdiff_t>(aFirst);
+    const std::ptrdiff_t inTime = std::count_if(
+      aJobs.begin(), end, [](const Job* aJob) { return aJob->InTime(); });
+    return static_cast<double>(inTime) / static_cast<double>(aFirst);
+  }
+
+  const double m_load;
+  boost::random::mt19937_64 m_random;
+  std::unique_ptr<IEntry> m_entry;
+  Instant m_now;
+  std::vector<Job> m_jobs;
+  std::vector<std::uint32_t> m_free;
+  std::map<int, std::uint64_t> m_offersSeen;
+  std::uint64_t m_loadSequence = 0;
+  std::uint64_t m_nextOrder = 0;
+  std::priority_queue<Event> m_events;
+};
+
+/** Plays the users' mix against the entry's policies, and counts what callers
+ * get. 140 jobs a second take 72% of the cores at load 1. */
+class QueueLoadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(QueueLoadTest);
+  CPPUNIT_TEST(CalmLoadIsServedInTime);
+  CPPUNIT_TEST(LargeJobsAreServedUnderOverload);
+  CPPUNIT_TEST(NoQueueIsStarvedUnderOverload);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void CalmLoadIsServedInTime()
+  {
+    const Shares shares = LoadWorld(LeastSlackFirst{}, 0.9).Run();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(shares.m_all), shares.m_all > 0.98);
+  }
+
+  /** The platform's gate: the largest tenth of a kind is served at least half
+   * as often as the kind. */
+  void LargeJobsAreServedUnderOverload()
+  {
+    const Shares chosen = LoadWorld(LeastSlackFirst{}, 1.8).Run();
+    const Shares baseline = LoadWorld(SmallestFirst{}, 1.8).Run();
+    double most = 0;
+    double mostOfBaseline = 0;
+    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+      CPPUNIT_ASSERT_MESSAGE(kKinds[kind].m_queue,
+                             chosen.m_largest[kind] >=
+                               0.5 * chosen.m_inTime[kind]);
+      most += chosen.m_largest[kind];
+      mostOfBaseline += baseline.m_largest[kind];
+    }
+    CPPUNIT_ASSERT(most > mostOfBaseline);
+  }
+
+  void NoQueueIsStarvedUnderOverload()
+  {
+    const Shares shares = LoadWorld(LeastSlackFirst{}, 1.8).Run();
+    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(kKinds[kind].m_queue) + " " +
+                               std::to_string(shares.m_inTime[kind]),
+                             shares.m_inTime[kind] >= 0.3);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueueLoadTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- a/packages/daemon/internal/entrypeers.cpp
+++ b/packages/daemon/internal/entrypeers.cpp
@@ -33,7 +33,8 @@
 void
 EntryPeers::Start(const std::vector<std::string>& aMessageUrls,
                   const std::string& aHttpUrl,
-                  const std::vector<std::string>& aAlways)
+                  const std::vector<std::string>& aAlways,
+                  core::Duration aLease)
 {
   for (const std::string& url : aMessageUrls) {
     m_dialers.emplace_back(Without(aAlways, url));
@@ -42,6 +43,7 @@
   for (std::size_t i = 0; i < m_shards.Size(); ++i) {
     store::DirectoryOptions options;
     options.m_self = { m_shards.IdOf(i), aMessageUrls[i], aHttpUrl };
+    options.m_lease = std::chrono::ceil<std::chrono::seconds>(aLease);
     options.m_seed = static_cast<std::uint32_t>(MakeSeed());
     // One shard's view of the store serves all.
     store::EntriesHook hook;
--- a/packages/daemon/internal/entrypeers.h
+++ b/packages/daemon/internal/entrypeers.h
@@ -23,10 +23,12 @@
    * Registers the shards and begins to dial.
    * @param aMessageUrls where each shard is reached.
    * @param aAlways entries that are dialled whatever the store says.
+   * @param aLease of the registrations.
    */
   void Start(const std::vector<std::string>& aMessageUrls,
              const std::string& aHttpUrl,
-             const std::vector<std::string>& aAlways);
+             const std::vector<std::string>& aAlways,
+             core::Duration aLease);
 
   /** Takes the shards out of the store. */
   void Leave();
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -147,7 +147,8 @@
   for (std::size_t i = 0; i < m_shards.Size(); ++i) {
     urls.push_back(MessageUrl(i));
   }
-  m_peers->Start(urls, HttpUrl(), m_settings.m_entries);
+  m_peers->Start(
+    urls, HttpUrl(), m_settings.m_entries, m_settings.m_storeLease);
 }
 
 void
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -113,6 +113,8 @@
   MessageSettings m_messages;
   AdvertiseSettings m_advertise;
   std::vector<std::string> m_storeUrls;
+  /** Others forget a registered entry after this much silence. */
+  core::Duration m_storeLease = std::chrono::seconds(10);
   /** Message URLs of entries that are dialled whatever the store says. */
   std::vector<std::string> m_entries;
   LimitSettings m_limits;
