--- a/tests/docs/guarantees_test.cpp
+++ b/tests/docs/guarantees_test.cpp
@@ -23,7 +23,8 @@
   const std::regex suite(R"(CPPUNIT_TEST_SUITE\((\w+)\))");
   const std::regex entry(R"(CPPUNIT_TEST\((\w+)\))");
   std::set<std::string> tests;
-  for (const char* root : { "packages", "tests", "bench", "standins" }) {
+  for (const char* root :
+       { "packages", "platform", "tests", "bench", "standins" }) {
     for (const std::filesystem::directory_entry& file :
          std::filesystem::recursive_directory_iterator(root)) {
       if (file.path().extension() != ".cpp") {
@@ -50,6 +51,7 @@
   CPPUNIT_TEST_SUITE(GuaranteesTest);
   CPPUNIT_TEST(EveryNamedTestExists);
   CPPUNIT_TEST(EveryRowNamesATest);
+  CPPUNIT_TEST(EveryPlatformRuleNamesATest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +84,21 @@
     }
     CPPUNIT_ASSERT_EQUAL(9, rows);
   }
+
+  void EveryPlatformRuleNamesATest()
+  {
+    std::ifstream page("docs/GUARANTEES.md");
+    const std::regex row(R"(^\| [A-Z]+ \|.*)");
+    const std::regex named(R"(`\w+::\w+`)");
+    int rows = 0;
+    for (std::string line; std::getline(page, line);) {
+      if (std::regex_match(line, row)) {
+        ++rows;
+        CPPUNIT_ASSERT_MESSAGE(line, std::regex_search(line, named));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(11, rows);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GuaranteesTest);
