A stopped agent host does nothing more

Found on the way: a client that has stopped answers within the call, under the host's lock, which would never be released. Change: once stopped, the host hands no event to the core.

--- a/packages/daemon/internal/agenthost.cpp
+++ b/packages/daemon/internal/agenthost.cpp
@@ -77,6 +77,10 @@
 void
 AgentHost::Stop()
 {
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopped = true;
+  }
   m_wakeup.Stop();
   if (m_transport) {
     m_transport->Stop();
@@ -87,6 +91,10 @@
 AgentHost::Handle(core::AgentEvent aEvent)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
+  // A client that has stopped answers within the call: under this lock.
+  if (m_stopped) {
+    return;
+  }
   m_core->Handle(Now(), std::move(aEvent), m_commands);
   for (core::AgentCommand& command : m_commands) {
     std::visit(Executor(*this), command);
--- a/packages/daemon/internal/agenthost.h
+++ b/packages/daemon/internal/agenthost.h
@@ -53,6 +53,7 @@
   telemetry::IEventLog& m_events;
   IRunner& m_runner;
   core::AgentCommands m_commands;
+  bool m_stopped = false;
   core::Instant m_wake = core::kNever;
   WakeupTimer m_wakeup;
 };
--- /dev/null
+++ b/packages/daemon/tests/agenthost_test.cpp
@@ -0,0 +1,88 @@
+#include "daemon/internal/agenthost.h"
+
+#include "daemon/tests/fakes.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::daemon {
+
+namespace {
+
+/** A core that looks at its worker whatever happens. */
+class LookingAgent : public core::IAgent
+{
+public:
+  explicit LookingAgent(int& aHandled)
+    : m_handled(aHandled)
+  {
+  }
+  void Handle(core::Instant /*aNow*/,
+              core::AgentEvent /*aEvent*/,
+              core::AgentCommands& aCommands) override
+  {
+    ++m_handled;
+    aCommands.emplace_back(core::ObserveRuns{});
+  }
+  core::Instant NextWake() const override { return core::kNever; }
+  bool Idle() const override { return true; }
+  core::AgentStatus Status() const override { return {}; }
+  core::AgentCounters Counters() const override { return {}; }
+
+private:
+  int& m_handled;
+};
+
+class CountingRunner : public IRunner
+{
+public:
+  void Start(core::StartRun /*aStart*/) override {}
+  void Stop(core::StopRun /*aStop*/) override {}
+  void Observe(core::ObserveRuns /*aObserve*/) override { ++m_observed; }
+
+  int m_observed = 0;
+};
+
+class AgentHostTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AgentHostTest);
+  CPPUNIT_TEST(ObservationsGoToTheRunner);
+  CPPUNIT_TEST(NothingIsDoneOnceStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ObservationsGoToTheRunner()
+  {
+    Make();
+    m_host->Handle(core::TimerFired{});
+    CPPUNIT_ASSERT_EQUAL(1, m_runner.m_observed);
+  }
+
+  /** A client that has stopped answers within the call, that is under the
+   * host's lock. */
+  void NothingIsDoneOnceStopped()
+  {
+    Make();
+    m_host->Stop();
+    m_host->Handle(core::TimerFired{});
+    CPPUNIT_ASSERT_EQUAL(0, m_handled);
+    CPPUNIT_ASSERT_EQUAL(0, m_runner.m_observed);
+  }
+
+private:
+  void Make()
+  {
+    m_host.emplace(
+      std::make_unique<LookingAgent>(m_handled), m_events, m_runner);
+  }
+
+  int m_handled = 0;
+  FakeEventLog m_events;
+  CountingRunner m_runner;
+  std::optional<AgentHost> m_host;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentHostTest);
+
+} // namespace
+
+} // namespace mulberrysail::daemon
