--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -90,11 +90,11 @@
     return std::nullopt;
   }
   m_callerFront.SetHandler(m_adapter->MakeCallerFront(m_desk));
-  m_readyFront.SetHandler(
-    [this](const network::HttpRequest&, network::HttpResponder aResponder) {
-      aResponder(AnswerReady());
-      return network::DisconnectHook();
-    });
+  m_readyFront.SetHandler([this](const network::HttpRequest&,
+                                 const network::HttpResponder& aResponder) {
+    aResponder(AnswerReady());
+    return network::DisconnectHook();
+  });
   const AdapterSettings& adapter = m_settings.m_adapter;
   if (std::optional<core::Error> error =
         m_callerFront.ListenAt(adapter.m_listen, m_settings.m_http)) {
