--- a/packages/daemon/settings/settingtable.cpp
+++ b/packages/daemon/settings/settingtable.cpp
@@ -170,14 +170,13 @@
     },
     "the platform's key-value service; an entry needs at least one, an "
     "agent without it dials only `entries`" },
-  SettingField{ "store.lease_ms",
-                kEntry,
-                false,
-                [](Settings& aS) -> Slot {
-                  return Millis(aS.m_storeLease, 1000, 600000);
-                },
-                "silence after which others forget an entry; it is kept three "
-                "times within it" },
+  SettingField{
+    "store.lease_ms",
+    kEntry,
+    false,
+    [](Settings& aS) -> Slot { return Millis(aS.m_storeLease, 1000, 600000); },
+    "silence after which others forget an entry; it is kept three "
+    "times within it" },
   SettingField{ "entries",
                 kBoth,
                 false,
