Show why store calls end, what each message type costs, and how old refused offers' reports are

The incident's hypotheses could not be told apart: store-unavailable named no cause, the end of a watch was not recorded, and bytes were counted for all messages together.

- store-unavailable and the new store-watch-ended carry the cause, with the age of the call and the bytes of the body received until then.
- config-in-force of an entry carries the size of the document.
- attempt-retried carries the age of the load report on which the offer was placed, and how long the answer took; offers_refused counts them without the limit that the log has.
- Metrics: bytes sent by type of message, processor time of the process.

--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -316,6 +316,7 @@
   item.m_attempt = { m_board.NextId() };
   item.m_agent = aAgent.m_id;
   item.m_offeredAt = aContext.m_now;
+  item.m_loadAgeAtOffer = aContext.m_now - aAgent.m_loadReceivedAt;
   const WorkRef work{ aSubmission.m_id, aIndex };
   m_board.m_attempts[item.m_attempt] = work;
   aAgent.m_openAttempts.insert(item.m_attempt);
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -420,7 +420,8 @@
                     .Add("version", m_board.m_config.m_version.m_value)
                     .Add("shard", static_cast<unsigned>(m_board.m_shard))
                     .Add("services", m_board.m_config.m_services.size())
-                    .Add("queues", m_board.m_config.m_queues.size()));
+                    .Add("queues", m_board.m_config.m_queues.size())
+                    .Add("bytes", m_board.m_document.size()));
   if (m_board.m_shard != 0) {
     return;
   }
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -107,6 +107,7 @@
   switch (aReport.m_fate) {
     case AttemptFate::Refused:
     case AttemptFate::Revoked:
+      ++m_board.m_counters.m_offersRefused;
       if (StopsAcceptingWork(aReport.m_kind)) {
         aAgent.m_reachable = false;
       }
@@ -272,6 +273,8 @@
                   EventDetail()
                     .Add("cause", DescribeError(aKind).m_name)
                     .Add("agent", item.m_agent.m_name)
+                    .Add("load_age_ms", item.m_loadAgeAtOffer)
+                    .Add("answered_in_ms", aContext.m_now - item.m_offeredAt)
                     .Add("refusals", item.m_retries)
                     .Add("failures", item.m_failures)
                     .Add("left_ms", submission.m_deadline - aContext.m_now));
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -43,6 +43,8 @@
   AttemptId m_attempt;
   ProcessId m_agent;
   Instant m_offeredAt;
+  /** Age of the load report on which the last offer was placed. */
+  Duration m_loadAgeAtOffer{};
   /** The agent of the last attempt that was refused, failed or was interrupted.
    * A task is not offered to it again before a load report is received from it
    * after m_lastAttemptEndedAt. A request is not offered to it again under
--- a/packages/core/internal/messages.cpp
+++ b/packages/core/internal/messages.cpp
@@ -1,5 +1,7 @@
 #include "core/types/messages.h"
 
+#include "core/internal/overloaded.h"
+
 namespace mulberrysail::core {
 
 std::string_view
@@ -26,4 +28,23 @@
   return "unknown";
 }
 
+std::string_view
+MessageTypeName(const Message& aMessage)
+{
+  return std::visit(
+    Overloaded{
+      [](const OfferBatch&) -> std::string_view { return "offer_batch"; },
+      [](const RevokeBatch&) -> std::string_view { return "revoke_batch"; },
+      [](const Reconcile&) -> std::string_view { return "reconcile"; },
+      [](const FenceQuery&) -> std::string_view { return "fence_query"; },
+      [](const EntryHello&) -> std::string_view { return "entry_hello"; },
+      [](const ConfigUpdate&) -> std::string_view { return "config_update"; },
+      [](const ConfigRequest&) -> std::string_view { return "config_request"; },
+      [](const Announce&) -> std::string_view { return "announce"; },
+      [](const ReportBatch&) -> std::string_view { return "report_batch"; },
+      [](const FenceReply&) -> std::string_view { return "fence_reply"; },
+      [](const PeerHello&) -> std::string_view { return "peer_hello"; } },
+    aMessage);
+}
+
 } // namespace mulberrysail::core
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -67,6 +67,7 @@
   StoreUnavailable = 610,
   StoreRecovered = 611,
   ConfigUnreadable = 612,
+  StoreWatchEnded = 613,
 
   MessageRejected = 700,
   MessageDropped = 701,
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -323,4 +323,8 @@
                              FenceReply,
                              PeerHello>;
 
+/** @return the name of the type of @p aMessage for metrics. */
+std::string_view
+MessageTypeName(const Message& aMessage);
+
 } // namespace mulberrysail::core
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -53,6 +53,8 @@
   std::uint64_t m_completed = 0;
   std::uint64_t m_failed = 0;
   std::uint64_t m_offers = 0;
+  /** Offers that an agent refused. */
+  std::uint64_t m_offersRefused = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_repliesDropped = 0;
   std::uint64_t m_open = 0;
--- a/packages/daemon/internal/agentrole.cpp
+++ b/packages/daemon/internal/agentrole.cpp
@@ -147,6 +147,7 @@
     aMetrics.AddCounter("store_calls",
                         "Calls to the store.",
                         m_storeLink ? m_storeLink->Store().Calls() : 0);
+    aMetrics.AddProcess();
     aMetrics.AddLog(m_events->Log());
     aMetrics.Append(m_httpServer.Metrics().Collect());
   };
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -133,8 +133,13 @@
   hooks.m_onChange = [this](core::ConfigChanged aConfig) {
     m_gate.Receive(std::move(aConfig));
   };
-  hooks.m_onAvailabilityChange = [this](bool aAvailable) {
-    OnStoreAvailability(aAvailable);
+  hooks.m_onAvailabilityChange = [this](bool aAvailable,
+                                        const std::string& aCause) {
+    OnStoreAvailability(aAvailable, aCause);
+  };
+  hooks.m_onWatchEnded = [this](const std::string& aCause) {
+    m_events->Record(core::EventCode::StoreWatchEnded,
+                     core::EventDetail().Add("cause", aCause));
   };
   hooks.m_onAbsent = [this] {
     m_gate.Confirm();
@@ -173,13 +178,14 @@
 }
 
 void
-EntryRole::OnStoreAvailability(bool aAvailable)
+EntryRole::OnStoreAvailability(bool aAvailable, const std::string& aCause)
 {
   m_events->Record(aAvailable ? core::EventCode::StoreRecovered
                               : core::EventCode::StoreUnavailable,
                    core::EventDetail()
                      .Add("dependency", "store")
-                     .Add("config", ConfigVersion()));
+                     .Add("config", ConfigVersion())
+                     .Add("cause", aCause));
 }
 
 core::Result<std::unique_ptr<network::IMessageTransport>>
@@ -270,6 +276,7 @@
   aMetrics.AddGauge("config_version",
                     "Version of the configuration in force, 0 for none.",
                     ConfigVersion());
+  aMetrics.AddProcess();
   aMetrics.AddLog(m_events->Log());
   aMetrics.Append(m_httpServer.Metrics().Collect());
 }
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -50,7 +50,7 @@
   network::TransportHooks MakeHooks(EntryShard& aOwner);
   void OnMessage(EntryShard& aOwner, core::MessageReceived aReceived);
   void OnConfig(core::ConfigChanged aConfig);
-  void OnStoreAvailability(bool aAvailable);
+  void OnStoreAvailability(bool aAvailable, const std::string& aCause);
   void StartConfig();
   void StartPeers();
   void AddRoutes();
--- a/packages/daemon/internal/metriclist.cpp
+++ b/packages/daemon/internal/metriclist.cpp
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <sys/resource.h>
+
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -41,6 +44,33 @@
   AddCounter("message_bytes_sent", "Bytes to peers.", aCounters.m_bytesSent);
   AddCounter(
     "message_bytes_received", "Bytes from peers.", aCounters.m_bytesReceived);
+  prometheus::MetricFamily byType{ std::string(kPrefix) +
+                                     "message_type_bytes_sent_total",
+                                   "Bytes to peers by type of message.",
+                                   prometheus::MetricType::Counter,
+                                   {} };
+  for (const auto& [type, bytes] : aCounters.m_bytesSentByType) {
+    prometheus::ClientMetric metric;
+    metric.label.push_back({ "type", type });
+    metric.counter.value = static_cast<double>(bytes);
+    byType.metric.push_back(std::move(metric));
+  }
+  m_families.push_back(std::move(byType));
+}
+
+void
+MetricList::AddProcess()
+{
+  rusage usage{};
+  if (::getrusage(RUSAGE_SELF, &usage) != 0) {
+    return;
+  }
+  const std::chrono::microseconds used =
+    std::chrono::seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+    std::chrono::microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+  AddCounter("process_cpu_microseconds",
+             "Processor time used by this process.",
+             static_cast<std::uint64_t>(used.count()));
 }
 
 void
--- a/packages/daemon/internal/metriclist.h
+++ b/packages/daemon/internal/metriclist.h
@@ -43,6 +43,8 @@
     }
   }
 
+  /** Adds the processor time used by this process. */
+  void AddProcess();
   void AddTransport(const network::TransportCounters& aCounters);
   void AddLog(const telemetry::LogCounters& aCounters);
 
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -120,6 +120,7 @@
     sum.m_completed += counters.m_completed;
     sum.m_failed += counters.m_failed;
     sum.m_offers += counters.m_offers;
+    sum.m_offersRefused += counters.m_offersRefused;
     sum.m_retries += counters.m_retries;
     sum.m_repliesDropped += counters.m_repliesDropped;
     sum.m_open += counters.m_open;
@@ -138,6 +139,9 @@
     sum.m_messagesReceived += counters.m_messagesReceived;
     sum.m_bytesSent += counters.m_bytesSent;
     sum.m_bytesReceived += counters.m_bytesReceived;
+    for (const auto& [type, bytes] : counters.m_bytesSentByType) {
+      sum.m_bytesSentByType[type] += bytes;
+    }
   }
   return sum;
 }
--- a/packages/network/imessagetransport.h
+++ b/packages/network/imessagetransport.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
   std::uint64_t m_messagesReceived = 0;
   std::uint64_t m_bytesSent = 0;
   std::uint64_t m_bytesReceived = 0;
+  /** Bytes sent by type of message; see core::MessageTypeName(). */
+  std::map<std::string, std::uint64_t, std::less<>> m_bytesSentByType;
 };
 
 /**
--- a/packages/network/internal/httptransfer.cpp
+++ b/packages/network/internal/httptransfer.cpp
@@ -174,6 +174,16 @@
            CURLHE_OK;
 }
 
+std::string
+HttpTransfer::DescribeProgress() const
+{
+  const std::chrono::milliseconds age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                          m_createdAt);
+  return ", after " + std::to_string(age.count()) + " ms and " +
+         std::to_string(m_body.size()) + " bytes of body";
+}
+
 void
 HttpTransfer::Finish(CURLcode aCode, std::string aDetail)
 {
@@ -193,6 +203,7 @@
                        : aCode == CURLE_OK
                          ? "the answer doesn't tell where it ends"
                          : curl_easy_strerror(aCode);
+    outcome.m_detail += DescribeProgress();
   }
   m_callback(std::move(outcome));
 }
--- a/packages/network/internal/httptransfer.h
+++ b/packages/network/internal/httptransfer.h
@@ -64,6 +64,8 @@
   /** @return false to abort the transfer. */
   bool ConsumeData(std::string_view aData);
   bool NothingSent() const;
+  /** @return the age of the call and the size of the body received so far. */
+  std::string DescribeProgress() const;
   /** @return whether the response delimits its body by other means than the
    * end of the connection. */
   bool HasBodyLength() const;
@@ -76,7 +78,8 @@
   std::unique_ptr<CURL, EasyDeleter> m_easy;
   std::string m_body;
   std::string m_abortReason;
-  Clock::time_point m_lastDataAt = Clock::now();
+  const Clock::time_point m_createdAt = Clock::now();
+  Clock::time_point m_lastDataAt = m_createdAt;
 };
 
 } // namespace mulberrysail::network
--- a/packages/network/internal/messagetransport.cpp
+++ b/packages/network/internal/messagetransport.cpp
@@ -112,7 +112,12 @@
 TransportCounters
 MessageTransport::Counters() const
 {
-  return { m_messagesSent, m_messagesReceived, m_bytesSent, m_bytesReceived };
+  const std::lock_guard<std::mutex> lock(m_bytesSentByTypeMutex);
+  return { m_messagesSent,
+           m_messagesReceived,
+           m_bytesSent,
+           m_bytesReceived,
+           m_bytesSentByType };
 }
 
 void
@@ -382,7 +387,7 @@
     const std::string bytes = protocol::Encode(
       MakeHead(), aMessage.m_message, aMessage.m_to.m_incarnation);
     if (SendOver(*link, bytes)) {
-      ++m_messagesSent;
+      CountSent(aMessage.m_message, bytes.size());
       return;
     }
   }
@@ -390,6 +395,20 @@
                          std::move(aMessage.m_message));
 }
 
+void
+MessageTransport::CountSent(const core::Message& aMessage, std::size_t aBytes)
+{
+  ++m_messagesSent;
+  const std::string_view type = core::MessageTypeName(aMessage);
+  const std::lock_guard<std::mutex> lock(m_bytesSentByTypeMutex);
+  const auto known = m_bytesSentByType.find(type);
+  if (known == m_bytesSentByType.end()) {
+    m_bytesSentByType.emplace(type, aBytes);
+  } else {
+    known->second += aBytes;
+  }
+}
+
 bool
 MessageTransport::SendOver(const MessageLink& aLink, const std::string& aBytes)
 {
--- a/packages/network/internal/messagetransport.h
+++ b/packages/network/internal/messagetransport.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -67,6 +68,7 @@
   void RemoveLink(const MessageLink& aLink);
   void RemoveIdleLinks();
   void Route(OutgoingMessage& aMessage);
+  void CountSent(const core::Message& aMessage, std::size_t aBytes);
   bool SendOver(const MessageLink& aLink, const std::string& aBytes);
   bool SendIncoming(const IncomingLink& aLink, const std::string& aBytes);
 
@@ -86,6 +88,8 @@
   std::atomic<std::uint64_t> m_messagesReceived = 0;
   std::atomic<std::uint64_t> m_bytesSent = 0;
   std::atomic<std::uint64_t> m_bytesReceived = 0;
+  mutable std::mutex m_bytesSentByTypeMutex;
+  std::map<std::string, std::uint64_t, std::less<>> m_bytesSentByType;
   std::thread m_thread;
 };
 
--- a/packages/store/iconfigservice.h
+++ b/packages/store/iconfigservice.h
@@ -59,13 +59,17 @@
 {
   /** A newer configuration is in force. Versions strictly increase. */
   std::function<void(core::ConfigChanged)> m_onChange;
-  /** The store has become unavailable or available again. */
-  std::function<void(bool aAvailable)> m_onAvailabilityChange;
+  /** The store has become unavailable, with the cause, or available again. */
+  std::function<void(bool aAvailable, const std::string& aCause)>
+    m_onAvailabilityChange;
   /** The store holds no configuration, and this process has never received
    * one. */
   std::function<void()> m_onAbsent;
   /** A configuration could not be parsed; the one in force is kept. */
   std::function<void(std::string aDetail)> m_onUnreadable = nullptr;
+  /** A watch of the configuration has ended, and the configuration is read
+   * again after a delay. */
+  std::function<void(const std::string& aCause)> m_onWatchEnded = nullptr;
 };
 
 /** A configuration parsed from a value of the store. */
--- a/packages/store/internal/configservice.cpp
+++ b/packages/store/internal/configservice.cpp
@@ -53,10 +53,17 @@
     hooks.m_onChange = [weak](const StoredValue& aValue) {
       OnStoredValue(weak, aValue);
     };
-    hooks.m_onAvailabilityChange = [weak](bool aAvailable) {
+    hooks.m_onAvailabilityChange = [weak](bool aAvailable,
+                                          const std::string& aCause) {
       const std::shared_ptr<ConfigService> self = weak.lock();
       if (self && self->m_hooks.m_onAvailabilityChange) {
-        self->m_hooks.m_onAvailabilityChange(aAvailable);
+        self->m_hooks.m_onAvailabilityChange(aAvailable, aCause);
+      }
+    };
+    hooks.m_onWatchEnded = [weak](const std::string& aCause) {
+      const std::shared_ptr<ConfigService> self = weak.lock();
+      if (self && self->m_hooks.m_onWatchEnded) {
+        self->m_hooks.m_onWatchEnded(aCause);
       }
     };
     m_watcher = std::make_shared<StoreWatcher>(
--- a/packages/store/internal/storewatcher.cpp
+++ b/packages/store/internal/storewatcher.cpp
@@ -50,11 +50,12 @@
 void
 StoreWatcher::OnRead(const core::Result<StoreRead>& aRead)
 {
-  SetAvailable(aRead.has_value());
   if (aRead.has_error()) {
+    SetAvailable(false, aRead.error().m_detail);
     ScheduleRestart();
     return;
   }
+  SetAvailable(true, "");
   m_hooks.m_onSnapshot(aRead.value());
   m_watchStart = m_timer.Now();
   m_store.Watch(
@@ -66,17 +67,20 @@
         self->m_hooks.m_onChange(aValue);
       }
     },
-    [weak = weak_from_this()](const core::Error& /*aError*/) {
+    [weak = weak_from_this()](const core::Error& aError) {
       const std::shared_ptr<StoreWatcher> self = weak.lock();
       if (self && !self->m_stopped) {
-        self->OnWatchEnded();
+        self->OnWatchEnded(aError);
       }
     });
 }
 
 void
-StoreWatcher::OnWatchEnded()
+StoreWatcher::OnWatchEnded(const core::Error& aError)
 {
+  if (m_hooks.m_onWatchEnded) {
+    m_hooks.m_onWatchEnded(aError.m_detail);
+  }
   if (m_timer.Now() - m_watchStart >= kStableWatchDuration) {
     m_backoff.Reset();
   }
@@ -95,13 +99,13 @@
 }
 
 void
-StoreWatcher::SetAvailable(bool aAvailable)
+StoreWatcher::SetAvailable(bool aAvailable, const std::string& aCause)
 {
   if (aAvailable == std::exchange(m_available, aAvailable)) {
     return;
   }
   if (m_hooks.m_onAvailabilityChange) {
-    m_hooks.m_onAvailabilityChange(aAvailable);
+    m_hooks.m_onAvailabilityChange(aAvailable, aCause);
   }
 }
 
--- a/packages/store/internal/storewatcher.h
+++ b/packages/store/internal/storewatcher.h
@@ -19,8 +19,11 @@
   /** Receives a changed value; a revision of 0 means that the key was
    * deleted. */
   std::function<void(const StoredValue&)> m_onChange;
-  /** The store has become unavailable or available again. */
-  std::function<void(bool aAvailable)> m_onAvailabilityChange;
+  /** The store has become unavailable, with the cause, or available again. */
+  std::function<void(bool aAvailable, const std::string& aCause)>
+    m_onAvailabilityChange;
+  /** A watch has ended; the values are read again after a delay. */
+  std::function<void(const std::string& aCause)> m_onWatchEnded = nullptr;
 };
 
 /** Watches the keys under a prefix: reads them, watches from the next revision
@@ -44,9 +47,9 @@
 
 private:
   void OnRead(const core::Result<StoreRead>& aRead);
-  void OnWatchEnded();
+  void OnWatchEnded(const core::Error& aError);
   void ScheduleRestart();
-  void SetAvailable(bool aAvailable);
+  void SetAvailable(bool aAvailable, const std::string& aCause);
 
   IStore& m_store;
   ITimer& m_timer;
--- a/packages/store/tests/configservice_test.cpp
+++ b/packages/store/tests/configservice_test.cpp
@@ -30,7 +30,7 @@
         { [this](const core::ConfigChanged& aChange) {
            m_versions.push_back(aChange.m_configuration.m_version.m_value);
          },
-          [this](bool aAvailable) {
+          [this](bool aAvailable, const std::string& /*aCause*/) {
             m_availabilityChanges.push_back(aAvailable);
           },
           [this] { ++m_absenceCount; } }))
