A read of the store may take as long as data arrives

Cause: the client ended each call to the store 1 s (a watch 1.6 s) after its start, whatever had arrived. The grown configuration has some 350 KB and needs 1.4 s at 2 Mbit/s. Each read was cut and began anew, so it never completed, and the cut reads filled the link. Class: a transfer ended by a fixed time, whatever its size, which begins again from nothing.

Change: a call has one limit for the time to the first byte of the response and one for the time without data; the limit for the whole call is 20 s. The same limits apply to the reads of the etcd store, which had the same cause (2 s a call).

--- a/packages/network/ihttpclient.h
+++ b/packages/network/ihttpclient.h
@@ -20,9 +20,12 @@
   /** Limit for the whole call; zero for no limit. */
   std::chrono::milliseconds m_timeout{ 10000 };
   std::chrono::milliseconds m_connectTimeout{ 1000 };
-  /** Streams only: the call ends after this time without received data; zero
-   * for no limit. */
+  /** The call ends after this time without received data; zero for no limit.
+   * With a larger m_timeout, a response may take long while data arrives. */
   std::chrono::milliseconds m_idleTimeout{ 0 };
+  /** Limit for the time to the first byte of the response; zero for
+   * m_idleTimeout. */
+  std::chrono::milliseconds m_responseTimeout{ 0 };
 };
 
 /** Whether the request reached the server and a response came back. */
--- a/packages/network/internal/httpclient.cpp
+++ b/packages/network/internal/httpclient.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/** Longest wait before idle streams are checked again. */
+/** Longest wait before idle calls are checked again. */
 constexpr std::chrono::milliseconds kMaxPoll{ 1000 };
 
 /** Initializes libcurl once per process. */
@@ -54,7 +54,6 @@
 
   void Call(HttpCall aCall, HttpCallback aCallback) override
   {
-    aCall.m_idleTimeout = std::chrono::milliseconds(0);
     Enqueue(std::make_unique<HttpTransfer>(std::move(aCall),
                                            HttpChunkHandler(),
                                            std::move(aCallback),
@@ -113,7 +112,7 @@
       int running = 0;
       curl_multi_perform(m_multi.get(), &running);
       FinishCompleted();
-      const int wait = static_cast<int>(EndIdleStreams().count());
+      const int wait = static_cast<int>(EndIdleCalls().count());
       curl_multi_poll(m_multi.get(), nullptr, 0, wait, nullptr);
     }
     AbortAll();
@@ -173,9 +172,9 @@
     transfer->Finish(aCode, std::move(aDetail));
   }
 
-  /** Ends the streams whose idle timeout has expired.
+  /** Ends the calls whose idle or response timeout has expired.
    * @return how long the thread may wait for events. */
-  std::chrono::milliseconds EndIdleStreams()
+  std::chrono::milliseconds EndIdleCalls()
   {
     const HttpTransfer::Clock::time_point now = HttpTransfer::Clock::now();
     std::chrono::milliseconds wait = kMaxPoll;
@@ -190,9 +189,7 @@
       }
     }
     for (CURL* const easy : idle) {
-      EndTransfer(easy,
-                  CURLE_OPERATION_TIMEDOUT,
-                  "no data received within the idle timeout");
+      EndTransfer(easy, CURLE_OPERATION_TIMEDOUT, "no data received in time");
     }
     return wait;
   }
--- a/packages/network/internal/httptransfer.cpp
+++ b/packages/network/internal/httptransfer.cpp
@@ -54,6 +54,8 @@
   curl_easy_setopt(easy,
                    CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(m_call.m_connectTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &HttpTransfer::OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpTransfer::OnData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(
@@ -94,10 +96,28 @@
 HttpTransfer::Clock::time_point
 HttpTransfer::IdleDeadline() const
 {
-  if (m_call.m_idleTimeout.count() == 0) {
-    return Clock::time_point::max();
-  }
-  return m_lastDataAt + m_call.m_idleTimeout;
+  const bool isAwaitingResponse =
+    !m_responseBegan && m_call.m_responseTimeout.count() > 0;
+  const std::chrono::milliseconds limit =
+    isAwaitingResponse ? m_call.m_responseTimeout : m_call.m_idleTimeout;
+  return limit.count() == 0 ? Clock::time_point::max() : m_lastDataAt + limit;
+}
+
+void
+HttpTransfer::RecordReceived()
+{
+  m_responseBegan = true;
+  m_lastDataAt = Clock::now();
+}
+
+std::size_t
+HttpTransfer::OnHeader(char* /*aData*/,
+                       std::size_t aSize,
+                       std::size_t aCount,
+                       void* aSelf)
+{
+  static_cast<HttpTransfer*>(aSelf)->RecordReceived();
+  return aSize * aCount;
 }
 
 std::size_t
@@ -114,7 +134,7 @@
 bool
 HttpTransfer::ConsumeData(std::string_view aData)
 {
-  m_lastDataAt = Clock::now();
+  RecordReceived();
   if (m_onChunk) {
     const bool wanted = m_onChunk(aData);
     m_abortReason = wanted ? "" : "stream ended by the chunk handler";
--- a/packages/network/internal/httptransfer.h
+++ b/packages/network/internal/httptransfer.h
@@ -31,7 +31,8 @@
   CURL* Prepare();
   CURL* Handle() const { return m_easy.get(); }
 
-  /** @return the time at which the call ends unless data is received before. */
+  /** @return the time at which the call ends unless data is received before;
+   * the maximum if it has no such limit. */
   Clock::time_point IdleDeadline() const;
 
   /** Passes the outcome to the callback. Must be called exactly once.
@@ -49,6 +50,10 @@
     void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
   };
 
+  static std::size_t OnHeader(char* aData,
+                              std::size_t aSize,
+                              std::size_t aCount,
+                              void* aSelf);
   static std::size_t OnData(char* aData,
                             std::size_t aSize,
                             std::size_t aCount,
@@ -61,6 +66,7 @@
 
   void SetOptions();
   void SetHeaders();
+  void RecordReceived();
   /** @return false to abort the transfer. */
   bool ConsumeData(std::string_view aData);
   bool NothingSent() const;
@@ -79,7 +85,10 @@
   std::string m_body;
   std::string m_abortReason;
   const Clock::time_point m_createdAt = Clock::now();
+  /** When the last header or part of the body was received; m_createdAt before
+   * the response begins. */
   Clock::time_point m_lastDataAt = m_createdAt;
+  bool m_responseBegan = false;
 };
 
 } // namespace mulberrysail::network
--- a/packages/store/etcdstore.h
+++ b/packages/store/etcdstore.h
@@ -14,8 +14,11 @@
 {
   /** Base URLs of the etcd members, as http://IP:port; at least one. */
   std::vector<std::string> m_urls;
-  /** Timeout of one call to one member. */
+  /** Maximum time to the first byte of a member's response, and without data
+   * in the middle of it. */
   std::chrono::milliseconds m_timeout{ 2000 };
+  /** Maximum time for a whole call to one member. */
+  std::chrono::milliseconds m_callTimeout{ 20000 };
   std::chrono::milliseconds m_connectTimeout{ 500 };
   /** A watch that receives no data for this time is ended. */
   std::chrono::milliseconds m_watchIdleTimeout{ 20000 };
--- a/packages/store/internal/etcdstore.cpp
+++ b/packages/store/internal/etcdstore.cpp
@@ -126,7 +126,9 @@
     network::HttpCall call;
     call.m_url = m_options.m_urls[aMember % m_options.m_urls.size()] + aPath;
     call.m_body = aBody;
-    call.m_timeout = m_options.m_timeout;
+    call.m_timeout = m_options.m_callTimeout;
+    call.m_responseTimeout = m_options.m_timeout;
+    call.m_idleTimeout = m_options.m_timeout;
     call.m_connectTimeout = m_options.m_connectTimeout;
     return call;
   }
