Configuration: few agents keep a copy, and peers receive it in small parts

Cause: every entry sent the whole document to every agent in one message as soon as it had a newer version than the agent, and an entry requested it from every peer that announced it. Offers wait behind it. Agents don't use the document: they only hold it for entries that can't read the store. Class: one large message in front of small urgent ones; work that grows with entries times agents times size.

Change: agents learn the number of the version from EntryHello and report it in their load. One agent in each zone, at least three, keeps a copy, chosen by rendezvous hashing, so that all entries choose the same. Copies, and documents for entries without the store, are requested in parts of 8 KB, one at a time, from one peer at a time; after a stall the transfer continues from another. An entry gives the store a second before it asks a peer. Agents of the previous build ignore the request to keep a copy; no process takes a part for a whole.

Tests: EntryConfigTest::GrownConfigurationDoesNotDelayOffersToAgents failed before (6 MB in one event, bound 12.5 KB). ScheduleTest found that a lost notice was never repeated to an agent without a copy (301 of 10,000 schedules); the load report now carries the newest known version. Its final check demanded a copy at every agent, which is no longer the design; it now demands that every agent knows the newest version and that three hold it.

--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -110,30 +110,27 @@
 Agent::HandleMessage(EntryIndex aEntry, Message& aMessage)
 {
   std::visit(
-    Overloaded{ [&](OfferBatch& aBatch) { HandleOffers(aEntry, aBatch); },
-                [&](const RevokeBatch& aBatch) {
-                  Reconciler(m_board).Revoke(aEntry, aBatch);
-                },
-                [&](const Reconcile& aReconcile) {
-                  Reconciler(m_board).ReportAttempts(aEntry, aReconcile);
-                },
-                [&](const FenceQuery& aQuery) {
-                  KeyRegistry(m_board).AnswerFenceQuery(aEntry, aQuery);
-                },
-                [&](const EntryHello& aHello) { HandleHello(aEntry, aHello); },
-                [&](ConfigUpdate& aUpdate) {
-                  SetConfig(aUpdate.m_version, std::move(aUpdate.m_document));
-                },
-                [&](const ConfigRequest& aRequest) {
-                  SendConfigIfNewer(aEntry, aRequest.m_knownVersion);
-                },
-                [&](const auto&) {
-                  Record(m_board,
-                         EventCode::MessageRejected,
-                         0,
-                         EventDetail().Add(
-                           "cause", "message type not handled by an agent"));
-                } },
+    Overloaded{
+      [&](OfferBatch& aBatch) { HandleOffers(aEntry, aBatch); },
+      [&](const RevokeBatch& aBatch) {
+        Reconciler(m_board).Revoke(aEntry, aBatch);
+      },
+      [&](const Reconcile& aReconcile) {
+        Reconciler(m_board).ReportAttempts(aEntry, aReconcile);
+      },
+      [&](const FenceQuery& aQuery) {
+        KeyRegistry(m_board).AnswerFenceQuery(aEntry, aQuery);
+      },
+      [&](const EntryHello& aHello) { HandleHello(aEntry, aHello); },
+      [&](ConfigUpdate& aUpdate) { HandleConfigUpdate(aEntry, aUpdate); },
+      [&](const ConfigRequest& aRequest) { SendConfigPart(aEntry, aRequest); },
+      [&](const auto&) {
+        Record(
+          m_board,
+          EventCode::MessageRejected,
+          0,
+          EventDetail().Add("cause", "message type not handled by an agent"));
+      } },
     aMessage);
 }
 
@@ -152,15 +149,49 @@
   entry.m_loadRequested = entry.m_loadRequested || entry.m_openAttempts > 0;
   entry.m_subscribedUntil =
     std::max(entry.m_subscribedUntil, m_board.m_now + aHello.m_subscribeFor);
+  HandleConfigVersion(aEntry, aHello);
+}
+
+void
+Agent::HandleConfigVersion(EntryIndex aEntry, const EntryHello& aHello)
+{
+  ConfigSection& config = m_board.m_config;
+  config.m_newest = std::max(config.m_newest, aHello.m_config);
+  const bool isNeeded =
+    aHello.m_keepConfig && aHello.m_config > config.m_copy.m_version;
+  if (!isNeeded || config.m_transfer.IsInProgress(m_board.m_now)) {
+    return;
+  }
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  Send(m_board,
+       entry,
+       config.m_transfer.Start(
+         entry.m_id, config.m_copy.m_version, m_board.m_now));
+}
+
+void
+Agent::HandleConfigUpdate(EntryIndex aEntry, ConfigUpdate& aUpdate)
+{
+  EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  ConfigTransfer& transfer = m_board.m_config.m_transfer;
+  if (const std::optional<ConfigRequest> next =
+        transfer.Add(entry.m_id, std::move(aUpdate), m_board.m_now)) {
+    Send(m_board, entry, *next);
+  }
+  if (std::optional<ConfigCopy> received = transfer.TakeCompleted()) {
+    SetConfig(received->m_version, std::move(received->m_document));
+  }
 }
 
 void
 Agent::SetConfig(ConfigVersion aVersion, std::string aDocument)
 {
-  if (aVersion <= m_board.m_config.m_version) {
+  ConfigSection& config = m_board.m_config;
+  if (aVersion <= config.m_copy.m_version) {
     return;
   }
-  m_board.m_config = { aVersion, std::move(aDocument) };
+  config.m_copy = MakeConfigCopy(aVersion, std::move(aDocument));
+  config.m_newest = std::max(config.m_newest, aVersion);
   Record(m_board,
          EventCode::ConfigInForce,
          aVersion.m_value,
@@ -169,15 +200,12 @@
 }
 
 void
-Agent::SendConfigIfNewer(EntryIndex aEntry, ConfigVersion aKnownVersion)
+Agent::SendConfigPart(EntryIndex aEntry, const ConfigRequest& aRequest)
 {
-  const ConfigSection& config = m_board.m_config;
-  if (config.m_version <= aKnownVersion) {
-    return;
+  if (std::optional<ConfigUpdate> update =
+        MakeConfigUpdate(m_board.m_config.m_copy, aRequest)) {
+    Send(m_board, m_board.m_entries.m_records.at(aEntry), std::move(*update));
   }
-  Send(m_board,
-       m_board.m_entries.m_records.at(aEntry),
-       ConfigUpdate{ config.m_version, config.m_document });
 }
 
 void
--- a/packages/core/internal/agent/agent.h
+++ b/packages/core/internal/agent/agent.h
@@ -39,12 +39,16 @@
   void HandleMessage(EntryIndex aEntry, Message& aMessage);
   void HandleOffers(EntryIndex aEntry, OfferBatch& aBatch);
   void HandleHello(EntryIndex aEntry, const EntryHello& aHello);
+  /** Notes the version of the entry, and requests the document if a copy has to
+   * be kept. */
+  void HandleConfigVersion(EntryIndex aEntry, const EntryHello& aHello);
+  void HandleConfigUpdate(EntryIndex aEntry, ConfigUpdate& aUpdate);
   /** Stores the configuration and schedules an Announce if @p aVersion is newer
    * than the current version; otherwise does nothing. */
   void SetConfig(ConfigVersion aVersion, std::string aDocument);
-  /** Sends the configuration if the entry only has an older version.
-   * @param aKnownVersion the version that the entry has. */
-  void SendConfigIfNewer(EntryIndex aEntry, ConfigVersion aKnownVersion);
+  /** Sends the requested part of the configuration, if the entry only has an
+   * older version. */
+  void SendConfigPart(EntryIndex aEntry, const ConfigRequest& aRequest);
   /** Expires, starts and reports what is due after an event. */
   void ProcessDue();
   /** Records the attempts that were accepted with the current event and are
--- a/packages/core/internal/agent/board.h
+++ b/packages/core/internal/agent/board.h
@@ -7,6 +7,7 @@
 #include "core/internal/agent/queuesection.h"
 #include "core/internal/agent/reportcachesection.h"
 #include "core/internal/agent/workersection.h"
+#include "core/internal/configtransfer.h"
 #include "core/types/commands.h"
 #include "core/types/policy.h"
 #include "core/types/status.h"
@@ -17,11 +18,15 @@
 
 namespace mulberrysail::core::agent {
 
-/** The newest configuration, sent to entries that request it. */
+/** The configuration as far as this agent knows it. */
 struct ConfigSection
 {
-  ConfigVersion m_version;
-  std::string m_document;
+  /** The copy that is kept for entries; its version is zero if there is none.
+   */
+  ConfigCopy m_copy;
+  /** The newest version of which an entry has told. */
+  ConfigVersion m_newest;
+  ConfigTransfer m_transfer;
 };
 
 struct AttemptSection
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -32,7 +32,8 @@
   LoadReport load;
   load.m_sequence = aBoard.m_loadSequence;
   load.m_reportedAt = aBoard.m_now;
-  load.m_config = aBoard.m_config.m_version;
+  load.m_config = aBoard.m_config.m_copy.m_version;
+  load.m_newestConfig = aBoard.m_config.m_newest;
   load.m_freeSlots = FreeSlots(aBoard);
   load.m_queuedRequests =
     static_cast<std::uint32_t>(aBoard.m_requests.m_order.size());
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -49,8 +49,10 @@
   std::deque<UnreflectedOffer> m_unreflectedOffers;
   std::unordered_set<AttemptId> m_openAttempts;
   SlowdownModel m_slowdown;
-  ConfigVersion m_sentConfig;
-  Instant m_configSentAt;
+  /** Whether the agent keeps a copy of the configuration, and when it was last
+   * told so. */
+  bool m_keepsConfig = false;
+  Instant m_configNoticeAt;
 
   bool ServesRequests(std::string_view aService) const
   {
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -24,7 +24,8 @@
   , m_claims(m_board, m_answers, m_dispatch)
   , m_admission(m_board, m_answers, m_dispatch, m_claims)
   , m_outcomes(m_board, m_answers, m_dispatch)
-  , m_membership(m_board, m_dispatch, m_outcomes, m_claims)
+  , m_configs(m_board)
+  , m_membership(m_board, m_dispatch, m_outcomes, m_claims, m_configs)
 {
   m_board.m_self = std::move(aSelf);
   m_board.m_shard = aShard;
@@ -66,17 +67,17 @@
                   m_membership.OnPeerHello(aContext, from, aHello);
                 },
                 [&](const ConfigRequest& aRequest) {
-                  m_membership.OnConfigRequest(aContext, from, aRequest);
+                  m_configs.OnRequest(aContext, from, aRequest);
                 },
-                // An entry does not handle the remaining messages. ConfigUpdate
-                // is handled by the configuration service, which then sends
-                // ConfigChanged to the entry.
+                [&](ConfigUpdate& aUpdate) {
+                  m_configs.OnUpdate(aContext, from, std::move(aUpdate));
+                },
+                // An entry does not handle the remaining messages.
                 [](const OfferBatch&) {},
                 [](const RevokeBatch&) {},
                 [](const Reconcile&) {},
                 [](const FenceQuery&) {},
-                [](const EntryHello&) {},
-                [](const ConfigUpdate&) {} },
+                [](const EntryHello&) {} },
     aEvent.m_message);
 }
 
@@ -134,7 +135,10 @@
         m_answers.OnRetentionExpired(aRetention.m_submission);
       },
       [&](const DispatchTimer&) { m_dispatch.DispatchAll(aContext); },
-      [&](const HeartbeatTimer&) { m_membership.OnHeartbeat(aContext); } },
+      [&](const HeartbeatTimer&) { m_membership.OnHeartbeat(aContext); },
+      [&](const ConfigTransferTimer&) {
+        m_configs.OnTransferTimer(aContext);
+      } },
     aTimer);
 }
 
@@ -152,7 +156,9 @@
 void
 Entry::On(EntryEventContext& aContext, ConfigChanged aEvent)
 {
-  m_membership.OnConfigChanged(aContext, std::move(aEvent));
+  if (m_configs.Apply(aContext, std::move(aEvent))) {
+    m_membership.NotifyPeers(aContext);
+  }
 }
 
 void
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -53,6 +53,7 @@
   ClaimController m_claims;
   AdmissionController m_admission;
   OutcomeController m_outcomes;
+  ConfigController m_configs;
   MembershipController m_membership;
 };
 
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/configtransfer.h"
 #include "core/internal/entry/agentrecord.h"
 #include "core/internal/entry/arrivalmeter.h"
 #include "core/internal/entry/fairsharetracker.h"
@@ -161,7 +162,15 @@
 
   // Configuration
   Configuration m_config;
-  std::string m_document;
+  ConfigCopy m_configCopy;
+  /** The newest version that a peer has reported. */
+  ConfigVersion m_newestConfig;
+  /** The newest version that was received from a peer. */
+  ConfigVersion m_receivedConfig;
+  /** Versions of other entries that were newer than this entry's. */
+  std::map<ProcessId, ConfigVersion> m_peerConfigs;
+  ConfigTransfer m_configTransfer;
+  bool m_isTransferTimerArmed = false;
 
   // Membership
   std::map<ProcessId, AgentRecord> m_agents;
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/** Interval at which a configuration is sent again to an agent that has not
- * applied it. */
-constexpr Duration kConfigResendInterval = std::chrono::seconds(1);
-
 bool
 SameMembership(const Announce& aLeft, const Announce& aRight)
 {
@@ -100,6 +96,9 @@
     agent.m_servedSince
       .emplace(agent.m_announced.m_endpoint->m_service, aContext.m_now)
       .second;
+  if (changed) {
+    RebuildIndex();
+  }
   OnLoadReport(aContext, aFrom, agent.m_announced.m_load);
   if (isNewService) {
     // A peer that receives no messages from the agent must know that the agent
@@ -107,7 +106,6 @@
     NotifyPeers(aContext);
   }
   if (changed) {
-    RebuildIndex();
     m_dispatch.DispatchAll(aContext);
   }
 }
@@ -185,29 +183,7 @@
   agent.m_clockOffset =
     aLoad.m_reportedAt.time_since_epoch() - aContext.m_now.time_since_epoch();
   DispatchController::ApplyLoad(aContext, agent, aLoad);
-  SyncConfig(aContext, agent);
-}
-
-void
-MembershipController::SyncConfig(EntryEventContext& aContext,
-                                 AgentRecord& aAgent)
-{
-  const ConfigVersion own = m_board.m_config.m_version;
-  const ConfigVersion theirs = aAgent.m_load.m_config;
-  if (m_board.m_shard != 0 || theirs == own) {
-    return;
-  }
-  if (aContext.m_now < aAgent.m_configSentAt + kConfigResendInterval &&
-      aAgent.m_sentConfig == std::max(own, theirs)) {
-    return;
-  }
-  aAgent.m_sentConfig = std::max(own, theirs);
-  aAgent.m_configSentAt = aContext.m_now;
-  if (theirs < own) {
-    aContext.Send(aAgent.m_id, ConfigUpdate{ own, m_board.m_document });
-  } else {
-    aContext.Send(aAgent.m_id, ConfigRequest{ own });
-  }
+  m_configs.OnAgentVersion(aContext, agent);
 }
 
 void
@@ -224,7 +200,7 @@
   aContext.Send(aPeer, hello);
   const auto found = m_board.m_agents.find(aPeer);
   if (found != m_board.m_agents.end()) {
-    found->second.m_sentConfig = {};
+    found->second.m_configNoticeAt = {};
     m_outcomes.ReconcileOpenAttempts(aContext, found->second);
   }
 }
@@ -400,35 +376,7 @@
   }
   m_board.m_departuresKnownSince = std::min(
     m_board.m_departuresKnownSince, aContext.m_now - aHello.m_recordsCover);
-  if (m_board.m_shard == 0 && aHello.m_config > m_board.m_config.m_version) {
-    aContext.Send(aFrom, ConfigRequest{ m_board.m_config.m_version });
-  }
-}
-
-void
-MembershipController::OnConfigChanged(EntryEventContext& aContext,
-                                      ConfigChanged aChange)
-{
-  if (aChange.m_configuration.m_version <= m_board.m_config.m_version) {
-    return;
-  }
-  m_board.m_config = std::move(aChange.m_configuration);
-  m_board.m_document = std::move(aChange.m_document);
-  aContext.Record(EventCode::ConfigInForce,
-                  m_board.m_config.m_version.m_value,
-                  EventDetail()
-                    .Add("version", m_board.m_config.m_version.m_value)
-                    .Add("shard", static_cast<unsigned>(m_board.m_shard))
-                    .Add("services", m_board.m_config.m_services.size())
-                    .Add("queues", m_board.m_config.m_queues.size())
-                    .Add("bytes", m_board.m_document.size()));
-  if (m_board.m_shard != 0) {
-    return;
-  }
-  for (auto& [id, agent] : m_board.m_agents) {
-    SyncConfig(aContext, agent);
-  }
-  NotifyPeers(aContext);
+  m_configs.OnPeerVersion(aContext, aFrom, aHello.m_config);
 }
 
 void
@@ -443,18 +391,6 @@
   }
 }
 
-void
-MembershipController::OnConfigRequest(EntryEventContext& aContext,
-                                      const ProcessId& aFrom,
-                                      const ConfigRequest& aRequest)
-{
-  if (m_board.m_shard == 0 &&
-      aRequest.m_knownVersion < m_board.m_config.m_version) {
-    aContext.Send(
-      aFrom, ConfigUpdate{ m_board.m_config.m_version, m_board.m_document });
-  }
-}
-
 void
 MembershipController::RebuildIndex()
 {
@@ -480,6 +416,7 @@
         worker.m_quarantined ? 0 : worker.m_capacity.m_milliCores / 1000.0;
     }
   }
+  m_configs.SelectHolders();
 }
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/internal/entry/claimcontroller.h"
+#include "core/internal/entry/configcontroller.h"
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/outcomecontroller.h"
@@ -8,19 +9,20 @@
 
 namespace mulberrysail::core {
 
-/** Tracks the agents and the other entries, and distributes the configuration
- * to them. */
+/** Tracks the agents and the other entries. */
 class MembershipController
 {
 public:
   MembershipController(EntryBoard& aBoard,
                        DispatchController& aDispatch,
                        OutcomeController& aOutcomes,
-                       ClaimController& aClaims)
+                       ClaimController& aClaims,
+                       ConfigController& aConfigs)
     : m_board(aBoard)
     , m_dispatch(aDispatch)
     , m_outcomes(aOutcomes)
     , m_claims(aClaims)
+    , m_configs(aConfigs)
   {
   }
 
@@ -44,22 +46,17 @@
   void OnPeerHello(EntryEventContext& aContext,
                    const ProcessId& aFrom,
                    const PeerHello& aHello);
-  void OnConfigChanged(EntryEventContext& aContext, ConfigChanged aChange);
-  void OnConfigRequest(EntryEventContext& aContext,
-                       const ProcessId& aFrom,
-                       const ConfigRequest& aRequest);
+  /** Sends the other entries what a newly started entry lacks. */
+  void NotifyPeers(EntryEventContext& aContext) const;
 
 private:
   bool IsPeer(const ProcessId& aProcess) const;
   PeerHello MakePeerHello(EntryEventContext& aContext) const;
-  void NotifyPeers(EntryEventContext& aContext) const;
   void RemoveEarlierIncarnations(EntryEventContext& aContext,
                                  const ProcessId& aNew);
   /** Removes the agent, fails the claims pending on it and closes its open
    * attempts. */
   void RemoveAgent(EntryEventContext& aContext, AgentRecord& aAgent);
-  /** Sends the agent a newer configuration, or requests one from it. */
-  void SyncConfig(EntryEventContext& aContext, AgentRecord& aAgent);
   /** Recomputes the agents and slots of each service and of the workers. */
   void RebuildIndex();
 
@@ -67,6 +64,7 @@
   DispatchController& m_dispatch;
   OutcomeController& m_outcomes;
   ClaimController& m_claims;
+  ConfigController& m_configs;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -55,6 +55,11 @@
 struct HeartbeatTimer
 {};
 
+/** A newer configuration of a peer is due for a transfer, or a transfer for a
+ * check of its progress. */
+struct ConfigTransferTimer
+{};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -63,7 +68,8 @@
                            ProbeTimer,
                            RetentionTimer,
                            DispatchTimer,
-                           HeartbeatTimer>;
+                           HeartbeatTimer,
+                           ConfigTransferTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
--- a/packages/core/tests/entryfixture.cpp
+++ b/packages/core/tests/entryfixture.cpp
@@ -50,6 +50,7 @@
   announce.m_load.m_sequence = ++m_loadSequence;
   announce.m_load.m_reportedAt = m_now;
   announce.m_load.m_config = { 1 };
+  announce.m_load.m_newestConfig = { 1 };
   return announce;
 }
 
@@ -124,6 +125,7 @@
   batch.m_load.m_sequence = ++m_loadSequence;
   batch.m_load.m_reportedAt = m_now;
   batch.m_load.m_config = { 1 };
+  batch.m_load.m_newestConfig = { 1 };
   batch.m_load.m_lastOfferSequence = m_lastOffersSeen;
   batch.m_load.m_freeSlots = aFreeSlots;
   Receive(aAgent, std::move(batch));
--- a/packages/core/tests/entryfixture.h
+++ b/packages/core/tests/entryfixture.h
@@ -76,6 +76,7 @@
     return sent;
   }
 
+  const EntryCommands& Commands() const { return m_commands; }
   void ClearCommands() { m_commands.clear(); }
 
   std::unique_ptr<IEntry> m_entry;
--- a/packages/core/tests/queue_load_test.cpp
+++ b/packages/core/tests/queue_load_test.cpp
@@ -187,6 +187,7 @@
     load.m_lastOfferSequence = m_lastOfferSequence[aAgent];
     load.m_freeCapacity = { m_free[aAgent], 65536, 0 };
     load.m_config = { 1 };
+    load.m_newestConfig = { 1 };
     return load;
   }
 
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -111,8 +111,19 @@
   std::string m_id = {};
 };
 
-using EntryCommand =
-  std::variant<SendMessage, AnswerCaller, SendSubmissionId, RecordEvent>;
+/** Applies a configuration received from a peer, if it is valid and newer than
+ * the one in force. */
+struct ApplyConfig
+{
+  ConfigVersion m_version;
+  std::string m_document;
+};
+
+using EntryCommand = std::variant<SendMessage,
+                                  AnswerCaller,
+                                  SendSubmissionId,
+                                  RecordEvent,
+                                  ApplyConfig>;
 using AgentCommand =
   std::variant<SendMessage, StartRun, StopRun, ObserveRuns, RecordEvent>;
 
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -125,20 +125,34 @@
   /** How long from receipt of this message the agent sends load reports; zero
    * for none. */
   Duration m_subscribeFor{};
+  /** Whether the agent keeps a copy of the configuration m_config for entries
+   * that cannot read it from the store. */
+  bool m_keepConfig = false;
 };
 
-/** A complete accepted configuration. */
+/** One part of the document of an accepted configuration. */
 struct ConfigUpdate
 {
   ConfigVersion m_version;
-  std::string m_document;
+  std::string m_part;
+  /** Position of the part in the document, and the size of the document, in
+   * bytes. */
+  std::uint64_t m_offset = 0;
+  std::uint64_t m_size = 0;
+  /** Hash of the whole document. */
+  std::uint64_t m_digest = 0;
 };
 
-/** Asks a peer that announced a newer configuration to send it. */
+/** Asks a peer that announced a newer configuration for its next part. */
 struct ConfigRequest
 {
   /** The version of the sender's configuration. */
   ConfigVersion m_knownVersion;
+  /** The document of which the sender has m_offset bytes; the receiver starts
+   * again from zero if it has another one. */
+  ConfigVersion m_version = {};
+  std::uint64_t m_digest = 0;
+  std::uint64_t m_offset = 0;
 };
 
 /** Load of an agent's endpoint and workers. It is sent often, so it is kept
@@ -151,7 +165,7 @@
   Instant m_reportedAt;
   /** The highest OfferBatch::m_sequence received from the receiving entry. */
   std::uint64_t m_lastOfferSequence = 0;
-  /** The configuration in force at the agent. */
+  /** The configuration of which the agent keeps a copy; zero for none. */
   ConfigVersion m_config;
   std::uint32_t m_freeSlots = 0;
   std::uint32_t m_queuedRequests = 0;
@@ -162,6 +176,8 @@
   std::uint32_t m_queuedTasks = 0;
   /** Total core time of all queued tasks: expected run time times cores. */
   Duration m_queuedTaskWork{};
+  /** The newest configuration of which the agent has heard. */
+  ConfigVersion m_newestConfig = {};
 };
 
 /** An endpoint's state as known to its agent. */
--- a/packages/daemon/internal/agentrole.cpp
+++ b/packages/daemon/internal/agentrole.cpp
@@ -137,7 +137,7 @@
     aStatus["role"] = "agent";
     aStatus["zone"] = m_settings.m_zone;
     aStatus["draining"] = m_draining.load();
-    aStatus["config_version"] = status.m_load.m_config.m_value;
+    aStatus["config_version"] = status.m_load.m_newestConfig.m_value;
     aStatus["counters"] = CountersToJson(m_host->Counters());
     aStatus["agent"] = AgentToJson(status);
   };
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -193,6 +193,10 @@
                           std::size_t aShard,
                           EntryShard& aOwner)
 {
+  aOwner.SetConfigSink([this](core::ApplyConfig aConfig) {
+    m_configService->ApplyPeerConfig(aConfig.m_version,
+                                     std::move(aConfig.m_document));
+  });
   const std::uint16_t port = m_settings.m_messages.m_port;
   network::TransportOptions options;
   options.m_self = aSelf;
@@ -223,14 +227,9 @@
 void
 EntryRole::OnMessage(EntryShard& aOwner, core::MessageReceived aReceived)
 {
-  core::Message& message = aReceived.m_message;
-  if (core::ConfigUpdate* update = std::get_if<core::ConfigUpdate>(&message)) {
-    m_configService->ApplyPeerConfig(update->m_version,
-                                     std::move(update->m_document));
-    return;
-  }
-  if (const core::Announce* announce = std::get_if<core::Announce>(&message)) {
-    m_gate.OnAgentVersion(announce->m_load.m_config);
+  if (const core::Announce* announce =
+        std::get_if<core::Announce>(&aReceived.m_message)) {
+    m_gate.OnAgentVersion(announce->m_load.m_newestConfig);
   }
   aOwner.Handle(std::move(aReceived));
 }
--- a/packages/daemon/internal/entryshard.cpp
+++ b/packages/daemon/internal/entryshard.cpp
@@ -37,9 +37,9 @@
 class EntryShard::Executor
 {
 public:
-  Executor(EntryShard& aShard, PendingAnswers& aAnswers)
+  Executor(EntryShard& aShard, PendingCalls& aPending)
     : m_shard(aShard)
-    , m_answers(aAnswers)
+    , m_pending(aPending)
   {
   }
 
@@ -55,7 +55,7 @@
     if (caller == m_shard.m_answerSinks.end()) {
       return;
     }
-    m_answers.push_back(
+    m_pending.m_answers.push_back(
       { std::move(caller->second), std::move(aAnswer.m_answer) });
     m_shard.m_answerSinks.erase(caller);
   }
@@ -68,9 +68,14 @@
     m_shard.m_events.Record(std::move(aRecord));
   }
 
+  void operator()(core::ApplyConfig& aConfig) const
+  {
+    m_pending.m_configs.push_back(std::move(aConfig));
+  }
+
 private:
   EntryShard& m_shard;
-  PendingAnswers& m_answers;
+  PendingCalls& m_pending;
 };
 
 EntryShard::EntryShard(std::unique_ptr<core::IEntry> aCore,
@@ -109,13 +114,13 @@
 void
 EntryShard::Handle(core::EntryEvent aEvent)
 {
-  PendingAnswers answers;
+  PendingCalls pending;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     HandleInCore(std::move(aEvent));
-    answers = ExecuteCommands();
+    pending = ExecuteCommands();
   }
-  DeliverAnswers(std::move(answers));
+  MakeCalls(std::move(pending));
 }
 
 core::CallerToken
@@ -134,7 +139,7 @@
 core::CallerToken
 EntryShard::SubmitAndRegister(Submission aSubmission, AnswerSink aSink)
 {
-  PendingAnswers answers;
+  PendingCalls pending;
   core::CallerToken token;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -142,16 +147,16 @@
     m_answerSinks.emplace(token, std::move(aSink));
     aSubmission.m_caller = token;
     HandleInCore(std::move(aSubmission));
-    answers = ExecuteCommands();
+    pending = ExecuteCommands();
   }
-  DeliverAnswers(std::move(answers));
+  MakeCalls(std::move(pending));
   return token;
 }
 
 std::variant<core::SubmissionId, core::Answer>
 EntryShard::SubmitDetached(core::SubmitJob aJob)
 {
-  PendingAnswers answers;
+  PendingCalls pending;
   std::variant<core::SubmissionId, core::Answer> result;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -160,25 +165,25 @@
     aJob.m_detached = true;
     HandleInCore(std::move(aJob));
     result = FindAdmission(m_commands, token);
-    answers = ExecuteCommands();
+    pending = ExecuteCommands();
   }
-  DeliverAnswers(std::move(answers));
+  MakeCalls(std::move(pending));
   return result;
 }
 
 void
 EntryShard::HandleDisconnect(core::CallerToken aCaller)
 {
-  PendingAnswers answers;
+  PendingCalls pending;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (m_answerSinks.erase(aCaller) == 0) {
       return;
     }
     HandleInCore(core::CallerGone{ aCaller });
-    answers = ExecuteCommands();
+    pending = ExecuteCommands();
   }
-  DeliverAnswers(std::move(answers));
+  MakeCalls(std::move(pending));
 }
 
 std::optional<core::SubmissionStatus>
@@ -229,12 +234,12 @@
   m_core->Handle(Now(), std::move(aEvent), m_commands);
 }
 
-EntryShard::PendingAnswers
+EntryShard::PendingCalls
 EntryShard::ExecuteCommands()
 {
-  PendingAnswers answers;
+  PendingCalls pending;
   for (core::EntryCommand& command : m_commands) {
-    std::visit(Executor(*this, answers), command);
+    std::visit(Executor(*this, pending), command);
   }
   m_commands.clear();
   const core::Instant wake = m_core->NextWake();
@@ -244,7 +249,7 @@
     m_nextWake = wake;
     m_wakeup.Set(m_wakeupClient, wake);
   }
-  return answers;
+  return pending;
 }
 
 core::CallerToken
@@ -254,11 +259,22 @@
 }
 
 void
-EntryShard::DeliverAnswers(PendingAnswers aAnswers)
+EntryShard::SetConfigSink(ConfigSink aSink)
 {
-  for (PendingAnswer& pending : aAnswers) {
+  m_configSink = std::move(aSink);
+}
+
+void
+EntryShard::MakeCalls(PendingCalls aPending) const
+{
+  for (PendingAnswer& pending : aPending.m_answers) {
     pending.m_sink(std::move(pending.m_answer));
   }
+  for (core::ApplyConfig& config : aPending.m_configs) {
+    if (m_configSink) {
+      m_configSink(std::move(config));
+    }
+  }
 }
 
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/entryshard.h
+++ b/packages/daemon/internal/entryshard.h
@@ -38,6 +38,12 @@
   /** Starts the transport. Its hooks may be called before this returns. */
   std::optional<core::Error> StartTransport(const TransportStart& aStart);
 
+  using ConfigSink = std::function<void(core::ApplyConfig)>;
+
+  /** Sets the receiver of configurations that came from peers. To be called
+   * before the transport is started. */
+  void SetConfigSink(ConfigSink aSink);
+
   /** Stops the transport, after its queue was sent. */
   void StopTransport();
 
@@ -77,7 +83,12 @@
     AnswerSink m_sink;
     core::Answer m_answer;
   };
-  using PendingAnswers = std::vector<PendingAnswer>;
+  /** Calls to make after the lock is released. */
+  struct PendingCalls
+  {
+    std::vector<PendingAnswer> m_answers;
+    std::vector<core::ApplyConfig> m_configs;
+  };
   class Executor;
 
   template<typename Submission>
@@ -87,10 +98,10 @@
    * held. */
   void HandleInCore(core::EntryEvent aEvent);
   /** Executes and clears m_commands and sets the timer. The lock must be held.
-   * @return the answers to deliver after the lock is released. */
-  PendingAnswers ExecuteCommands();
+   * @return the calls to make after the lock is released. */
+  PendingCalls ExecuteCommands();
   core::CallerToken NextToken();
-  static void DeliverAnswers(PendingAnswers aAnswers);
+  void MakeCalls(PendingCalls aPending) const;
 
   mutable std::mutex m_mutex;
   std::unique_ptr<core::IEntry> m_core;
@@ -102,6 +113,7 @@
   core::Instant m_nextWake = core::kNever;
   std::uint64_t m_lastToken = 0;
   std::unordered_map<core::CallerToken, AnswerSink> m_answerSinks;
+  ConfigSink m_configSink;
 };
 
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/statuscodec.cpp
+++ b/packages/daemon/internal/statuscodec.cpp
@@ -105,7 +105,7 @@
            { "http_url", aAgent.m_httpAddress },
            { "leaving", aAgent.m_leaving },
            { "reachable", aAgent.m_reachable },
-           { "config_version", aAgent.m_load.m_config.m_value },
+           { "config_version", aAgent.m_load.m_newestConfig.m_value },
            { "endpoint",
              aAgent.m_endpoint ? EndpointToJson(*aAgent.m_endpoint) : json() },
            { "workers", std::move(workers) },
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -85,6 +85,7 @@
   load.m_reportedAt = InstantFrom(aFrom.agent_now());
   load.m_lastOfferSequence = aFrom.offers_seen();
   load.m_config = { aFrom.config() };
+  load.m_newestConfig = { aFrom.newest_config() };
   load.m_freeSlots = aFrom.free_slots();
   load.m_queuedRequests = aFrom.queued_requests();
   load.m_queuedRequestWork = DurationFrom(aFrom.queued_request_work());
@@ -132,19 +133,26 @@
 {
   return { { aFrom.config() },
            aFrom.draining(),
-           DurationFrom(aFrom.subscribe_for()) };
+           DurationFrom(aFrom.subscribe_for()),
+           aFrom.keep_config() };
 }
 
 core::ConfigUpdate
 ReadBody(const wire::ConfigUpdate& aFrom)
 {
-  return { { aFrom.version() }, aFrom.document() };
+  return { { aFrom.version() },
+           aFrom.document(),
+           aFrom.offset(),
+           aFrom.size(),
+           aFrom.digest() };
 }
 
 core::ConfigRequest
 ReadBody(const wire::ConfigRequest& aFrom)
 {
-  return { { aFrom.known() } };
+  return {
+    { aFrom.known() }, { aFrom.version() }, aFrom.digest(), aFrom.offset()
+  };
 }
 
 core::EndpointInfo
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -67,6 +67,7 @@
   aTo.set_agent_now(ToWire(aFrom.m_reportedAt));
   aTo.set_offers_seen(aFrom.m_lastOfferSequence);
   aTo.set_config(aFrom.m_config.m_value);
+  aTo.set_newest_config(aFrom.m_newestConfig.m_value);
   aTo.set_free_slots(aFrom.m_freeSlots);
   aTo.set_queued_requests(aFrom.m_queuedRequests);
   aTo.set_queued_request_work(ToWire(aFrom.m_queuedRequestWork));
@@ -169,19 +170,26 @@
     to.set_config(aFrom.m_config.m_value);
     to.set_draining(aFrom.m_draining);
     to.set_subscribe_for(ToWire(aFrom.m_subscribeFor));
+    to.set_keep_config(aFrom.m_keepConfig);
   }
 
   void operator()(const core::ConfigUpdate& aFrom) const
   {
     wire::ConfigUpdate& to = *m_envelope.mutable_config_update();
     to.set_version(aFrom.m_version.m_value);
-    to.set_document(aFrom.m_document);
+    to.set_document(aFrom.m_part);
+    to.set_offset(aFrom.m_offset);
+    to.set_size(aFrom.m_size);
+    to.set_digest(aFrom.m_digest);
   }
 
   void operator()(const core::ConfigRequest& aFrom) const
   {
-    m_envelope.mutable_config_request()->set_known(
-      aFrom.m_knownVersion.m_value);
+    wire::ConfigRequest& to = *m_envelope.mutable_config_request();
+    to.set_known(aFrom.m_knownVersion.m_value);
+    to.set_version(aFrom.m_version.m_value);
+    to.set_digest(aFrom.m_digest);
+    to.set_offset(aFrom.m_offset);
   }
 
   void operator()(const core::Announce& aFrom) const
