Agents tell of free capacity only as many entries as can use it

Cause: when a task ended, the agent told every waiting entry of the free capacity at once; all offered, and all but one were refused. Each refusal costs processor time on both sides. The small entries run out of it: their refused offers are answered after 13 to 21 ms, those of the large entries after 4.5 ms, so they also lose the race more often. Class: work that grows when the system is full.

Change: of the subscribed entries the agent tells as many as the free capacity has room for tasks of the mean size, first the one whose offer was refused first; the others follow every 10 ms while the capacity stays free.

Tests: AgentReportTest::FreedCapacityIsNotOfferedToMoreEntriesThanCanUseIt (5 of 5 entries told before, now 1), EntryThatWasRefusedFirstIsToldFirst; both failed before. UnusedCapacityIsReportedToAllSubscribersInTurn passed before, too.

--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -9,6 +9,23 @@
 
 namespace mulberrysail::core::agent {
 
+namespace {
+
+/** The newest offer has the weight 1 / kMeanNeedWindow in the moving average.
+ */
+constexpr std::uint32_t kMeanNeedWindow = 16;
+
+void
+UpdateMeanNeed(WorkerSection& aWorkers, std::uint32_t aMilliCores)
+{
+  std::uint32_t& mean = aWorkers.m_meanNeedMilliCores;
+  mean = mean == 0
+           ? aMilliCores
+           : (mean * (kMeanNeedWindow - 1) + aMilliCores) / kMeanNeedWindow;
+}
+
+} // namespace
+
 void
 Admission::ProcessOffers(EntryIndex aEntry, OfferBatch aBatch)
 {
@@ -39,7 +56,13 @@
   }
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
   ++m_board.m_counters.m_offersReceived;
+  if (aOffer.m_kind == WorkKind::Task) {
+    UpdateMeanNeed(m_board.m_workers, aOffer.m_need.m_milliCores);
+  }
   const ErrorKind kind = CheckOffer(aOffer);
+  if (kind == ErrorKind::QueueFull) {
+    entry.m_refusedAt = entry.m_refusedAt.value_or(m_board.m_now);
+  }
   if (kind != ErrorKind::None) {
     Outcomes(m_board).RefuseOffer(key, aOffer, kind);
     return;
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -41,6 +41,9 @@
   Instant m_minTransitAt;
   Instant m_lastSent;
   Instant m_subscribedUntil;
+  /** When a task of the entry was first refused for lack of capacity since the
+   * last load report that told it of free capacity. */
+  std::optional<Instant> m_refusedAt;
   bool m_announceDue = false;
   /** Set when a send to the entry failed; cleared by a message from the entry,
    * an opened link or the next heartbeat. */
@@ -64,6 +67,8 @@
   std::map<EntryIndex, EntryRecord> m_records;
   std::unordered_map<ProcessId, EntryIndex> m_byId;
   EntryIndex m_nextIndex = 1;
+  /** When subscribers were last told of free capacity. */
+  Instant m_capacityReportedAt = Instant(std::chrono::hours(-1));
 };
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -15,6 +15,24 @@
  * little for a task. */
 constexpr std::uint32_t kMinFreedMilliCores = 1000;
 
+/** @return how many requests and tasks could start now. */
+std::size_t
+StartableCount(const AgentBoard& aBoard, const LoadReport& aLoad)
+{
+  const std::uint32_t need =
+    std::max(aBoard.m_workers.m_meanNeedMilliCores, kMinFreedMilliCores);
+  return aLoad.m_freeSlots + aLoad.m_freeCapacity.m_milliCores / need;
+}
+
+/** @return when subscribers may be told of free capacity again. */
+Instant
+NextCapacityReport(const AgentBoard& aBoard, const EntryRecord& aEntry)
+{
+  return std::max(aEntry.m_lastLoad.m_reportedAt,
+                  aBoard.m_entries.m_capacityReportedAt) +
+         aBoard.m_policy.m_reportInterval;
+}
+
 } // namespace
 
 bool
@@ -73,8 +91,7 @@
     }
     if (!entry.m_unreachable && entry.m_subscribedUntil > aBoard.m_now &&
         CapacityAppeared(entry.m_lastLoad, load)) {
-      due = std::min(
-        due, entry.m_lastLoad.m_reportedAt + aBoard.m_policy.m_reportInterval);
+      due = std::min(due, NextCapacityReport(aBoard, entry));
     }
   }
   return due;
@@ -86,6 +103,38 @@
   for (auto& [index, entry] : m_board.m_entries.m_records) {
     FlushTo(entry);
   }
+  ReportCapacity();
+}
+
+void
+Reporter::ReportCapacity()
+{
+  std::vector<EntryRecord*> due;
+  for (auto& [index, entry] : m_board.m_entries.m_records) {
+    if (LacksCapacityReport(entry) &&
+        NextCapacityReport(m_board, entry) <= m_board.m_now) {
+      due.push_back(&entry);
+    }
+  }
+  if (due.empty()) {
+    return;
+  }
+  std::sort(due.begin(),
+            due.end(),
+            [](const EntryRecord* aLeft, const EntryRecord* aRight) {
+              const Instant left = aLeft->m_refusedAt.value_or(kNever);
+              const Instant right = aRight->m_refusedAt.value_or(kNever);
+              return left != right ? left < right
+                                   : aLeft->m_lastLoad.m_reportedAt <
+                                       aRight->m_lastLoad.m_reportedAt;
+            });
+  const std::size_t startable = StartableCount(m_board, CurrentLoad(m_board));
+  due.resize(std::min(due.size(), std::max<std::size_t>(startable, 1)));
+  for (EntryRecord* const entry : due) {
+    entry->m_refusedAt.reset();
+    SendReports(*entry);
+  }
+  m_board.m_entries.m_capacityReportedAt = m_board.m_now;
 }
 
 void
@@ -102,8 +151,7 @@
   if (aEntry.m_announceDue && IsPresent(m_board, aEntry)) {
     SendAnnounce(aEntry);
   }
-  if (!aEntry.m_reports.empty() || aEntry.m_loadRequested ||
-      LoadReportDue(aEntry)) {
+  if (!aEntry.m_reports.empty() || aEntry.m_loadRequested) {
     SendReports(aEntry);
   }
 }
@@ -116,11 +164,9 @@
 }
 
 bool
-Reporter::LoadReportDue(const EntryRecord& aEntry) const
+Reporter::LacksCapacityReport(const EntryRecord& aEntry) const
 {
-  return aEntry.m_subscribedUntil > m_board.m_now &&
-         m_board.m_now - aEntry.m_lastLoad.m_reportedAt >=
-           m_board.m_policy.m_reportInterval &&
+  return !aEntry.m_unreachable && aEntry.m_subscribedUntil > m_board.m_now &&
          CapacityAppeared(aEntry.m_lastLoad, CurrentLoad(m_board));
 }
 
--- a/packages/core/internal/agent/reporter.h
+++ b/packages/core/internal/agent/reporter.h
@@ -24,7 +24,13 @@
 private:
   void FlushTo(EntryRecord& aEntry);
   bool HeartbeatDue(const EntryRecord& aEntry) const;
-  bool LoadReportDue(const EntryRecord& aEntry) const;
+  /** Tells as many subscribers of free capacity as can use it, those first
+   * whose offers were refused first. If all were told, most of their offers
+   * would be refused. */
+  void ReportCapacity();
+  /** @return whether the entry subscribes to free capacity that it was not told
+   * of. */
+  bool LacksCapacityReport(const EntryRecord& aEntry) const;
   void SendAnnounce(EntryRecord& aEntry);
   void SendReports(EntryRecord& aEntry);
   /** Creates the next load report for the entry and stores it as its last one.
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -92,6 +92,8 @@
    * expired or was quarantined, or the agent is draining. */
   bool m_recheckQueuedTasks = false;
   std::uint64_t m_nextTicket = 1;
+  /** Moving average of the cores that offered tasks need, in thousandths. */
+  std::uint32_t m_meanNeedMilliCores = 0;
 };
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/tests/agent_report_test.cpp
+++ b/packages/core/tests/agent_report_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace mulberrysail::core {
 
 namespace {
@@ -10,6 +12,68 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+/** An agent without a queue whose only worker is fully occupied by a task of
+ * one entry, while five other entries subscribe to its free capacity. */
+struct Subscribers
+{
+  Subscribers()
+    : m_fixture(MakePolicy())
+  {
+    m_fixture.AddWorker("worker", kCapacity);
+    m_fixture.SendOffers({ m_fixture.TaskOffer(1, 1, kCapacity) });
+    m_run = m_fixture.Starts().at(0).m_run;
+    for (std::uint64_t i = 2; i < 7; ++i) {
+      m_entries.push_back({ "entry" + std::to_string(i), Incarnation{ 1 } });
+      m_fixture.Receive(m_entries.back(), EntryHello{ {}, false, seconds(2) });
+      m_fixture.Receive(m_entries.back(), Reconcile{});
+    }
+    m_fixture.Advance(milliseconds(60));
+  }
+
+  void OfferTask(const ProcessId& aEntry, std::uint64_t aAttempt)
+  {
+    OfferBatch batch;
+    batch.m_agentIncarnation = m_fixture.m_self.m_incarnation;
+    batch.m_sequence = 1;
+    batch.m_offers = { m_fixture.TaskOffer(aAttempt, aAttempt, kCapacity) };
+    m_fixture.Receive(aEntry, batch);
+  }
+
+  void FreeCapacityForOneTask()
+  {
+    m_fixture.ClearCommands();
+    const RunId run = m_run;
+    m_fixture.Finish(run);
+  }
+
+  /** @return the subscribers that were sent a load report. */
+  std::set<ProcessId> ToldSinceClear() const
+  {
+    std::set<ProcessId> told;
+    for (const AgentCommand& command : m_fixture.m_commands) {
+      const SendMessage* send = std::get_if<SendMessage>(&command);
+      if (send != nullptr && send->m_to != m_fixture.m_entry &&
+          std::holds_alternative<ReportBatch>(send->m_message)) {
+        told.insert(send->m_to);
+      }
+    }
+    return told;
+  }
+
+  static AgentPolicy MakePolicy()
+  {
+    AgentPolicy policy;
+    policy.m_maxQueuedTasks = 0;
+    policy.m_reserveDeclared = true;
+    return policy;
+  }
+
+  static constexpr Resources kCapacity{ 6000, 6000, 0 };
+  AgentFixture m_fixture;
+  std::vector<ProcessId> m_entries;
+  RunId m_run;
+};
+
 /** Messages to entries: their content and their number. */
 class AgentReportTest : public CppUnit::TestFixture
 {
@@ -21,6 +85,9 @@
   CPPUNIT_TEST(LoadReportSequenceIncreases);
   CPPUNIT_TEST(LoadIsPushedOnlyToSubscribers);
   CPPUNIT_TEST(LoadIsPushedAtMostOncePerInterval);
+  CPPUNIT_TEST(FreedCapacityIsNotOfferedToMoreEntriesThanCanUseIt);
+  CPPUNIT_TEST(UnusedCapacityIsReportedToAllSubscribersInTurn);
+  CPPUNIT_TEST(EntryThatWasRefusedFirstIsToldFirst);
   CPPUNIT_TEST(UnsentReportsAreSentLater);
   CPPUNIT_TEST(RendezvousMovesOnlyKeysOfTheRemovedAgent);
   CPPUNIT_TEST_SUITE_END();
@@ -195,6 +262,34 @@
                          CountSentTo(fixture, fixture.m_entry));
   }
 
+  void FreedCapacityIsNotOfferedToMoreEntriesThanCanUseIt()
+  {
+    Subscribers subscribers;
+    subscribers.FreeCapacityForOneTask();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, subscribers.ToldSinceClear().size());
+  }
+
+  void UnusedCapacityIsReportedToAllSubscribersInTurn()
+  {
+    Subscribers subscribers;
+    subscribers.FreeCapacityForOneTask();
+    subscribers.m_fixture.Advance(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(subscribers.m_entries.size(),
+                         subscribers.ToldSinceClear().size());
+  }
+
+  void EntryThatWasRefusedFirstIsToldFirst()
+  {
+    Subscribers subscribers;
+    subscribers.OfferTask(subscribers.m_entries[3], 901);
+    subscribers.m_fixture.Advance(milliseconds(20));
+    subscribers.OfferTask(subscribers.m_entries[1], 902);
+    subscribers.m_fixture.Advance(milliseconds(20));
+    subscribers.FreeCapacityForOneTask();
+    CPPUNIT_ASSERT(subscribers.ToldSinceClear() ==
+                   std::set<ProcessId>{ subscribers.m_entries[3] });
+  }
+
   void UnsentReportsAreSentLater()
   {
     AgentFixture fixture;
