Select the agents that keep the configuration without sorting all agents

The selection runs with every change of membership; sorting hashed each name O(n log n) times. The same agents are selected.

--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -5,7 +5,7 @@
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace mulberrysail::core {
@@ -27,6 +27,13 @@
 /** Interval at which a transfer is checked for progress. */
 constexpr Duration kTransferCheckInterval = std::chrono::milliseconds(500);
 
+bool
+IsRankedBefore(const AgentRecord& aLeft, const AgentRecord& aRight)
+{
+  return RendezvousScore(kHolderKey, aLeft.m_id.m_name) >
+         RendezvousScore(kHolderKey, aRight.m_id.m_name);
+}
+
 } // namespace
 
 bool
@@ -211,32 +218,30 @@
 void
 ConfigController::SelectHolders()
 {
-  std::vector<AgentRecord*> ranked;
+  std::vector<AgentRecord*> candidates;
+  std::map<std::string_view, AgentRecord*> firstOfZone;
   for (auto& [id, agent] : m_board.m_agents) {
     agent.m_keepsConfig = false;
-    if (agent.m_reachable && !agent.m_announced.m_leaving) {
-      ranked.push_back(&agent);
+    if (!agent.m_reachable || agent.m_announced.m_leaving) {
+      continue;
     }
+    candidates.push_back(&agent);
+    AgentRecord*& first = firstOfZone[agent.m_announced.m_zone];
+    first = first == nullptr || IsRankedBefore(agent, *first) ? &agent : first;
   }
-  std::sort(ranked.begin(),
-            ranked.end(),
-            [](const AgentRecord* aLeft, const AgentRecord* aRight) {
-              return RendezvousScore(kHolderKey, aLeft->m_id.m_name) >
-                     RendezvousScore(kHolderKey, aRight->m_id.m_name);
-            });
-  std::size_t holders = 0;
-  std::set<std::string_view> zones;
-  for (AgentRecord* const agent : ranked) {
-    agent->m_keepsConfig = zones.insert(agent->m_announced.m_zone).second;
-    holders += agent->m_keepsConfig ? 1 : 0;
-  }
-  for (AgentRecord* const agent : ranked) {
-    if (holders >= kMinHolders) {
-      return;
-    }
-    holders += agent->m_keepsConfig ? 0 : 1;
+  for (const auto& [zone, agent] : firstOfZone) {
     agent->m_keepsConfig = true;
   }
+  const std::size_t wanted = std::min(kMinHolders, candidates.size());
+  for (std::size_t i = firstOfZone.size(); i < wanted; ++i) {
+    AgentRecord* next = nullptr;
+    for (AgentRecord* const agent : candidates) {
+      const bool isNext = !agent->m_keepsConfig &&
+                          (next == nullptr || IsRankedBefore(*agent, *next));
+      next = isNext ? agent : next;
+    }
+    next->m_keepsConfig = true;
+  }
 }
 
 } // namespace mulberrysail::core
