Full agents are not compared again for each waiting task

Cause, by reading: while no agent has room, each message from an agent starts a pass over the waiting tasks; the pass gives up after 32 of them, and each is compared with 32 agents. That is up to 1,024 comparisons a message, in the state in which an entry has the least time. Class: work that grows when the system is full.

Change: a pass first reads the largest free capacity of any agent; tasks that exceed it are skipped without a comparison. Where agents have queues, nothing changes. The counter agents_compared shows the work.

Test: EntryQueueTest::FullAgentsAreNotComparedForEachWaitingTask fails without the bound (more than 120 comparisons for one message with 60 agents).

--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -248,13 +248,24 @@
 DispatchController::Dispatch(EntryEventContext& aContext, WaitQueue& aQueue)
 {
   std::size_t skipped = 0;
+  // With full agents most items are skipped; without this bound each of them
+  // would be compared with all agents in each pass.
+  std::optional<FreeCapacity> largest;
   WaitQueue::Keys::const_iterator next = aQueue.Ordered().begin();
   while (next != aQueue.Ordered().end() && skipped < kMaxSkippedItems) {
     const WaitKey key = *next;
     const Submission& submission = *m_board.Find(key.m_work.m_submission);
     const bool restricted = IsRestrictedToCandidates(submission);
-    const bool isRetry = m_board.Find(key.m_work)->m_retries > 0;
-    if (TryPlace(aContext, key) != PlacementResult::NoCapacity) {
+    const WorkItem& item = *m_board.Find(key.m_work);
+    const bool isRetry = item.m_retries > 0;
+    const bool mustFit = submission.m_kind == WorkKind::Task &&
+                         m_board.m_policy.m_agentQueueDepth == 0;
+    if (mustFit && !largest) {
+      largest = m_placement.LargestFreeCapacity();
+    }
+    const bool canBePlaced = !mustFit || largest->Fits(item.m_need);
+    if (canBePlaced && TryPlace(aContext, key) != PlacementResult::NoCapacity) {
+      largest.reset();
       next = aQueue.Ordered().upper_bound(key);
       continue;
     }
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -29,6 +29,23 @@
   return static_cast<double>(aDuration.count());
 }
 
+FreeCapacity
+PredictFreeCapacity(const AgentRecord& aAgent)
+{
+  const Resources& reported = aAgent.m_load.m_freeCapacity;
+  FreeCapacity free{ reported.m_milliCores,
+                     reported.m_memoryMb,
+                     reported.m_accelerators };
+  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
+    if (offer.m_kind == WorkKind::Task) {
+      free.m_milliCores -= offer.m_need.m_milliCores;
+      free.m_memoryMb -= offer.m_need.m_memoryMb;
+      free.m_accelerators -= offer.m_need.m_accelerators;
+    }
+  }
+  return free;
+}
+
 std::int64_t
 FreeSlots(std::uint32_t aFree, std::int64_t aTaken)
 {
@@ -184,21 +201,10 @@
       HasReachedStepLimit(aJob, aItem, aAgent.m_id)) {
     return kNoCapacity;
   }
-  std::int64_t cores = aAgent.m_load.m_freeCapacity.m_milliCores;
-  std::int64_t memory = aAgent.m_load.m_freeCapacity.m_memoryMb;
-  std::int64_t accelerators = aAgent.m_load.m_freeCapacity.m_accelerators;
+  const FreeCapacity free = PredictFreeCapacity(aAgent);
   std::int64_t waiting = aAgent.m_load.m_queuedTasks;
   double queuedWorkMicros = Micros(aAgent.m_load.m_queuedTaskWork);
-  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
-    if (offer.m_kind == WorkKind::Task) {
-      cores -= offer.m_need.m_milliCores;
-      memory -= offer.m_need.m_memoryMb;
-      accelerators -= offer.m_need.m_accelerators;
-    }
-  }
   const Resources& need = aItem.m_need;
-  const bool fits = cores >= need.m_milliCores && memory >= need.m_memoryMb &&
-                    accelerators >= need.m_accelerators;
   double capacity = 0;
   bool anyWorkerCanRun = false;
   bool preferred = aItem.m_preferredLabel.empty();
@@ -214,12 +220,13 @@
   if (!anyWorkerCanRun || capacity <= 0) {
     return kNoCapacity;
   }
-  if (fits) {
+  if (free.Fits(need)) {
     // Free capacity at an agent with the preferred label, where the task runs
     // fastest, ranks before free capacity at any other agent.
-    return (preferred ? 0 : 1) - static_cast<double>(cores) / capacity;
+    return (preferred ? 0 : 1) -
+           static_cast<double>(free.m_milliCores) / capacity;
   }
-  waiting += std::max<std::int64_t>(-cores, 0) /
+  waiting += std::max<std::int64_t>(-free.m_milliCores, 0) /
              std::max<std::int64_t>(need.m_milliCores, 1);
   const std::int64_t depth =
     static_cast<std::int64_t>(m_board.m_policy.m_agentQueueDepth) *
@@ -227,6 +234,21 @@
   return waiting < depth ? 2 + queuedWorkMicros / capacity : kNoCapacity;
 }
 
+FreeCapacity
+Placement::LargestFreeCapacity()
+{
+  m_board.m_counters.m_agentsCompared += m_board.m_taskAgents.size();
+  FreeCapacity largest;
+  for (const AgentRecord* const agent : m_board.m_taskAgents) {
+    const FreeCapacity free = PredictFreeCapacity(*agent);
+    largest.m_milliCores = std::max(largest.m_milliCores, free.m_milliCores);
+    largest.m_memoryMb = std::max(largest.m_memoryMb, free.m_memoryMb);
+    largest.m_accelerators =
+      std::max(largest.m_accelerators, free.m_accelerators);
+  }
+  return largest;
+}
+
 AgentRecord*
 Placement::PickForTask(const Submission& aJob, const WorkItem& aItem)
 {
@@ -236,6 +258,7 @@
   const std::size_t considered = byLoad ? kMaxCandidates : 1;
   const std::vector<AgentRecord*> sample =
     all.size() > considered ? Sample(all, considered) : all;
+  m_board.m_counters.m_agentsCompared += sample.size();
   AgentRecord* best = nullptr;
   double bestScore = kNoCapacity;
   for (AgentRecord* agent : sample) {
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -7,6 +7,22 @@
 
 namespace mulberrysail::core {
 
+/** Free capacity for tasks as last reported, less the offers made since;
+ * negative if more was offered. */
+struct FreeCapacity
+{
+  std::int64_t m_milliCores = 0;
+  std::int64_t m_memoryMb = 0;
+  std::int64_t m_accelerators = 0;
+
+  bool Fits(const Resources& aNeed) const
+  {
+    return m_milliCores >= aNeed.m_milliCores &&
+           m_memoryMb >= aNeed.m_memoryMb &&
+           m_accelerators >= aNeed.m_accelerators;
+  }
+};
+
 /** Chooses the agent for an item by the placement policy of the board. */
 class Placement
 {
@@ -30,6 +46,10 @@
    * capacity. */
   AgentRecord* PickForTask(const Submission& aJob, const WorkItem& aItem);
 
+  /** @return the most of each resource that any agent has free. A task that
+   * does not fit can be placed only in the queue of an agent. */
+  FreeCapacity LargestFreeCapacity();
+
   /** @return at most @p aCount random agents of @p aAgents; may contain
    * duplicates if @p aAgents is much larger. */
   std::vector<AgentRecord*> Sample(const std::vector<AgentRecord*>& aAgents,
--- a/packages/core/tests/entry_queue_test.cpp
+++ b/packages/core/tests/entry_queue_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(FinishedJobIsNotRunAgain);
   CPPUNIT_TEST(JobIsRevokedWhenItsLastCallerDisconnects);
   CPPUNIT_TEST(JobThatCannotMeetItsObjectiveIsRefused);
+  CPPUNIT_TEST(FullAgentsAreNotComparedForEachWaitingTask);
   CPPUNIT_TEST(RefusalBeforeAnyStartSaysNotRun);
   CPPUNIT_TEST(RefusalAfterAStartSaysMayHaveRun);
   CPPUNIT_TEST(StartedJobContinuesToItsCallersDeadline);
@@ -185,6 +186,21 @@
                    std::string::npos);
   }
 
+  void FullAgentsAreNotComparedForEachWaitingTask()
+  {
+    QueueFixture fixture;
+    constexpr std::size_t kAgents = 60;
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      fixture.AddWorkerAgent("agent" + std::to_string(i), kTaskNeed);
+    }
+    fixture.Submit("running", kAgents);
+    fixture.Submit("waiting", 40);
+    const std::uint64_t before = fixture.m_entry->Counters().m_agentsCompared;
+    fixture.Receive(fixture.Offers().at(0).m_agent, ReportBatch{});
+    CPPUNIT_ASSERT(fixture.m_entry->Counters().m_agentsCompared - before <=
+                   2 * kAgents);
+  }
+
   void RefusalBeforeAnyStartSaysNotRun()
   {
     QueueFixture fixture;
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -56,6 +56,8 @@
   /** Offers that an agent refused. */
   std::uint64_t m_offersRefused = 0;
   std::uint64_t m_retries = 0;
+  /** Agents whose load was read to place tasks. */
+  std::uint64_t m_agentsCompared = 0;
   std::uint64_t m_repliesDropped = 0;
   std::uint64_t m_open = 0;
   /** Requests and tasks in the queues of the entry. */
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -122,6 +122,7 @@
     sum.m_offers += counters.m_offers;
     sum.m_offersRefused += counters.m_offersRefused;
     sum.m_retries += counters.m_retries;
+    sum.m_agentsCompared += counters.m_agentsCompared;
     sum.m_repliesDropped += counters.m_repliesDropped;
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
