--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -122,7 +122,7 @@
         KeyRegistry(m_board).AnswerFenceQuery(aEntry, aQuery);
       },
       [&](const EntryHello& aHello) { HandleHello(aEntry, aHello); },
-      [&](ConfigUpdate& aUpdate) { HandleConfigUpdate(aEntry, aUpdate); },
+      [&](const ConfigUpdate& aUpdate) { HandleConfigUpdate(aEntry, aUpdate); },
       [&](const ConfigRequest& aRequest) { SendConfigPart(aEntry, aRequest); },
       [&](const auto&) {
         Record(
@@ -170,12 +170,12 @@
 }
 
 void
-Agent::HandleConfigUpdate(EntryIndex aEntry, ConfigUpdate& aUpdate)
+Agent::HandleConfigUpdate(EntryIndex aEntry, const ConfigUpdate& aUpdate)
 {
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
   ConfigTransfer& transfer = m_board.m_config.m_transfer;
   if (const std::optional<ConfigRequest> next =
-        transfer.Add(entry.m_id, std::move(aUpdate), m_board.m_now)) {
+        transfer.Add(entry.m_id, aUpdate, m_board.m_now)) {
     Send(m_board, entry, *next);
   }
   if (std::optional<ConfigCopy> received = transfer.TakeCompleted()) {
--- a/packages/core/internal/agent/agent.h
+++ b/packages/core/internal/agent/agent.h
@@ -42,7 +42,7 @@
   /** Notes the version of the entry, and requests the document if a copy has to
    * be kept. */
   void HandleConfigVersion(EntryIndex aEntry, const EntryHello& aHello);
-  void HandleConfigUpdate(EntryIndex aEntry, ConfigUpdate& aUpdate);
+  void HandleConfigUpdate(EntryIndex aEntry, const ConfigUpdate& aUpdate);
   /** Stores the configuration and schedules an Announce if @p aVersion is newer
    * than the current version; otherwise does nothing. */
   void SetConfig(ConfigVersion aVersion, std::string aDocument);
--- a/packages/core/internal/configtransfer.cpp
+++ b/packages/core/internal/configtransfer.cpp
@@ -71,7 +71,9 @@
 }
 
 std::optional<ConfigRequest>
-ConfigTransfer::Add(const ProcessId& aFrom, ConfigUpdate aUpdate, Instant aNow)
+ConfigTransfer::Add(const ProcessId& aFrom,
+                    const ConfigUpdate& aUpdate,
+                    Instant aNow)
 {
   if (aFrom != m_source || aUpdate.m_version <= m_known ||
       aUpdate.m_part.empty() || aUpdate.m_size > kMaxDocumentBytes) {
--- a/packages/core/internal/configtransfer.h
+++ b/packages/core/internal/configtransfer.h
@@ -50,7 +50,7 @@
    * @return the request for the next part from the same peer; absent if the
    * part was ignored or was the last one. */
   std::optional<ConfigRequest> Add(const ProcessId& aFrom,
-                                   ConfigUpdate aUpdate,
+                                   const ConfigUpdate& aUpdate,
                                    Instant aNow);
 
   /** @return the received configuration, once it is complete; the transfer is
--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -125,13 +125,13 @@
 void
 ConfigController::OnUpdate(EntryEventContext& aContext,
                            const ProcessId& aFrom,
-                           ConfigUpdate aUpdate)
+                           const ConfigUpdate& aUpdate)
 {
   if (aUpdate.m_version <= m_board.m_config.m_version) {
     return;
   }
-  if (const std::optional<ConfigRequest> next = m_board.m_configTransfer.Add(
-        aFrom, std::move(aUpdate), aContext.m_now)) {
+  if (const std::optional<ConfigRequest> next =
+        m_board.m_configTransfer.Add(aFrom, aUpdate, aContext.m_now)) {
     aContext.Send(aFrom, *next);
   }
   if (std::optional<ConfigCopy> received =
--- a/packages/core/internal/entry/configcontroller.h
+++ b/packages/core/internal/entry/configcontroller.h
@@ -37,7 +37,7 @@
                  const ConfigRequest& aRequest) const;
   void OnUpdate(EntryEventContext& aContext,
                 const ProcessId& aFrom,
-                ConfigUpdate aUpdate);
+                const ConfigUpdate& aUpdate);
   void OnTransferTimer(EntryEventContext& aContext);
 
   /** Selects the agents that keep a copy: one in each zone, and at least
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace mulberrysail::core {
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -69,8 +69,8 @@
                 [&](const ConfigRequest& aRequest) {
                   m_configs.OnRequest(aContext, from, aRequest);
                 },
-                [&](ConfigUpdate& aUpdate) {
-                  m_configs.OnUpdate(aContext, from, std::move(aUpdate));
+                [&](const ConfigUpdate& aUpdate) {
+                  m_configs.OnUpdate(aContext, from, aUpdate);
                 },
                 // An entry does not handle the remaining messages.
                 [](const OfferBatch&) {},
