--- a/packages/core/internal/agent/board.h
+++ b/packages/core/internal/agent/board.h
@@ -24,7 +24,7 @@
   /** The copy that is kept for entries; its version is zero if there is none.
    */
   ConfigCopy m_copy;
-  /** The newest version of which an entry has told. */
+  /** The newest version that an entry has reported. */
   ConfigVersion m_newest;
   ConfigTransfer m_transfer;
 };
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -42,7 +42,7 @@
   Instant m_lastSent;
   Instant m_subscribedUntil;
   /** The earliest Offer::m_dispatchTime of the entry's tasks that were refused
-   * for lack of capacity since the entry was last told of free capacity. */
+   * for lack of capacity since the entry was last notified of free capacity. */
   std::optional<Instant> m_earliestRefused;
   bool m_announceDue = false;
   /** Set when a send to the entry failed; cleared by a message from the entry,
@@ -67,7 +67,7 @@
   std::map<EntryIndex, EntryRecord> m_records;
   std::unordered_map<ProcessId, EntryIndex> m_byId;
   EntryIndex m_nextIndex = 1;
-  /** When subscribers were last told of free capacity. */
+  /** When subscribers were last notified of free capacity. */
   Instant m_capacityReportedAt = Instant(std::chrono::hours(-1));
 };
 
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -24,7 +24,7 @@
   return aLoad.m_freeSlots + aLoad.m_freeCapacity.m_milliCores / need;
 }
 
-/** @return when subscribers may be told of free capacity again. */
+/** @return when the subscriber may be notified of free capacity again. */
 Instant
 NextCapacityReport(const AgentBoard& aBoard, const EntryRecord& aEntry)
 {
--- a/packages/core/internal/agent/reporter.h
+++ b/packages/core/internal/agent/reporter.h
@@ -24,12 +24,12 @@
 private:
   void FlushTo(EntryRecord& aEntry);
   bool HeartbeatDue(const EntryRecord& aEntry) const;
-  /** Tells as many subscribers of free capacity as can use it, those first
-   * whose refused tasks must start first. If all were told, most of their offers
-   * would be refused. */
+  /** Notifies as many subscribers as can use the free capacity, those first
+   * whose refused tasks must start first. If all were notified, most of their
+   * offers would be refused. */
   void ReportCapacity();
-  /** @return whether the entry subscribes to free capacity that it was not told
-   * of. */
+  /** @return whether the entry subscribes to free capacity of which it was not
+   * notified. */
   bool LacksCapacityReport(const EntryRecord& aEntry) const;
   void SendAnnounce(EntryRecord& aEntry);
   void SendReports(EntryRecord& aEntry);
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -49,10 +49,10 @@
   std::deque<UnreflectedOffer> m_unreflectedOffers;
   std::unordered_set<AttemptId> m_openAttempts;
   SlowdownModel m_slowdown;
-  /** Whether the agent keeps a copy of the configuration, and when it was last
-   * told so. */
+  /** Whether the agent has to keep a copy of the configuration, and when the
+   * last hello with the version was sent to it. */
   bool m_keepsConfig = false;
-  Instant m_configNoticeAt;
+  Instant m_configHelloAt;
 
   bool ServesRequests(std::string_view aService) const
   {
--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -16,9 +16,9 @@
 constexpr std::size_t kMinHolders = 3;
 /** Rendezvous key under which the agents are ranked. */
 constexpr std::string_view kHolderKey = "configuration";
-/** Interval at which an agent is told again of a version that it has to keep
- * but does not have yet. */
-constexpr Duration kNoticeInterval = std::chrono::seconds(1);
+/** Interval at which the version is sent again to an agent that has not
+ * reported it yet. */
+constexpr Duration kHelloInterval = std::chrono::seconds(1);
 /** How long an entry waits for the store to deliver a version that a peer has,
  * so that the document does not cross its link twice. */
 constexpr Duration kStoreHeadStart = std::chrono::seconds(1);
@@ -58,7 +58,7 @@
   }
   for (auto& [id, agent] : m_board.m_agents) {
     if (agent.m_reachable) {
-      agent.m_configNoticeAt = aContext.m_now;
+      agent.m_configHelloAt = aContext.m_now;
       aContext.Send(id, MakeHello(agent));
     }
   }
@@ -90,8 +90,8 @@
   }
   const bool lacksCopy = aAgent.m_keepsConfig && theirs.m_config < own;
   if ((lacksCopy || theirs.m_newestConfig < own) &&
-      aContext.m_now >= aAgent.m_configNoticeAt + kNoticeInterval) {
-    aAgent.m_configNoticeAt = aContext.m_now;
+      aContext.m_now >= aAgent.m_configHelloAt + kHelloInterval) {
+    aAgent.m_configHelloAt = aContext.m_now;
     aContext.Send(aAgent.m_id, MakeHello(aAgent));
   }
 }
--- a/packages/core/internal/entry/configcontroller.h
+++ b/packages/core/internal/entry/configcontroller.h
@@ -22,9 +22,9 @@
   {
   }
 
-  /** Puts a configuration in force and tells the agents its version.
+  /** Puts a configuration in force and sends its version to the agents.
    * @return whether it is newer than the previous one and the other entries
-   * have to be told. */
+   * have to be notified. */
   bool Apply(EntryEventContext& aContext, ConfigChanged aChange);
 
   /** Compares the version of an agent's copy with that of this entry. */
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -200,7 +200,7 @@
   aContext.Send(aPeer, hello);
   const auto found = m_board.m_agents.find(aPeer);
   if (found != m_board.m_agents.end()) {
-    found->second.m_configNoticeAt = {};
+    found->second.m_configHelloAt = {};
     m_outcomes.ReconcileOpenAttempts(aContext, found->second);
   }
 }
--- a/packages/core/tests/agent_config_test.cpp
+++ b/packages/core/tests/agent_config_test.cpp
@@ -13,7 +13,7 @@
   CPPUNIT_TEST_SUITE(AgentConfigTest);
   CPPUNIT_TEST(OlderConfigurationIsNeverApplied);
   CPPUNIT_TEST(TransferContinuesFromAnotherEntry);
-  CPPUNIT_TEST(SecondEntryIsNotAskedDuringATransfer);
+  CPPUNIT_TEST(OnlyOneEntryIsSentRequestsAtATime);
   CPPUNIT_TEST(DamagedDocumentIsDiscarded);
   CPPUNIT_TEST(AgentWithoutCopyKnowsTheNewestVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -51,7 +51,7 @@
     CPPUNIT_ASSERT(FirstRequest(fixture)->m_offset > 0);
   }
 
-  void SecondEntryIsNotAskedDuringATransfer()
+  void OnlyOneEntryIsSentRequestsAtATime()
   {
     AgentFixture fixture;
     fixture.Receive(fixture.m_entry, kKeepFive);
@@ -113,7 +113,7 @@
     return requests.empty() ? std::nullopt : std::optional(requests.back());
   }
 
-  /** Tells the agent to keep a copy, and answers its requests. */
+  /** Requests the agent to keep a copy, and answers its requests. */
   static void SendConfig(AgentFixture& aFixture,
                          const ProcessId& aEntry,
                          const ConfigCopy& aCopy)
--- a/packages/core/tests/agent_report_test.cpp
+++ b/packages/core/tests/agent_report_test.cpp
@@ -48,17 +48,17 @@
   }
 
   /** @return the subscribers that were sent a load report. */
-  std::set<ProcessId> ToldSinceClear() const
+  std::set<ProcessId> NotifiedSinceClear() const
   {
-    std::set<ProcessId> told;
+    std::set<ProcessId> notified;
     for (const AgentCommand& command : m_fixture.m_commands) {
       const SendMessage* send = std::get_if<SendMessage>(&command);
       if (send != nullptr && send->m_to != m_fixture.m_entry &&
           std::holds_alternative<ReportBatch>(send->m_message)) {
-        told.insert(send->m_to);
+        notified.insert(send->m_to);
       }
     }
-    return told;
+    return notified;
   }
 
   static AgentPolicy MakePolicy()
@@ -88,7 +88,7 @@
   CPPUNIT_TEST(LoadIsPushedAtMostOncePerInterval);
   CPPUNIT_TEST(FreedCapacityIsNotOfferedToMoreEntriesThanCanUseIt);
   CPPUNIT_TEST(UnusedCapacityIsReportedToAllSubscribersInTurn);
-  CPPUNIT_TEST(EntryWhoseRefusedTaskMustStartFirstIsToldFirst);
+  CPPUNIT_TEST(EntryWhoseRefusedTaskMustStartFirstIsNotifiedFirst);
   CPPUNIT_TEST(UnsentReportsAreSentLater);
   CPPUNIT_TEST(RendezvousMovesOnlyKeysOfTheRemovedAgent);
   CPPUNIT_TEST_SUITE_END();
@@ -267,7 +267,8 @@
   {
     Subscribers subscribers;
     subscribers.FreeCapacityForOneTask();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, subscribers.ToldSinceClear().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         subscribers.NotifiedSinceClear().size());
   }
 
   void UnusedCapacityIsReportedToAllSubscribersInTurn()
@@ -276,10 +277,10 @@
     subscribers.FreeCapacityForOneTask();
     subscribers.m_fixture.Advance(milliseconds(100));
     CPPUNIT_ASSERT_EQUAL(subscribers.m_entries.size(),
-                         subscribers.ToldSinceClear().size());
+                         subscribers.NotifiedSinceClear().size());
   }
 
-  void EntryWhoseRefusedTaskMustStartFirstIsToldFirst()
+  void EntryWhoseRefusedTaskMustStartFirstIsNotifiedFirst()
   {
     Subscribers subscribers;
     const Instant now = subscribers.m_fixture.m_now;
@@ -288,7 +289,7 @@
     subscribers.OfferTask(subscribers.m_entries[3], now + seconds(1));
     subscribers.m_fixture.Advance(milliseconds(20));
     subscribers.FreeCapacityForOneTask();
-    CPPUNIT_ASSERT(subscribers.ToldSinceClear() ==
+    CPPUNIT_ASSERT(subscribers.NotifiedSinceClear() ==
                    std::set<ProcessId>{ subscribers.m_entries[3] });
   }
 
--- a/packages/core/tests/entry_config_test.cpp
+++ b/packages/core/tests/entry_config_test.cpp
@@ -26,7 +26,7 @@
   CPPUNIT_TEST(EntryWithoutStoreReceivesTheConfigurationFromAnAgent);
   CPPUNIT_TEST(StalledTransferContinuesFromAnotherAgent);
   CPPUNIT_TEST(NothingIsRequestedIfTheStoreIsFaster);
-  CPPUNIT_TEST(NewHolderIsToldToKeepACopy);
+  CPPUNIT_TEST(NewHolderIsRequestedToKeepACopy);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,7 +125,7 @@
     CPPUNIT_ASSERT(fixture.Sent<ConfigRequest>().empty());
   }
 
-  void NewHolderIsToldToKeepACopy()
+  void NewHolderIsRequestedToKeepACopy()
   {
     EntryFixture fixture;
     fixture.HandleEvent(LargeConfig());
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -143,7 +143,8 @@
   std::uint64_t m_digest = 0;
 };
 
-/** Asks a peer that announced a newer configuration for its next part. */
+/** Requests the next part of a configuration from a peer that has a newer one.
+ */
 struct ConfigRequest
 {
   /** The version of the sender's configuration. */
@@ -176,7 +177,7 @@
   std::uint32_t m_queuedTasks = 0;
   /** Total core time of all queued tasks: expected run time times cores. */
   Duration m_queuedTaskWork{};
-  /** The newest configuration of which the agent has heard. */
+  /** The newest configuration known to the agent. */
   ConfigVersion m_newestConfig = {};
 };
 
