--- a/packages/core/tests/agent_config_test.cpp
+++ b/packages/core/tests/agent_config_test.cpp
@@ -40,7 +40,7 @@
   {
     AgentFixture fixture;
     const ConfigCopy copy = MakeConfigCopy({ 5 }, std::string(30000, 'x'));
-    fixture.Receive(fixture.m_entry, kKeepFive);
+    fixture.Receive(fixture.m_entry, m_keepFive);
     fixture.Receive(fixture.m_entry,
                     *MakeConfigUpdate(copy, *LastRequest(fixture)));
     // The second part is lost.
@@ -54,9 +54,9 @@
   void OnlyOneEntryIsSentRequestsAtATime()
   {
     AgentFixture fixture;
-    fixture.Receive(fixture.m_entry, kKeepFive);
+    fixture.Receive(fixture.m_entry, m_keepFive);
     fixture.ClearCommands();
-    fixture.Receive(m_otherEntry, kKeepFive);
+    fixture.Receive(m_otherEntry, m_keepFive);
     CPPUNIT_ASSERT(!LastRequest(fixture));
   }
 
@@ -129,7 +129,7 @@
     }
   }
 
-  const EntryHello kKeepFive{ { 5 }, false, {}, true };
+  const EntryHello m_keepFive{ { 5 }, false, {}, true };
   const ProcessId m_otherEntry{ "entry2", Incarnation{ 1 } };
 };
 
