Jobs that miss their objective get the capacity that is left, up to three objectives

Change: policy.late_answer_factor (1 as before; 3 on the platform, whose users have some use of an answer up to three times the objective). A job whose objective is out of reach is admitted as late if the capacity that all arrivals of the last seconds leave does the waiting work in 0.4 of its slack, and is dispatched after all others, here and at agents; else it is refused at once. A waiting job that falls behind is judged the same way (event submission-late). Started jobs that are late no longer come first.

Under steady overload (QueueLoadTest at 1.8) in-time stays within 0.02.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -125,7 +125,7 @@
   const bool detached = aJob.m_detached;
   Submission submission = MakeJob(aContext, std::move(aJob), queue);
   if (queue != nullptr) {
-    refusal = CheckJobLoad(aContext, submission);
+    refusal = ClassifyJob(aContext, submission);
     UpdateMeanCoreTime(m_board, submission);
     if (refusal) {
       RefuseJob(aContext, caller, submission.m_name, *refusal);
@@ -215,20 +215,30 @@
     const Duration scaledRun(static_cast<Duration::rep>(
       aQueue->m_slackFactor *
       static_cast<double>(LongestChainOf(submission).count())));
+    const Duration objective = scaledRun + aQueue->m_targetDuration;
     submission.m_due =
-      std::min(aContext.m_now + scaledRun + aQueue->m_targetDuration,
-               submission.m_deadline);
+      std::min(aContext.m_now + objective, submission.m_deadline);
+    submission.m_usefulUntil = std::min(
+      aContext.m_now + Scaled(objective, m_board.m_policy.m_lateAnswerFactor),
+      submission.m_deadline);
   }
   return submission;
 }
 
 std::optional<AdmissionController::Refusal>
-AdmissionController::CheckJobLoad(const EntryEventContext& aContext,
-                                  const Submission& aJob)
+AdmissionController::ClassifyJob(const EntryEventContext& aContext,
+                                 Submission& aJob)
 {
   const JobLoad load = LoadAhead(m_board, aContext.m_now, aJob);
-  if (load.m_wait <= load.m_maxWait) {
-    return std::nullopt;
+  m_board.m_jobArrivals.Add(aContext.m_now, CoreTimeOf(aJob));
+  switch (DecideAdmission(load)) {
+    case JobAdmission::InTime:
+      return std::nullopt;
+    case JobAdmission::Late:
+      aJob.m_late = true;
+      return std::nullopt;
+    case JobAdmission::Refused:
+      break;
   }
   return Refusal{ ErrorKind::DeadlineUnreachable,
                   DescribeLoad(load),
@@ -391,6 +401,7 @@
       .Add("queue", aSubmission.m_queue)
       .Add("items", items)
       .Add("due_in_ms", aSubmission.m_due - aContext.m_now)
+      .Add("late", aSubmission.m_late ? 1 : 0)
       .Add("deadline_in_ms", aSubmission.m_deadline - aContext.m_now)
       .Add("config", m_board.m_config.m_version.m_value));
   const SubmissionId id = aSubmission.m_id;
--- a/packages/core/internal/entry/arrivalmeter.cpp
+++ b/packages/core/internal/entry/arrivalmeter.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Time constant of the exponential decay: short enough to detect the start of
- * a burst, long enough that a few long requests are not taken for a burst. */
-constexpr Duration kWindow = std::chrono::milliseconds(1000);
 /** Number of classes for each doubling of the run time. */
 constexpr double kClassesPerOctave = 3;
 
@@ -25,14 +22,14 @@
 }
 
 double
-ArrivalMeter::Decayed(const Rate& aRate, Instant aNow)
+ArrivalMeter::Decayed(const Rate& aRate, Instant aNow) const
 {
   if (aRate.m_busySlots <= 0) {
     return 0;
   }
   const double age = static_cast<double>((aNow - aRate.m_updatedAt).count());
   return aRate.m_busySlots *
-         std::exp(-age / static_cast<double>(kWindow.count()));
+         std::exp(-age / static_cast<double>(m_window.count()));
 }
 
 void
@@ -41,7 +38,7 @@
   Rate& rate = m_rates.at(ArrivalClassOf(aExpectedRun));
   rate.m_busySlots =
     Decayed(rate, aNow) + static_cast<double>(aExpectedRun.count()) /
-                            static_cast<double>(kWindow.count());
+                            static_cast<double>(m_window.count());
   rate.m_updatedAt = aNow;
 }
 
--- a/packages/core/internal/entry/arrivalmeter.h
+++ b/packages/core/internal/entry/arrivalmeter.h
@@ -11,6 +11,14 @@
 class ArrivalMeter
 {
 public:
+  /** @param aWindow the time constant of the average. The default is short
+   * enough to detect the start of a burst, and long enough that a few long
+   * requests are not taken for a burst. */
+  explicit ArrivalMeter(Duration aWindow = std::chrono::milliseconds(1000))
+    : m_window(aWindow)
+  {
+  }
+
   void Add(Instant aNow, Duration aExpectedRun);
 
   /** @return the number of slots kept busy by the arriving work whose expected
@@ -29,8 +37,9 @@
   /** Run times are classed by thirds of powers of two. */
   static constexpr std::size_t kArrivalClasses = 80;
   static std::size_t ArrivalClassOf(Duration aRun);
-  static double Decayed(const Rate& aRate, Instant aNow);
+  double Decayed(const Rate& aRate, Instant aNow) const;
 
+  Duration m_window;
   std::array<Rate, kArrivalClasses> m_rates{};
 };
 
--- /dev/null
+++ b/packages/core/tests/fleet_load_test.cpp
@@ -0,0 +1,65 @@
+#include "core/tests/fleetsimulation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** At this load, the job mix takes 72% of the cores of the default fleet. */
+constexpr double kModerateLoad = 6;
+
+/** Twelve entries that share the agents, each with an uneven part of the
+ * callers and a view of the agents that is some messages old. */
+class FleetLoadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetLoadTest);
+  CPPUNIT_TEST(ModerateLoadIsServedInTime);
+  CPPUNIT_TEST(NoAgentIsOvercommitted);
+  CPPUNIT_TEST(LateAnswersServeTheCallersOfAShortBurst);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ModerateLoadIsServedInTime()
+  {
+    FleetPlan plan = DefaultFleetPlan();
+    plan.m_load = kModerateLoad;
+    const FleetResult result = FleetSimulation(plan).Run();
+    CPPUNIT_ASSERT_MESSAGE(result.Text(), result.m_inTime > 0.98);
+  }
+
+  void NoAgentIsOvercommitted()
+  {
+    FleetPlan plan = DefaultFleetPlan();
+    plan.m_load = 1.5 * kModerateLoad;
+    const FleetResult result = FleetSimulation(plan).Run();
+    CPPUNIT_ASSERT_MESSAGE(result.Text(), result.m_peakUse <= 1);
+  }
+
+  /** Twice the load for 300 ms is beyond the capacity, but what waits can be
+   * done soon after. At least a third of the callers that are refused if every
+   * job must meet its objective get a late answer. */
+  void LateAnswersServeTheCallersOfAShortBurst()
+  {
+    FleetPlan plan = DefaultFleetPlan();
+    plan.m_load = kModerateLoad;
+    plan.m_burstFactor = 2;
+    plan.m_burstFrom = milliseconds(3000);
+    plan.m_burstUntil = milliseconds(3300);
+    const FleetResult refusing = FleetSimulation(plan).Run();
+    plan.m_entryPolicy.m_lateAnswerFactor = kLateAnswerFactor;
+    const FleetResult late = FleetSimulation(plan).Run();
+    CPPUNIT_ASSERT_MESSAGE(late.Text() + "\nrefusing: " + refusing.Text(),
+                           1 - late.m_ofUse <= 2 * (1 - refusing.m_ofUse) / 3);
+    CPPUNIT_ASSERT_MESSAGE(late.Text() + "\nrefusing: " + refusing.Text(),
+                           late.m_inTime >= refusing.m_inTime - 0.01);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetLoadTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -0,0 +1,365 @@
+#include "core/tests/fleetsimulation.h"
+
+#include <boost/random/discrete_distribution.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrysail::core {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 11;
+constexpr Duration kDelayInZone = std::chrono::microseconds(100);
+constexpr Duration kDelayBetweenZones = std::chrono::microseconds(600);
+/** The processes learn of each other before the first job. */
+constexpr Duration kSettleTime = std::chrono::seconds(1);
+/** Jobs of the first seconds, in which entries learn run times, and of the last
+ * ones, which may not have ended, are not counted. */
+constexpr Duration kWarmUp = std::chrono::seconds(2);
+constexpr Duration kCoolDown = std::chrono::seconds(2);
+constexpr Duration kDeadline = std::chrono::seconds(2);
+
+} // namespace
+
+FleetPlan
+DefaultFleetPlan()
+{
+  FleetPlan plan;
+  plan.m_entryPolicy.m_agentQueueDepth = 0;
+  plan.m_entryPolicy.m_openAttemptHeartbeat = std::chrono::milliseconds(200);
+  plan.m_entryPolicy.m_agentTimeout = std::chrono::milliseconds(450);
+  plan.m_entryPolicy.m_runsEndAfter = std::chrono::milliseconds(1250);
+  plan.m_agentPolicy.m_maxQueuedTasks = 0;
+  plan.m_agentPolicy.m_reserveDeclared = true;
+  plan.m_agentPolicy.m_workerLease = std::chrono::hours(1);
+  plan.m_agentPolicy.m_lease = std::chrono::hours(1);
+  return plan;
+}
+
+std::string
+FleetResult::Text() const
+{
+  std::string text = "jobs=" + std::to_string(m_jobs) +
+                     " in_time=" + std::to_string(m_inTime) +
+                     " of_use=" + std::to_string(m_ofUse);
+  for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
+    text += std::string(" ") + kJobKinds.at(kind).m_queue + "=" +
+            std::to_string(m_inTimeByKind.at(kind));
+  }
+  for (const auto& [type, count] : m_messagesByType) {
+    text += " " + type + "=" + std::to_string(count);
+  }
+  return text + " starts=" + std::to_string(m_starts) +
+         " offers=" + std::to_string(m_offers) +
+         " refused=" + std::to_string(m_refusedOffers) +
+         " messages=" + std::to_string(m_messages) +
+         " to_other_zones=" + std::to_string(m_offersToOtherZones);
+}
+
+FleetSimulation::FleetSimulation(FleetPlan aPlan)
+  : m_plan(std::move(aPlan))
+  , m_random(kSeed)
+  , m_now(std::chrono::hours(1))
+  , m_start(m_now + kSettleTime)
+{
+  AddEntries();
+  AddAgents();
+  Introduce();
+  At(m_start, [this] {
+    for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
+      ScheduleArrival(kind);
+    }
+  });
+}
+
+FleetResult
+FleetSimulation::Run()
+{
+  const Instant end = m_start + m_plan.m_simulatedTime;
+  while (!m_events.empty() && m_events.top().m_at < end) {
+    const Event event = m_events.top();
+    m_events.pop();
+    m_now = event.m_at;
+    event.m_act();
+  }
+  return Collect();
+}
+
+void
+FleetSimulation::At(Instant aWhen, std::function<void()> aAct)
+{
+  m_events.push({ std::max(aWhen, m_now), m_nextOrder++, std::move(aAct) });
+}
+
+void
+FleetSimulation::WhenFree(Host& aHost,
+                          Duration aCost,
+                          std::function<void()> aAct)
+{
+  aHost.m_busyUntil = std::max(aHost.m_busyUntil, m_now) + aCost;
+  At(aHost.m_busyUntil, std::move(aAct));
+}
+
+void
+FleetSimulation::AddEntries()
+{
+  for (std::size_t i = 0; i < m_plan.m_entries; ++i) {
+    EntryHost& host = m_entries.emplace_back();
+    host.m_id = { "entry" + std::to_string(i), { 1 } };
+    host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
+    EntryPolicy policy = m_plan.m_entryPolicy;
+    policy.m_zone = host.m_zone;
+    host.m_core = MakeEntry(host.m_id, 0, policy, kSeed + i);
+    m_entryByName[host.m_id.m_name] = i;
+  }
+}
+
+void
+FleetSimulation::AddAgents()
+{
+  for (std::size_t i = 0; i < m_plan.m_agents; ++i) {
+    AgentHost& host = m_agents.emplace_back();
+    host.m_id = { "agent" + std::to_string(i), { 1 } };
+    host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
+    AgentPolicy policy = m_plan.m_agentPolicy;
+    policy.m_zone = host.m_zone;
+    host.m_core = MakeAgent(host.m_id, policy, kSeed + i);
+    m_agentByName[host.m_id.m_name] = i;
+  }
+}
+
+void
+FleetSimulation::Introduce()
+{
+  std::vector<ProcessId> entries;
+  for (const EntryHost& entry : m_entries) {
+    entries.push_back(entry.m_id);
+  }
+  for (EntryHost& entry : m_entries) {
+    HandleEntryEvent(
+      entry,
+      ConfigChanged{ ParseConfiguration({ 1 }, kJobMixDocument).value(),
+                     kJobMixDocument });
+    HandleEntryEvent(entry, PeersChanged{ entries });
+  }
+  for (AgentHost& agent : m_agents) {
+    WorkerAnnounced announced;
+    announced.m_info.m_name = "worker-of-" + agent.m_id.m_name;
+    announced.m_info.m_capacity = { m_plan.m_agentMilliCores, 65536, 0 };
+    announced.m_url = "http://worker";
+    HandleAgentEvent(agent, announced);
+    HandleAgentEvent(agent, PeersChanged{ entries });
+    for (const ProcessId& entry : entries) {
+      HandleAgentEvent(agent, LinkReset{ entry });
+    }
+  }
+}
+
+double
+FleetSimulation::LoadNow() const
+{
+  const Duration time = m_now - m_start;
+  const bool burst = time >= m_plan.m_burstFrom && time < m_plan.m_burstUntil;
+  return m_plan.m_load * (burst ? m_plan.m_burstFactor : 1);
+}
+
+void
+FleetSimulation::ScheduleArrival(std::size_t aKind)
+{
+  const double perSecond = kJobKinds.at(aKind).m_perSecond * LoadNow();
+  At(m_now + DrawArrivalGap(m_random, perSecond), [this, aKind] {
+    Submit(aKind);
+    ScheduleArrival(aKind);
+  });
+}
+
+void
+FleetSimulation::Submit(std::size_t aKind)
+{
+  m_jobs.push_back(DrawJob(m_random, aKind, m_now));
+  const std::uint64_t number = m_jobs.size();
+  // A balancer that hashes callers gives entries uneven shares.
+  std::vector<double> shares;
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    shares.push_back(1 + static_cast<double>(i % 3) / 2);
+  }
+  const std::size_t entry = boost::random::discrete_distribution<std::size_t>(
+    shares.begin(), shares.end())(m_random);
+  SubmitJob submit = MakeSubmission(m_jobs.back(), number, kDeadline);
+  WhenFree(m_entries.at(entry),
+           m_plan.m_entryEventCost,
+           [this, entry, submit = std::move(submit)] {
+             HandleEntryEvent(m_entries.at(entry), submit);
+           });
+}
+
+void
+FleetSimulation::HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent)
+{
+  EntryCommands commands;
+  aEntry.m_core->Handle(m_now, std::move(aEvent), commands);
+  for (EntryCommand& command : commands) {
+    if (SendMessage* send = std::get_if<SendMessage>(&command)) {
+      SendFromEntry(aEntry, std::move(*send));
+    } else if (AnswerCaller* answer = std::get_if<AnswerCaller>(&command)) {
+      if (answer->m_answer.m_kind == ErrorKind::None) {
+        m_jobs.at(answer->m_caller.m_value - 1).m_doneAt = m_now;
+      }
+    }
+  }
+  const Instant wake = aEntry.m_core->NextWake();
+  if (wake != kNever && wake < aEntry.m_wakeAt) {
+    aEntry.m_wakeAt = wake;
+    At(wake, [this, &aEntry, wake] {
+      if (aEntry.m_wakeAt == wake) {
+        aEntry.m_wakeAt = kNever;
+        HandleEntryEvent(aEntry, TimerFired{});
+      }
+    });
+  }
+}
+
+void
+FleetSimulation::HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent)
+{
+  AgentCommands commands;
+  aAgent.m_core->Handle(m_now, std::move(aEvent), commands);
+  for (AgentCommand& command : commands) {
+    if (SendMessage* send = std::get_if<SendMessage>(&command)) {
+      SendFromAgent(aAgent, std::move(*send));
+    } else if (StartRun* start = std::get_if<StartRun>(&command)) {
+      StartTask(aAgent, *start);
+    }
+  }
+  const Instant wake = aAgent.m_core->NextWake();
+  if (wake != kNever && wake < aAgent.m_wakeAt) {
+    aAgent.m_wakeAt = wake;
+    At(wake, [this, &aAgent, wake] {
+      if (aAgent.m_wakeAt == wake) {
+        aAgent.m_wakeAt = kNever;
+        HandleAgentEvent(aAgent, TimerFired{});
+      }
+    });
+  }
+}
+
+Duration
+FleetSimulation::DelayBetween(const Host& aFrom, const Host& aTo) const
+{
+  return aFrom.m_zone == aTo.m_zone ? kDelayInZone : kDelayBetweenZones;
+}
+
+void
+FleetSimulation::CountMessage(const Host& aFrom,
+                              const Host& aTo,
+                              const Message& aSent)
+{
+  ++m_result.m_messages;
+  const ReportBatch* const reports = std::get_if<ReportBatch>(&aSent);
+  const bool onlyLoad = reports != nullptr && reports->m_reports.empty();
+  ++m_result.m_messagesByType[onlyLoad ? "load"
+                                       : std::string(MessageTypeName(aSent))];
+  if (const OfferBatch* batch = std::get_if<OfferBatch>(&aSent)) {
+    m_result.m_offers += batch->m_offers.size();
+    if (aFrom.m_zone != aTo.m_zone) {
+      m_result.m_offersToOtherZones += batch->m_offers.size();
+    }
+  }
+  if (reports != nullptr) {
+    m_result.m_refusedOffers += static_cast<std::size_t>(
+      std::count_if(reports->m_reports.begin(),
+                    reports->m_reports.end(),
+                    [](const AttemptReport& aReport) {
+                      return aReport.m_fate == AttemptFate::Refused;
+                    }));
+  }
+}
+
+void
+FleetSimulation::SendFromEntry(EntryHost& aEntry, SendMessage aSend)
+{
+  const auto agent = m_agentByName.find(aSend.m_to.m_name);
+  if (agent == m_agentByName.end()) {
+    return;
+  }
+  AgentHost& to = m_agents.at(agent->second);
+  CountMessage(aEntry, to, aSend.m_message);
+  At(m_now + DelayBetween(aEntry, to),
+     [this, &to, from = aEntry.m_id, message = std::move(aSend.m_message)] {
+       WhenFree(to, m_plan.m_agentEventCost, [this, &to, from, message] {
+         HandleAgentEvent(to, MessageReceived{ from, message });
+       });
+     });
+}
+
+void
+FleetSimulation::SendFromAgent(AgentHost& aAgent, SendMessage aSend)
+{
+  const auto entry = m_entryByName.find(aSend.m_to.m_name);
+  if (entry == m_entryByName.end()) {
+    return;
+  }
+  EntryHost& to = m_entries.at(entry->second);
+  CountMessage(aAgent, to, aSend.m_message);
+  At(m_now + DelayBetween(aAgent, to),
+     [this, &to, from = aAgent.m_id, message = std::move(aSend.m_message)] {
+       WhenFree(to, m_plan.m_entryEventCost, [this, &to, from, message] {
+         HandleEntryEvent(to, MessageReceived{ from, message });
+       });
+     });
+}
+
+void
+FleetSimulation::StartTask(AgentHost& aAgent, const StartRun& aStart)
+{
+  ++m_result.m_starts;
+  const TaskIndex index = ParseTaskName(aStart.m_name.m_task);
+  const std::uint32_t need = aStart.m_need.m_milliCores;
+  aAgent.m_usedMilliCores += need;
+  m_result.m_peakUse =
+    std::max(m_result.m_peakUse,
+             static_cast<double>(aAgent.m_usedMilliCores) /
+               static_cast<double>(m_plan.m_agentMilliCores));
+  At(
+    m_now + m_jobs.at(index.m_job).m_runs.at(index.m_task),
+    [this, &aAgent, need, run = aStart.m_run] {
+      aAgent.m_usedMilliCores -= need;
+      WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
+        HandleAgentEvent(aAgent, RunFinished{ run, RunOutcome::Completed, {} });
+      });
+    });
+}
+
+FleetResult
+FleetSimulation::Collect() const
+{
+  FleetResult result = m_result;
+  std::array<std::size_t, kJobKinds.size()> counted{};
+  std::array<std::size_t, kJobKinds.size()> inTime{};
+  std::size_t ofUse = 0;
+  for (const Job& job : m_jobs) {
+    const Duration after = job.m_arrivedAt - m_start;
+    if (after < kWarmUp || after > m_plan.m_simulatedTime - kCoolDown) {
+      continue;
+    }
+    ++counted.at(job.m_kind);
+    ++result.m_jobs;
+    inTime.at(job.m_kind) += job.InTime() ? 1 : 0;
+    ofUse += job.OfUse() ? 1 : 0;
+  }
+  std::size_t allInTime = 0;
+  for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
+    allInTime += inTime.at(kind);
+    result.m_inTimeByKind.at(kind) =
+      static_cast<double>(inTime.at(kind)) /
+      static_cast<double>(std::max<std::size_t>(counted.at(kind), 1));
+  }
+  const double jobs =
+    static_cast<double>(std::max<std::size_t>(result.m_jobs, 1));
+  result.m_inTime = static_cast<double>(allInTime) / jobs;
+  result.m_ofUse = static_cast<double>(ofUse) / jobs;
+  return result;
+}
+
+} // namespace mulberrysail::core
--- /dev/null
+++ b/packages/core/tests/fleetsimulation.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "core/iagent.h"
+#include "core/ientry.h"
+#include "core/tests/jobmix.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace mulberrysail::core {
+
+/** The processes of a simulated fleet and the load on it. */
+struct FleetPlan
+{
+  std::size_t m_entries = 12;
+  std::size_t m_agents = 66;
+  std::size_t m_zones = 3;
+  std::uint32_t m_agentMilliCores = 16000;
+  /** Arrivals per second as a multiple of those of kJobKinds. */
+  double m_load = 1;
+  /** The load is multiplied by m_burstFactor between these times. */
+  double m_burstFactor = 1;
+  Duration m_burstFrom{};
+  Duration m_burstUntil{};
+  Duration m_simulatedTime = std::chrono::seconds(8);
+  /** Processor time that an entry or agent needs for one message, timer or
+   * submission; further ones wait meanwhile. */
+  Duration m_entryEventCost = std::chrono::microseconds(100);
+  Duration m_agentEventCost = std::chrono::microseconds(100);
+  EntryPolicy m_entryPolicy;
+  AgentPolicy m_agentPolicy;
+};
+
+/** @return policies as on a platform of callers with short objectives: agents
+ * without a queue. */
+FleetPlan
+DefaultFleetPlan();
+
+/** What the callers got and what the processes sent. */
+struct FleetResult
+{
+  std::size_t m_jobs = 0;
+  double m_inTime = 0;
+  double m_ofUse = 0;
+  /** Share in time by kind of job. */
+  std::array<double, kJobKinds.size()> m_inTimeByKind{};
+  std::size_t m_starts = 0;
+  std::size_t m_offers = 0;
+  std::size_t m_refusedOffers = 0;
+  std::size_t m_messages = 0;
+  /** Messages by the name of their type; reports without an attempt count as
+   * "load". */
+  std::map<std::string, std::size_t> m_messagesByType;
+  /** Offers to agents in another zone than the entry's. */
+  std::size_t m_offersToOtherZones = 0;
+  /** Greatest sum of the needs of all running tasks, as a share of an agent's
+   * capacity. */
+  double m_peakUse = 0;
+
+  /** @return the result in one line, for assertion messages. */
+  std::string Text() const;
+};
+
+/** Runs the cores of entries and agents against the users' job mix on one
+ * virtual clock, with message delays and processor time. */
+class FleetSimulation
+{
+public:
+  explicit FleetSimulation(FleetPlan aPlan);
+
+  FleetResult Run();
+
+private:
+  struct Event
+  {
+    Instant m_at;
+    std::uint64_t m_order = 0;
+    std::function<void()> m_act;
+
+    bool operator<(const Event& aOther) const
+    {
+      return m_at != aOther.m_at ? m_at > aOther.m_at
+                                 : m_order > aOther.m_order;
+    }
+  };
+
+  /** A process whose events are handled one after the other. */
+  struct Host
+  {
+    ProcessId m_id;
+    std::string m_zone;
+    Instant m_busyUntil;
+    /** The wake-up time for which a timer event is scheduled. */
+    Instant m_wakeAt = kNever;
+  };
+
+  struct EntryHost : Host
+  {
+    std::unique_ptr<IEntry> m_core;
+  };
+
+  struct AgentHost : Host
+  {
+    std::unique_ptr<IAgent> m_core;
+    std::uint32_t m_usedMilliCores = 0;
+  };
+
+  void At(Instant aWhen, std::function<void()> aAct);
+  /** Calls @p aAct when @p aHost has time for one more event. */
+  void WhenFree(Host& aHost, Duration aCost, std::function<void()> aAct);
+  void AddEntries();
+  void AddAgents();
+  void Introduce();
+  void ScheduleArrival(std::size_t aKind);
+  double LoadNow() const;
+  void Submit(std::size_t aKind);
+  void HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent);
+  void HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent);
+  void SendFromEntry(EntryHost& aEntry, SendMessage aSend);
+  void SendFromAgent(AgentHost& aAgent, SendMessage aSend);
+  void StartTask(AgentHost& aAgent, const StartRun& aStart);
+  Duration DelayBetween(const Host& aFrom, const Host& aTo) const;
+  void CountMessage(const Host& aFrom, const Host& aTo, const Message& aSent);
+  FleetResult Collect() const;
+
+  FleetPlan m_plan;
+  boost::random::mt19937_64 m_random;
+  Instant m_now;
+  Instant m_start;
+  std::vector<EntryHost> m_entries;
+  std::vector<AgentHost> m_agents;
+  std::map<std::string, std::size_t> m_entryByName;
+  std::map<std::string, std::size_t> m_agentByName;
+  std::vector<Job> m_jobs;
+  FleetResult m_result;
+  std::uint64_t m_nextOrder = 0;
+  std::priority_queue<Event> m_events;
+};
+
+} // namespace mulberrysail::core
--- a/packages/core/tests/queue_load_test.cpp
+++ b/packages/core/tests/queue_load_test.cpp
@@ -1,9 +1,5 @@
 #include "core/ientry.h"
-
-#include <boost/random/exponential_distribution.hpp>
-#include <boost/random/lognormal_distribution.hpp>
-#include <boost/random/mersenne_twister.hpp>
-#include <boost/random/uniform_real_distribution.hpp>
+#include "core/tests/jobmix.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,7 +8,6 @@
 #include <cmath>
 #include <functional>
 #include <map>
-#include <numeric>
 #include <queue>
 
 namespace mulberrysail::core {
@@ -24,7 +19,6 @@
 
 constexpr std::uint64_t kSeed = 7;
 constexpr int kAgents = 11;
-constexpr std::uint32_t kTaskMilliCores = 1600;
 constexpr std::uint32_t kAgentMilliCores = 16000;
 constexpr Duration kSimulatedTime = seconds(20);
 /** Jobs of the first seconds, in which the entry learns run times, are not
@@ -33,69 +27,7 @@
 /** Jobs of the last seconds, whose deadline is after the end, are not
  * counted. */
 constexpr Duration kCoolDown = seconds(3);
-/** Shape of the lognormal run times and task counts. */
-constexpr double kSigma = 0.4;
-/** Median of a lognormal variable with mean 1 and shape kSigma. */
-constexpr double kMedianOverMean = 0.92;
 constexpr Duration kNetworkDelay = milliseconds(1);
-constexpr double kSlackFactor = 1.6;
-constexpr Duration kTargetDuration = milliseconds(60);
-
-constexpr const char* kDocument = R"({
-  "services": {"photo": {}},
-  "queues": {
-    "short": {"prefix": "/a/", "service": "photo", "priority": 0,
-              "slack_factor": 1.6, "target_duration_ms": 60},
-    "long": {"prefix": "/b/", "service": "photo", "priority": 2,
-             "slack_factor": 1.6, "target_duration_ms": 60},
-    "plain": {"prefix": "/c/", "service": "photo", "priority": 1,
-              "slack_factor": 1.6, "target_duration_ms": 60}
-  }
-})";
-
-/** One kind of job in the users' mix. */
-struct JobKind
-{
-  const char* m_queue;
-  double m_perSecond;
-  /** Mean number of tasks of a job. */
-  double m_tasks;
-  /** Mean run time of a task in milliseconds. */
-  double m_runMs;
-};
-
-constexpr std::array kJobKinds = {
-  JobKind{ "short", 34.4, 8, 60 },
-  JobKind{ "long", 6.25, 4, 900 },
-  JobKind{ "plain", 100, 2, 200 },
-};
-
-struct Job
-{
-  std::size_t m_kind = 0;
-  Instant m_arrivedAt;
-  std::vector<Duration> m_runs;
-  std::optional<Instant> m_doneAt;
-
-  Duration Longest() const
-  {
-    return *std::max_element(m_runs.begin(), m_runs.end());
-  }
-  double TotalRunUs() const
-  {
-    const Duration sum =
-      std::accumulate(m_runs.begin(), m_runs.end(), Duration::zero());
-    return static_cast<double>(sum.count());
-  }
-  bool InTime() const
-  {
-    const Duration objective =
-      Duration(static_cast<Duration::rep>(
-        kSlackFactor * static_cast<double>(Longest().count()))) +
-      kTargetDuration;
-    return m_doneAt && *m_doneAt - m_arrivedAt <= objective;
-  }
-};
 
 /** Shares of jobs that were completed in time. */
 struct InTimeShares
@@ -110,17 +42,20 @@
 class LoadSimulation
 {
 public:
-  LoadSimulation(JobOrderPolicy aOrder, double aLoadFactor)
+  LoadSimulation(JobOrderPolicy aOrder,
+                 double aLoadFactor,
+                 double aLateAnswerFactor = 1)
     : m_load(aLoadFactor)
     , m_random(kSeed)
   {
     EntryPolicy policy;
     policy.m_agentQueueDepth = 0;
     policy.m_jobOrder = aOrder;
+    policy.m_lateAnswerFactor = aLateAnswerFactor;
     m_entry = MakeEntry({ "entry", { 1 } }, 0, policy, kSeed);
     m_now = Instant(std::chrono::hours(1));
-    HandleEvent(
-      ConfigChanged{ ParseConfiguration({ 1 }, kDocument).value(), kDocument });
+    HandleEvent(ConfigChanged{
+      ParseConfiguration({ 1 }, kJobMixDocument).value(), kJobMixDocument });
     for (int i = 0; i < kAgents; ++i) {
       m_free.push_back(kAgentMilliCores);
       Announce announce;
@@ -193,50 +128,17 @@
 
   void ScheduleArrival(std::size_t aKind)
   {
-    const double mean = 1e6 / (kJobKinds[aKind].m_perSecond * m_load);
-    const double gap =
-      boost::random::exponential_distribution<double>(1 / mean)(m_random);
-    At(m_now + Duration(static_cast<Duration::rep>(gap)), [this, aKind] {
+    const double perSecond = kJobKinds[aKind].m_perSecond * m_load;
+    At(m_now + DrawArrivalGap(m_random, perSecond), [this, aKind] {
       SubmitNextJob(aKind);
       ScheduleArrival(aKind);
     });
   }
 
-  double DrawLognormal(double aMedian, double aSigma)
-  {
-    return boost::random::lognormal_distribution<double>(std::log(aMedian),
-                                                         aSigma)(m_random);
-  }
-
   void SubmitNextJob(std::size_t aKind)
   {
-    const JobKind& kind = kJobKinds[aKind];
-    const std::uint64_t number = m_jobs.size() + 1;
-    Job job;
-    job.m_kind = aKind;
-    job.m_arrivedAt = m_now;
-    SubmitJob submit;
-    submit.m_caller = { number };
-    submit.m_queue = kind.m_queue;
-    submit.m_name = std::to_string(number);
-    submit.m_deadline = seconds(3);
-    const double run = DrawLognormal(kind.m_runMs * kMedianOverMean, kSigma);
-    const double declared = run * DrawLognormal(1, kSigma);
-    const int tasks = std::max(1,
-                               static_cast<int>(std::lround(DrawLognormal(
-                                 kind.m_tasks * kMedianOverMean, kSigma))));
-    for (int i = 0; i < tasks; ++i) {
-      job.m_runs.push_back(Duration(
-        static_cast<Duration::rep>(1000 * run * DrawLognormal(1, 0.15))));
-      TaskSpec task;
-      task.m_need = { kTaskMilliCores, 64, 0 };
-      task.m_declaredRun =
-        Duration(static_cast<Duration::rep>(1000 * declared));
-      task.m_name = submit.m_name + "." + std::to_string(i);
-      submit.m_tasks.push_back(task);
-    }
-    m_jobs.push_back(std::move(job));
-    HandleEvent(submit);
+    m_jobs.push_back(DrawJob(m_random, aKind, m_now));
+    HandleEvent(MakeSubmission(m_jobs.back(), m_jobs.size(), seconds(3)));
   }
 
   void HandleEvent(EntryEvent aEvent)
@@ -272,9 +174,8 @@
     // A single entry knows the free capacity, so no offer exceeds it.
     CPPUNIT_ASSERT(m_free[aAgent] >= aOffer.m_need.m_milliCores);
     m_free[aAgent] -= aOffer.m_need.m_milliCores;
-    const std::size_t dot = aOffer.m_name.find('.');
-    const Job& job = m_jobs[std::stoul(aOffer.m_name.substr(0, dot)) - 1];
-    const Duration run = job.m_runs[std::stoul(aOffer.m_name.substr(dot + 1))];
+    const TaskIndex index = ParseTaskName(aOffer.m_name);
+    const Duration run = m_jobs[index.m_job].m_runs[index.m_task];
     At(m_now + run, [this, aAgent, id = aOffer.m_attempt, run] {
       m_free[aAgent] += kTaskMilliCores;
       ReportBatch batch;
@@ -349,6 +250,7 @@
   CPPUNIT_TEST(ModerateLoadIsServedInTime);
   CPPUNIT_TEST(LargeJobsAreServedUnderOverload);
   CPPUNIT_TEST(NoQueueIsStarvedUnderOverload);
+  CPPUNIT_TEST(LateAnswersDoNotDisplaceTimelyOnesUnderOverload);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -394,6 +296,19 @@
         shares.m_inTime[kind] >= 0.3);
     }
   }
+
+  /** While the load stays beyond the capacity, a late answer would take the
+   * capacity of a timely one. */
+  void LateAnswersDoNotDisplaceTimelyOnesUnderOverload()
+  {
+    const InTimeShares refusing = LoadSimulation(LeastSlackFirst{}, 1.8).Run();
+    const InTimeShares late =
+      LoadSimulation(LeastSlackFirst{}, 1.8, kLateAnswerFactor).Run();
+    CPPUNIT_ASSERT_MESSAGE(
+      "in time: " + std::to_string(late.m_allInTime) + ", expected at least " +
+        std::to_string(refusing.m_allInTime) + " less 0.02",
+      late.m_allInTime >= refusing.m_allInTime - 0.02);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QueueLoadTest);
--- a/packages/core/tests/queuefixture.h
+++ b/packages/core/tests/queuefixture.h
@@ -42,8 +42,8 @@
 class QueueFixture : public EntryFixture
 {
 public:
-  QueueFixture()
-    : EntryFixture(QueuePolicy())
+  explicit QueueFixture(EntryPolicy aPolicy = QueuePolicy())
+    : EntryFixture(std::move(aPolicy))
   {
     HandleEvent(ConfigChanged{
       ParseConfiguration({ 2 }, kQueueDocument).value(), kQueueDocument });
@@ -88,14 +88,15 @@
     return { m_lastCaller };
   }
 
-  /** Reports the fate of an offered attempt and a load with all capacity
-   * free. */
-  void ReportFate(const SentOffer& aSent, AttemptFate aFate)
+  /** Reports the fate of an offered attempt and a load with @p aFree. */
+  void ReportFate(const SentOffer& aSent,
+                  AttemptFate aFate,
+                  Resources aFree = kWorkerCapacity)
   {
     ReportBatch batch;
     batch.m_load.m_sequence = ++m_sequence;
     batch.m_load.m_reportedAt = m_now;
-    batch.m_load.m_freeCapacity = kWorkerCapacity;
+    batch.m_load.m_freeCapacity = aFree;
     batch.m_load.m_lastOfferSequence = 1000;
     AttemptReport report;
     report.m_attempt = aSent.m_offer.m_attempt;
