--- a/packages/core/internal/entry/arrivalmeter.cpp
+++ b/packages/core/internal/entry/arrivalmeter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/** The first arrivals are averaged over at least this time. */
+constexpr Duration kMinAge = std::chrono::milliseconds(200);
 /** Number of classes for each doubling of the run time. */
 constexpr double kClassesPerOctave = 3;
 
@@ -35,6 +37,7 @@
 void
 ArrivalMeter::Add(Instant aNow, Duration aExpectedRun)
 {
+  m_firstAt = m_firstAt.value_or(aNow);
   Rate& rate = m_rates.at(ArrivalClassOf(aExpectedRun));
   rate.m_busySlots =
     Decayed(rate, aNow) + static_cast<double>(aExpectedRun.count()) /
@@ -53,4 +56,16 @@
   return slots;
 }
 
+double
+ArrivalMeter::AllBusySlots(Instant aNow) const
+{
+  if (!m_firstAt) {
+    return 0;
+  }
+  const Duration age = std::max(aNow - *m_firstAt, kMinAge);
+  const double covered = 1 - std::exp(-static_cast<double>(age.count()) /
+                                      static_cast<double>(m_window.count()));
+  return BusySlots(aNow, Duration::max()) / covered;
+}
+
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/arrivalmeter.h
+++ b/packages/core/internal/entry/arrivalmeter.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 
 namespace mulberrysail::core {
 
@@ -25,6 +26,11 @@
    * run time is at most @p aRun, rounded up to its class. */
   double BusySlots(Instant aNow, Duration aRun) const;
 
+  /** @return the number of slots kept busy by all arriving work. Until the
+   * first arrival is older than the window, the average is taken over the time
+   * since then. */
+  double AllBusySlots(Instant aNow) const;
+
 private:
   struct Rate
   {
@@ -40,6 +46,7 @@
   double Decayed(const Rate& aRate, Instant aNow) const;
 
   Duration m_window;
+  std::optional<Instant> m_firstAt;
   std::array<Rate, kArrivalClasses> m_rates{};
 };
 
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -13,6 +13,9 @@
 /** Share of the time to the objective that a job may spend waiting; the rest
  * allows for errors of the run time estimates. */
 constexpr double kUsableSlack = 0.4;
+/** The same for a late job and the time in which it is of use, which is longer,
+ * so that an error of the estimate matters less. */
+constexpr double kUsableLateSlack = 0.8;
 /** The newest arrival has the weight 1 / kMeanWindow in the moving average. */
 constexpr int kMeanWindow = 64;
 /** Order of a job whose size equals its queue's mean. */
@@ -38,12 +41,11 @@
   return Duration(static_cast<Duration::rep>(aMicros));
 }
 
-/** @return the share of @p aSlack that a job may spend waiting. */
 Duration
-UsableWait(Duration aSlack)
+ShareOf(Duration aSlack, double aShare)
 {
   const Duration slack = std::max(aSlack, Duration::zero());
-  return FromMicros(static_cast<double>(slack.count()) * kUsableSlack);
+  return FromMicros(static_cast<double>(slack.count()) * aShare);
 }
 
 std::int64_t
@@ -125,14 +127,14 @@
   load.m_cores = cores;
   const double entries = aBoard.EntryCount();
   load.m_wait = FromMicros((ahead * entries + offered) / cores);
-  load.m_arrivingCores =
-    entries * aBoard.m_jobArrivals.BusySlots(aNow, Duration::max());
+  load.m_arrivingCores = entries * aBoard.m_jobArrivals.AllBusySlots(aNow);
   const double leftOver =
     std::max(cores - load.m_arrivingCores, kMinLeftOver * cores);
   load.m_lateWait = FromMicros((waiting * entries + offered) / leftOver);
   const Duration run = LongestChainOf(aJob);
-  load.m_maxWait = UsableWait(aJob.m_due - aNow - run);
-  load.m_maxLateWait = UsableWait(aJob.m_usefulUntil - aNow - run);
+  load.m_maxWait = ShareOf(aJob.m_due - aNow - run, kUsableSlack);
+  load.m_maxLateWait =
+    ShareOf(aJob.m_usefulUntil - aNow - run, kUsableLateSlack);
   return load;
 }
 
