The payload of a job's tasks is sent once in a batch of offers

Cause: each task's offer carries the whole payload of its job, 2,400 bytes on average for the two frequent kinds, and a job has 2 to 8 tasks; tasks of one job often go to the same agent.

Change: an offer whose payload equals that of the offer before says so instead (same_payload). Agents announce that they read such batches, so an agent of an earlier build never takes an omitted payload for an empty one. A batch may repeat at most 64 MB, so that a short malformed message can't fill the memory.

Tests: CodecTest (three new), EntryQueueTest. Not yet measured by itself.

--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -187,6 +187,7 @@
   announce.m_endpoint = m_board.m_endpoint.m_info;
   announce.m_workers = LiveWorkers(m_board);
   announce.m_load = PrepareLoadReport(aEntry);
+  announce.m_readsOmittedPayloads = true;
   Send(m_board, aEntry, std::move(announce));
 }
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -422,6 +422,7 @@
   ++offered.m_items;
   OfferBatch& batch = m_pendingOffers[aAgent.m_id];
   batch.m_agentIncarnation = aAgent.m_id.m_incarnation;
+  batch.m_omitRepeatedPayloads = aAgent.m_announced.m_readsOmittedPayloads;
   batch.m_sequence = aAgent.m_offersSent;
   batch.m_offers.push_back(std::move(offer));
   m_board.m_timers.Add(
--- a/packages/core/tests/entry_queue_test.cpp
+++ b/packages/core/tests/entry_queue_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(FullAgentsAreNotComparedForEachWaitingTask);
   CPPUNIT_TEST(WaitingEntrySubscribesToFewAgents);
   CPPUNIT_TEST(OffersTellWhetherMoreWorkWaits);
+  CPPUNIT_TEST(PayloadsAreOmittedOnlyForAgentsThatReadSuchBatches);
   CPPUNIT_TEST(RefusalBeforeAnyStartSaysNotRun);
   CPPUNIT_TEST(RefusalAfterAStartSaysMayHaveRun);
   CPPUNIT_TEST(StartedJobContinuesToItsCallersDeadline);
@@ -234,6 +235,23 @@
                    Duration::zero());
   }
 
+  void PayloadsAreOmittedOnlyForAgentsThatReadSuchBatches()
+  {
+    for (const bool reads : { false, true }) {
+      QueueFixture fixture;
+      Announce announce;
+      announce.m_leaseFor = std::chrono::hours(1);
+      announce.m_load.m_sequence = 1;
+      announce.m_load.m_freeCapacity = kWorkerCapacity;
+      announce.m_workers.push_back({ "w", "rack", kWorkerCapacity, false });
+      announce.m_readsOmittedPayloads = reads;
+      fixture.Receive({ "a1", { 1 } }, announce);
+      fixture.Submit("job", 2);
+      CPPUNIT_ASSERT_EQUAL(
+        reads, fixture.Sent<OfferBatch>().at(0).second.m_omitRepeatedPayloads);
+    }
+  }
+
   void RefusalBeforeAnyStartSaysNotRun()
   {
     QueueFixture fixture;
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -91,6 +91,10 @@
    * of free capacity, in place of what an earlier message said; zero if no work
    * is left that waits. */
   Duration m_subscribeFor{};
+  /** Whether the encoded message may omit a payload that equals the one of the
+   * offer before; see Announce::m_readsOmittedPayloads. Not part of the
+   * message. */
+  bool m_omitRepeatedPayloads = false;
 };
 
 /** Revokes queued attempts and, if m_stopRunning is set, stops running ones. */
@@ -247,6 +251,9 @@
   std::optional<EndpointInfo> m_endpoint;
   std::vector<WorkerInfo> m_workers;
   LoadReport m_load;
+  /** Whether the agent reads batches that omit repeated payloads; agents of
+   * earlier versions do not. */
+  bool m_readsOmittedPayloads = false;
 };
 
 /** The state or outcome of one attempt. */
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** Most bytes of payloads that a batch of offers may repeat; a short malformed
+ * message must not fill the memory. */
+constexpr std::size_t kMaxRepeatedBytes = 64ULL << 20U;
+
 core::Duration
 DurationFrom(std::int64_t aMicroseconds)
 {
@@ -190,6 +194,7 @@
     announce.m_workers.push_back(ReadWorker(worker));
   }
   announce.m_load = ReadLoad(aFrom.load());
+  announce.m_readsOmittedPayloads = aFrom.reads_same_payload();
   return announce;
 }
 
@@ -255,8 +260,19 @@
   batch.m_agentIncarnation = { aFrom.agent_incarnation() };
   batch.m_sequence = aFrom.sequence();
   batch.m_offers.reserve(static_cast<std::size_t>(aFrom.offers_size()));
+  std::size_t repeatedBytes = 0;
   for (wire::Offer& offer : *aFrom.mutable_offers()) {
-    batch.m_offers.push_back(ReadOffer(offer));
+    core::Offer read = ReadOffer(offer);
+    if (offer.same_payload()) {
+      const bool hasPrevious = !batch.m_offers.empty();
+      repeatedBytes += hasPrevious ? batch.m_offers.back().m_payload.size() : 0;
+      if (!hasPrevious || repeatedBytes > kMaxRepeatedBytes) {
+        m_valid = false;
+        return batch;
+      }
+      read.m_payload = batch.m_offers.back().m_payload;
+    }
+    batch.m_offers.push_back(std::move(read));
   }
   batch.m_subscribeFor = DurationFrom(aFrom.subscribe_for());
   return batch;
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -36,8 +36,10 @@
   aTo.set_claim(aFrom.m_claim);
 }
 
+/** @param aPrevious an offer whose payload is not written again if @p aFrom has
+ * the same, as the tasks of a job mostly do; may be null. */
 void
-Write(const core::Offer& aFrom, wire::Offer& aTo)
+Write(const core::Offer& aFrom, const core::Offer* aPrevious, wire::Offer& aTo)
 {
   aTo.set_attempt(aFrom.m_attempt.m_value);
   aTo.set_kind(static_cast<wire::WorkKind>(aFrom.m_kind));
@@ -51,7 +53,12 @@
   if (aFrom.m_key) {
     Write(*aFrom.m_key, *aTo.mutable_key());
   }
-  aTo.set_payload(aFrom.m_payload);
+  if (aPrevious != nullptr && !aFrom.m_payload.empty() &&
+      aPrevious->m_payload == aFrom.m_payload) {
+    aTo.set_same_payload(true);
+  } else {
+    aTo.set_payload(aFrom.m_payload);
+  }
   if (!aFrom.m_name.empty()) {
     aTo.set_name(aFrom.m_name);
     aTo.set_start(aFrom.m_startNumber);
@@ -133,8 +140,10 @@
     wire::OfferBatch& to = *m_envelope.mutable_offer_batch();
     to.set_agent_incarnation(aFrom.m_agentIncarnation.m_value);
     to.set_sequence(aFrom.m_sequence);
+    const core::Offer* previous = nullptr;
     for (const core::Offer& offer : aFrom.m_offers) {
-      Write(offer, *to.add_offers());
+      Write(offer, previous, *to.add_offers());
+      previous = aFrom.m_omitRepeatedPayloads ? &offer : nullptr;
     }
     to.set_subscribe_for(ToWire(aFrom.m_subscribeFor));
   }
@@ -208,6 +217,7 @@
       Write(worker, *to.add_workers());
     }
     Write(aFrom.m_load, *to.mutable_load());
+    to.set_reads_same_payload(aFrom.m_readsOmittedPayloads);
   }
 
   void operator()(const core::ReportBatch& aFrom) const
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -39,9 +39,69 @@
   CPPUNIT_TEST(CorruptedBytesDontCrash);
   CPPUNIT_TEST(MissingSenderOrBodyIsRejected);
   CPPUNIT_TEST(NumbersOutsideTheirEnumerationAreRejected);
+  CPPUNIT_TEST(PayloadOfAJobsTasksIsSentOnce);
+  CPPUNIT_TEST(RepeatedPayloadWithoutAFirstOneIsRejected);
+  CPPUNIT_TEST(RepeatedPayloadsAreLimited);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  static core::OfferBatch BatchOf(std::vector<std::string> aPayloads)
+  {
+    core::OfferBatch batch;
+    for (std::string& payload : aPayloads) {
+      core::Offer offer;
+      offer.m_payload = std::move(payload);
+      batch.m_offers.push_back(std::move(offer));
+    }
+    return batch;
+  }
+
+  void PayloadOfAJobsTasksIsSentOnce()
+  {
+    const std::string large(2400, 'x');
+    const std::vector<std::string> payloads{ large, large, large, "y",
+                                             "",    "",    large };
+    core::OfferBatch sent = BatchOf(payloads);
+    const std::string whole = Encode(kHead, sent);
+    CPPUNIT_ASSERT(whole.size() > 4 * large.size());
+    sent.m_omitRepeatedPayloads = true;
+    const std::string bytes = Encode(kHead, sent);
+    CPPUNIT_ASSERT(bytes.size() < 3 * large.size());
+    const core::Result<DecodedEnvelope> decoded = Decode(bytes);
+    const core::OfferBatch& batch = std::get<core::OfferBatch>(
+      std::get<core::Message>(decoded.value().m_body));
+    CPPUNIT_ASSERT_EQUAL(payloads.size(), batch.m_offers.size());
+    for (std::size_t i = 0; i < payloads.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(payloads[i], batch.m_offers[i].m_payload);
+    }
+  }
+
+  static wire::Envelope EnvelopeWithBatch()
+  {
+    wire::Envelope envelope;
+    CPPUNIT_ASSERT(
+      envelope.ParseFromString(Encode(kHead, BatchOf({ "payload" }))));
+    return envelope;
+  }
+
+  void RepeatedPayloadWithoutAFirstOneIsRejected()
+  {
+    wire::Envelope envelope = EnvelopeWithBatch();
+    envelope.mutable_offer_batch()->mutable_offers(0)->set_same_payload(true);
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+  }
+
+  void RepeatedPayloadsAreLimited()
+  {
+    wire::Envelope envelope = EnvelopeWithBatch();
+    wire::OfferBatch& batch = *envelope.mutable_offer_batch();
+    batch.mutable_offers(0)->set_payload(std::string(1U << 20U, 'x'));
+    for (int i = 0; i < 200; ++i) {
+      batch.add_offers()->set_same_payload(true);
+    }
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+  }
+
   void EveryMessageSurvivesRoundTrip()
   {
     const std::vector<core::Message> samples = SampleMessages();
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -50,7 +50,8 @@
            6s,
            core::EndpointInfo{ "stock-check", 8, 64, true },
            { { "w1", "r1", { 16000, 32768, 1 }, true } },
-           SampleLoad() };
+           SampleLoad(),
+           true };
 }
 
 auto
@@ -187,7 +188,8 @@
          aLeft.m_leaseFor == aRight.m_leaseFor &&
          aLeft.m_endpoint == aRight.m_endpoint &&
          aLeft.m_workers == aRight.m_workers &&
-         Fields(aLeft.m_load) == Fields(aRight.m_load);
+         Fields(aLeft.m_load) == Fields(aRight.m_load) &&
+         aLeft.m_readsOmittedPayloads == aRight.m_readsOmittedPayloads;
 }
 
 bool
