Jobs whose objective is out of reach are refused again: late answers served nobody more

At these loads the workers are full while jobs are late, so a late job takes the place of a timely one. A caller is better served by a refusal at once.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -125,7 +125,7 @@
   const bool detached = aJob.m_detached;
   Submission submission = MakeJob(aContext, std::move(aJob), queue);
   if (queue != nullptr) {
-    refusal = ClassifyJob(aContext, submission);
+    refusal = CheckJobLoad(aContext, submission);
     UpdateMeanCoreTime(m_board, submission);
     if (refusal) {
       RefuseJob(aContext, caller, submission.m_name, *refusal);
@@ -215,30 +215,20 @@
     const Duration scaledRun(static_cast<Duration::rep>(
       aQueue->m_slackFactor *
       static_cast<double>(LongestChainOf(submission).count())));
-    const Duration objective = scaledRun + aQueue->m_targetDuration;
     submission.m_due =
-      std::min(aContext.m_now + objective, submission.m_deadline);
-    submission.m_usefulUntil = std::min(
-      aContext.m_now + Scaled(objective, m_board.m_policy.m_lateAnswerFactor),
-      submission.m_deadline);
+      std::min(aContext.m_now + scaledRun + aQueue->m_targetDuration,
+               submission.m_deadline);
   }
   return submission;
 }
 
 std::optional<AdmissionController::Refusal>
-AdmissionController::ClassifyJob(const EntryEventContext& aContext,
-                                 Submission& aJob)
+AdmissionController::CheckJobLoad(const EntryEventContext& aContext,
+                                  const Submission& aJob)
 {
   const JobLoad load = LoadAhead(m_board, aContext.m_now, aJob);
-  m_board.m_jobArrivals.Add(aContext.m_now, CoreTimeOf(aJob));
-  switch (DecideAdmission(load)) {
-    case JobAdmission::InTime:
-      return std::nullopt;
-    case JobAdmission::Late:
-      aJob.m_late = true;
-      return std::nullopt;
-    case JobAdmission::Refused:
-      break;
+  if (load.m_wait <= load.m_maxWait) {
+    return std::nullopt;
   }
   return Refusal{ ErrorKind::DeadlineUnreachable,
                   DescribeLoad(load),
@@ -401,7 +391,6 @@
       .Add("queue", aSubmission.m_queue)
       .Add("items", items)
       .Add("due_in_ms", aSubmission.m_due - aContext.m_now)
-      .Add("late", aSubmission.m_late ? 1 : 0)
       .Add("deadline_in_ms", aSubmission.m_deadline - aContext.m_now)
       .Add("config", m_board.m_config.m_version.m_value));
   const SubmissionId id = aSubmission.m_id;
--- a/packages/core/internal/entry/admissioncontroller.h
+++ b/packages/core/internal/entry/admissioncontroller.h
@@ -57,10 +57,8 @@
   Submission MakeJob(const EntryEventContext& aContext,
                      SubmitJob aJob,
                      const QueueConfig* aQueue);
-  /** Marks @p aJob as late if it is not expected to meet its objective.
-   * @return why it is refused, if it cannot be done in a useful time either. */
-  std::optional<Refusal> ClassifyJob(const EntryEventContext& aContext,
-                                     Submission& aJob);
+  std::optional<Refusal> CheckJobLoad(const EntryEventContext& aContext,
+                                      const Submission& aJob);
   std::optional<Refusal> CheckWorkersCanRun(const SubmitJob& aJob) const;
   /** @return this entry's share of the team's quota of open items. */
   std::uint32_t TeamLimit(const TeamConfig& aTeam) const;
--- a/packages/core/internal/entry/arrivalmeter.cpp
+++ b/packages/core/internal/entry/arrivalmeter.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/** The first arrivals are averaged over at least this time. */
-constexpr Duration kMinAge = std::chrono::milliseconds(200);
+/** Time constant of the exponential decay: short enough to detect the start of
+ * a burst, long enough that a few long requests are not taken for a burst. */
+constexpr Duration kWindow = std::chrono::milliseconds(1000);
 /** Number of classes for each doubling of the run time. */
 constexpr double kClassesPerOctave = 3;
 
@@ -24,24 +25,23 @@
 }
 
 double
-ArrivalMeter::Decayed(const Rate& aRate, Instant aNow) const
+ArrivalMeter::Decayed(const Rate& aRate, Instant aNow)
 {
   if (aRate.m_busySlots <= 0) {
     return 0;
   }
   const double age = static_cast<double>((aNow - aRate.m_updatedAt).count());
   return aRate.m_busySlots *
-         std::exp(-age / static_cast<double>(m_window.count()));
+         std::exp(-age / static_cast<double>(kWindow.count()));
 }
 
 void
 ArrivalMeter::Add(Instant aNow, Duration aExpectedRun)
 {
-  m_firstAt = m_firstAt.value_or(aNow);
   Rate& rate = m_rates.at(ArrivalClassOf(aExpectedRun));
   rate.m_busySlots =
     Decayed(rate, aNow) + static_cast<double>(aExpectedRun.count()) /
-                            static_cast<double>(m_window.count());
+                            static_cast<double>(kWindow.count());
   rate.m_updatedAt = aNow;
 }
 
@@ -56,16 +56,4 @@
   return slots;
 }
 
-double
-ArrivalMeter::AllBusySlots(Instant aNow) const
-{
-  if (!m_firstAt) {
-    return 0;
-  }
-  const Duration age = std::max(aNow - *m_firstAt, kMinAge);
-  const double covered = 1 - std::exp(-static_cast<double>(age.count()) /
-                                      static_cast<double>(m_window.count()));
-  return BusySlots(aNow, Duration::max()) / covered;
-}
-
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/arrivalmeter.h
+++ b/packages/core/internal/entry/arrivalmeter.h
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <cstddef>
-#include <optional>
 
 namespace mulberrysail::core {
 
@@ -12,25 +11,12 @@
 class ArrivalMeter
 {
 public:
-  /** @param aWindow the time constant of the average. The default is short
-   * enough to detect the start of a burst, and long enough that a few long
-   * requests are not taken for a burst. */
-  explicit ArrivalMeter(Duration aWindow = std::chrono::milliseconds(1000))
-    : m_window(aWindow)
-  {
-  }
-
   void Add(Instant aNow, Duration aExpectedRun);
 
   /** @return the number of slots kept busy by the arriving work whose expected
    * run time is at most @p aRun, rounded up to its class. */
   double BusySlots(Instant aNow, Duration aRun) const;
 
-  /** @return the number of slots kept busy by all arriving work. Until the
-   * first arrival is older than the window, the average is taken over the time
-   * since then. */
-  double AllBusySlots(Instant aNow) const;
-
 private:
   struct Rate
   {
@@ -43,10 +29,8 @@
   /** Run times are classed by thirds of powers of two. */
   static constexpr std::size_t kArrivalClasses = 80;
   static std::size_t ArrivalClassOf(Duration aRun);
-  double Decayed(const Rate& aRate, Instant aNow) const;
+  static double Decayed(const Rate& aRate, Instant aNow);
 
-  Duration m_window;
-  std::optional<Instant> m_firstAt;
   std::array<Rate, kArrivalClasses> m_rates{};
 };
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -43,13 +43,6 @@
   return aSubmission.m_key.has_value() && !aSubmission.m_repeatable;
 }
 
-/** @return whether a task of @p aJob may have run. */
-bool
-HasStarted(const Submission& aJob)
-{
-  return std::any_of(aJob.m_items.begin(), aJob.m_items.end(), MayHaveRun);
-}
-
 } // namespace
 
 std::vector<AgentRecord*>
@@ -101,22 +94,15 @@
                                       const Submission& aSubmission,
                                       const WorkItem& aItem)
 {
-  const bool started = HasStarted(aSubmission);
+  const bool started = std::any_of(
+    aSubmission.m_items.begin(), aSubmission.m_items.end(), MayHaveRun);
   // Once a task of the job may have run, a late answer is better than none: the
-  // job may finish up to its deadline.
-  const Instant end =
-    started ? aSubmission.m_deadline : aSubmission.m_usefulUntil;
+  // job may finish after m_due, up to its deadline.
+  const Instant end = started ? aSubmission.m_deadline : aSubmission.m_due;
   return std::max(end - aItem.m_expectedRun - aItem.m_successorRun,
                   aContext.m_now);
 }
 
-Instant
-DispatchController::LatestStartInTime(const Submission& aSubmission,
-                                      const WorkItem& aItem)
-{
-  return aSubmission.m_due - aItem.m_expectedRun - aItem.m_successorRun;
-}
-
 void
 DispatchController::InsertIntoQueue(EntryEventContext& aContext,
                                     Submission& aSubmission,
@@ -134,24 +120,12 @@
   item.m_order = aOrder;
   const WorkRef work{ aSubmission.m_id, aIndex };
   m_board.QueueOf(aSubmission).Insert({ aOrder, work }, item.m_expectedRun);
-  m_board.m_timers.Add(NextStartByCheck(aContext, aSubmission, item),
+  const Duration urgent =
+    aSubmission.m_queue.empty() ? kUrgentMargin : Duration::zero();
+  m_board.m_timers.Add(std::max(item.m_startBy - urgent, aContext.m_now),
                        StartByTimer{ work });
 }
 
-Instant
-DispatchController::NextStartByCheck(const EntryEventContext& aContext,
-                                     const Submission& aSubmission,
-                                     const WorkItem& aItem)
-{
-  Instant check = aItem.m_startBy;
-  if (aSubmission.m_queue.empty()) {
-    check -= kUrgentMargin;
-  } else if (!aSubmission.m_late) {
-    check = std::min(check, LatestStartInTime(aSubmission, aItem));
-  }
-  return std::max(check, aContext.m_now);
-}
-
 void
 DispatchController::Enqueue(EntryEventContext& aContext, WorkRef aWork)
 {
@@ -479,23 +453,10 @@
   }
   if (!submission->m_queue.empty()) {
     // Another task of the job may have been offered in the meantime; then the
-    // deadline applies instead of m_usefulUntil.
+    // deadline applies instead of m_due.
     item.m_startBy = LatestUsefulStart(aContext, *submission, item);
     if (aContext.m_now < item.m_startBy) {
-      if (!submission->m_late &&
-          aContext.m_now >= LatestStartInTime(*submission, item)) {
-        const JobLoad load = LoadAhead(m_board, aContext.m_now, *submission);
-        if (!HasStarted(*submission) && !CanBeDoneLate(load)) {
-          m_answers.Fail(aContext,
-                         *submission,
-                         ErrorKind::DeadlinePassedQueued,
-                         DescribeLoad(load));
-          return;
-        }
-        MarkAsLate(aContext, *submission);
-      }
-      m_board.m_timers.Add(NextStartByCheck(aContext, *submission, item),
-                           StartByTimer{ aWork });
+      m_board.m_timers.Add(item.m_startBy, StartByTimer{ aWork });
       return;
     }
   }
@@ -514,38 +475,6 @@
   Dispatch(aContext, queue);
 }
 
-void
-DispatchController::MarkAsLate(EntryEventContext& aContext, Submission& aJob)
-{
-  const std::int64_t orderInTime = JobOrder(m_board, aJob);
-  aJob.m_late = true;
-  const std::int64_t delay = JobOrder(m_board, aJob) - orderInTime;
-  aContext.Record(EventCode::SubmissionLate,
-                  aJob,
-                  EventDetail()
-                    .Add("age_ms", aContext.m_now - aJob.m_admittedAt)
-                    .Add("due_in_ms", aJob.m_due - aContext.m_now)
-                    .Add("useful_in_ms", aJob.m_usefulUntil - aContext.m_now)
-                    .Add("done", aJob.m_done)
-                    .Add("of", aJob.m_items.size()));
-  WaitQueue& queue = m_board.QueueOf(aJob);
-  for (std::uint32_t i = 0; i < aJob.m_items.size(); ++i) {
-    WorkItem& item = aJob.m_items[i];
-    if (!item.m_order) {
-      continue;
-    }
-    const WorkRef work{ aJob.m_id, i };
-    const bool waits = item.m_state == WorkState::Waiting;
-    if (waits) {
-      queue.Erase({ *item.m_order, work }, item.m_expectedRun);
-    }
-    item.m_order = *item.m_order + delay;
-    if (waits) {
-      queue.Insert({ *item.m_order, work }, item.m_expectedRun);
-    }
-  }
-}
-
 void
 DispatchController::StartProbe(EntryEventContext& aContext,
                                Submission& aSubmission,
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -51,8 +51,7 @@
   void FlushOffers(EntryEventContext& aContext);
 
   /** Fails an item that waits past its latest useful start, or moves it to the
-   * head of the queue shortly before. A queue's job that will miss its
-   * objective is moved behind the others. */
+   * head of the queue shortly before. */
   void OnStartBy(EntryEventContext& aContext, WorkRef aWork);
   void OnProbeReply(EntryEventContext& aContext, const ProcessId& aAgent);
   void OnProbeTimer(EntryEventContext& aContext, WorkRef aWork);
@@ -112,17 +111,6 @@
                        Submission& aSubmission,
                        std::uint32_t aIndex,
                        std::int64_t aOrder);
-  /** @return the latest start of a task with which its job meets its objective.
-   */
-  static Instant LatestStartInTime(const Submission& aSubmission,
-                                   const WorkItem& aItem);
-  /** @return when OnStartBy has to look at a waiting item again. */
-  static Instant NextStartByCheck(const EntryEventContext& aContext,
-                                  const Submission& aSubmission,
-                                  const WorkItem& aItem);
-  /** Moves the tasks of a queue's job, which will miss its objective, behind
-   * the jobs that can meet theirs. */
-  void MarkAsLate(EntryEventContext& aContext, Submission& aJob);
 
   EntryBoard& m_board;
   AnswerController& m_answers;
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -25,10 +25,6 @@
 
 namespace mulberrysail::core {
 
-/** Arrivals of jobs are averaged over this time: a burst that is shorter is
- * expected to pass before its late jobs are of no more use. */
-constexpr Duration kJobArrivalWindow = std::chrono::seconds(4);
-
 /** The event context: time and commands of one call of IEntry::Handle. */
 struct EntryEventContext
 {
@@ -196,8 +192,6 @@
   std::map<std::string, ServiceState, std::less<>> m_services;
   /** Workers form one pool for the jobs of all services. */
   WaitPool m_taskPool;
-  /** Core time of all arriving jobs of queues. */
-  ArrivalMeter m_jobArrivals{ kJobArrivalWindow };
   std::map<std::string, TeamState, std::less<>> m_teams;
   std::map<std::string, QueueState, std::less<>> m_queues;
   /** Open and finished jobs by the caller's name for them. */
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -13,20 +13,11 @@
 /** Share of the time to the objective that a job may spend waiting; the rest
  * allows for errors of the run time estimates. */
 constexpr double kUsableSlack = 0.4;
-/** The same for a late job and the time in which it is of use, which is longer,
- * so that an error of the estimate matters less. */
-constexpr double kUsableLateSlack = 0.8;
 /** The newest arrival has the weight 1 / kMeanWindow in the moving average. */
 constexpr int kMeanWindow = 64;
 /** Order of a job whose size equals its queue's mean. */
 constexpr double kMeanOrder = 1e6;
 constexpr double kMilliCores = 1000;
-/** Share of the cores that late jobs are assumed to get at least; keeps the
- * estimate of their wait finite. */
-constexpr double kMinLeftOver = 0.01;
-/** Added to the latest start time of late jobs, for ordering only. Longer than
- * all waits, so that late jobs come after all others. */
-constexpr Duration kLateDelay = std::chrono::hours(1);
 
 double
 CoreMicros(const WorkItem& aItem)
@@ -41,13 +32,6 @@
   return Duration(static_cast<Duration::rep>(aMicros));
 }
 
-Duration
-ShareOf(Duration aSlack, double aShare)
-{
-  const Duration slack = std::max(aSlack, Duration::zero());
-  return FromMicros(static_cast<double>(slack.count()) * aShare);
-}
-
 std::int64_t
 SizeOrder(const EntryBoard& aBoard, const Submission& aJob)
 {
@@ -79,9 +63,7 @@
     std::get_if<LeastSlackFirst>(&aBoard.m_policy.m_jobOrder);
   const Duration step =
     policy == nullptr ? Duration::zero() : policy->m_priorityStep;
-  const Instant end =
-    aJob.m_late ? aJob.m_usefulUntil + kLateDelay : aJob.m_due;
-  return end - LongestChainOf(aJob) + step * aJob.m_priority;
+  return aJob.m_due - LongestChainOf(aJob) + step * aJob.m_priority;
 }
 
 std::int64_t
@@ -103,14 +85,11 @@
   JobLoad load;
   const std::int64_t order = JobOrder(aBoard, aJob);
   double ahead = 0;
-  double waiting = 0;
   for (const WaitKey& key : aBoard.m_taskPool.m_queue.Ordered()) {
-    if (key.m_work.m_submission == aJob.m_id) {
-      continue;
+    if (key.m_order > order) {
+      break;
     }
-    const double work = CoreMicros(*aBoard.Find(key.m_work));
-    ahead += key.m_order > order ? 0 : work;
-    waiting += work;
+    ahead += CoreMicros(*aBoard.Find(key.m_work));
   }
   // Work that waits at agents was offered by all entries and competes for the
   // whole capacity, so it is not scaled by the number of entries.
@@ -125,46 +104,23 @@
   load.m_coreTimeAhead = FromMicros(ahead);
   load.m_coreTimeAtAgents = FromMicros(offered);
   load.m_cores = cores;
-  const double entries = aBoard.EntryCount();
-  load.m_wait = FromMicros((ahead * entries + offered) / cores);
-  load.m_arrivingCores = entries * aBoard.m_jobArrivals.AllBusySlots(aNow);
-  const double leftOver =
-    std::max(cores - load.m_arrivingCores, kMinLeftOver * cores);
-  load.m_lateWait = FromMicros((waiting * entries + offered) / leftOver);
-  const Duration run = LongestChainOf(aJob);
-  load.m_maxWait = ShareOf(aJob.m_due - aNow - run, kUsableSlack);
-  load.m_maxLateWait =
-    ShareOf(aJob.m_usefulUntil - aNow - run, kUsableLateSlack);
+  load.m_wait = FromMicros((ahead * aBoard.EntryCount() + offered) / cores);
+  const Duration slack =
+    std::max(aJob.m_due - aNow - LongestChainOf(aJob), Duration::zero());
+  load.m_maxWait =
+    FromMicros(static_cast<double>(slack.count()) * kUsableSlack);
   return load;
 }
 
-JobAdmission
-DecideAdmission(const JobLoad& aLoad)
-{
-  if (aLoad.m_wait <= aLoad.m_maxWait) {
-    return JobAdmission::InTime;
-  }
-  return CanBeDoneLate(aLoad) ? JobAdmission::Late : JobAdmission::Refused;
-}
-
-bool
-CanBeDoneLate(const JobLoad& aLoad)
-{
-  return aLoad.m_lateWait <= aLoad.m_maxLateWait;
-}
-
 std::string
 DescribeLoad(const JobLoad& aLoad)
 {
   return EventDetail()
     .Add("wait_ms", aLoad.m_wait)
     .Add("most_ms", aLoad.m_maxWait)
-    .Add("late_wait_ms", aLoad.m_lateWait)
-    .Add("late_most_ms", aLoad.m_maxLateWait)
     .Add("ahead_core_ms", aLoad.m_coreTimeAhead)
     .Add("at_agents_core_ms", aLoad.m_coreTimeAtAgents)
     .Add("cores", aLoad.m_cores)
-    .Add("arriving_cores", aLoad.m_arrivingCores)
     .Add("free_millicores", aLoad.m_freeMilliCores)
     .Add("oldest_report_ms", aLoad.m_oldestReport)
     .Text();
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -24,68 +24,39 @@
 std::int64_t
 JobOrder(const EntryBoard& aBoard, const Submission& aJob);
 
-/** @return m_due, or m_usefulUntil of a late job, minus the expected run time
- * of the longest chain of @p aJob, plus a delay per priority level and for a
- * late job. With LeastSlackFirst, jobs with an earlier result are dispatched
- * first. */
+/** @return m_due minus the expected run time of the longest chain of @p aJob,
+ * plus a delay per priority level. With LeastSlackFirst, jobs with an earlier
+ * result are dispatched first. */
 Instant
 LatestStartByPriority(const EntryBoard& aBoard, const Submission& aJob);
 
 /** The load ahead of a job on its arrival. */
 struct JobLoad
 {
-  /** Expected wait, and the longest wait with which the job is admitted to meet
-   * its objective. */
+  /** Expected wait, and the longest wait with which the job is admitted. */
   Duration m_wait{};
   Duration m_maxWait{};
-  /** Expected wait behind all jobs that are to meet their objective, those that
-   * arrive later included, and the longest such wait with which the job is
-   * admitted as a late one. */
-  Duration m_lateWait{};
-  Duration m_maxLateWait{};
   /** Core time that waits at this entry and is dispatched before the job. */
   Duration m_coreTimeAhead{};
   /** Core time that waits at agents. */
   Duration m_coreTimeAtAgents{};
   /** Cores of all workers that receive work. */
   double m_cores = 0;
-  /** Cores that the arriving jobs keep busy, estimated for all entries. */
-  double m_arrivingCores = 0;
   /** Free cores of all agents as last reported, in thousandths. */
   std::uint64_t m_freeMilliCores = 0;
   /** Age of the oldest load report used for the figures of the agents. */
   Duration m_oldestReport{};
 };
 
-/** How a queue's job is admitted. */
-enum class JobAdmission : std::uint8_t
-{
-  InTime,
-  Late,
-  Refused,
-};
-
 /**
- * Estimates the load ahead of a queue's job, which may itself wait already.
- * @param aJob a job whose tasks, m_due, m_usefulUntil and m_queue are set.
+ * Estimates the load ahead of a queue's job. The job should be refused if
+ * m_wait exceeds m_maxWait: when the load exceeds the capacity of the workers,
+ * admitting all work makes every later answer late.
+ * @param aJob a job whose tasks, m_due and m_queue are set.
  */
 JobLoad
 LoadAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob);
 
-/**
- * Decides on the admission of a queue's job. When the load exceeds the capacity
- * of the workers, admitting all work makes every later answer late. So a job
- * that cannot meet its objective gets only the capacity that the jobs which can
- * leave free, and is refused if that is too little for an answer of use.
- */
-JobAdmission
-DecideAdmission(const JobLoad& aLoad);
-
-/** @return whether an answer of use is expected for a job that waits behind all
- * jobs which are to meet their objective. */
-bool
-CanBeDoneLate(const JobLoad& aLoad);
-
 /** @return the load as name=value pairs, for logs and answers. */
 std::string
 DescribeLoad(const JobLoad& aLoad);
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -116,7 +116,7 @@
   std::vector<StepState> m_steps;
 
   /** The queue that the job was submitted to; empty if there is none.
-   * The members from m_priority to m_late are set only for a queue's job. */
+   * m_priority, m_maxAttempts and m_due are set only for a queue's job. */
   std::string m_queue;
   /** The caller's name for the submission; may be empty. */
   std::string m_name;
@@ -124,11 +124,6 @@
   std::uint32_t m_maxAttempts = 1;
   /** When the job must be done to meet the objective of its queue. */
   Instant m_due;
-  /** When the job must be done to be of use to its caller; not before m_due. */
-  Instant m_usefulUntil;
-  /** True if the job is not expected to meet its objective. It is dispatched
-   * after all jobs that are. */
-  bool m_late = false;
   /** Callers of later submissions of the same name that wait for the answer. */
   std::vector<CallerToken> m_joinedCallers;
 };
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -48,10 +48,6 @@
   EventRow{ EventCode::SubmissionFailed,
             "submission-failed",
             "a submission ended with an error as its final answer" },
-  EventRow{ EventCode::SubmissionLate,
-            "submission-late",
-            "a waiting job will miss its objective and is dispatched after "
-            "those that can meet theirs" },
   EventRow{ EventCode::AttemptOffered,
             "attempt-offered",
             "an entry offered a request, or tasks of a job, to agents" },
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -25,7 +25,6 @@
   CallerGone = 204,
   SubmissionRejected = 205,
   SubmissionFailed = 206,
-  SubmissionLate = 207,
 
   AttemptOffered = 300,
   AttemptRefused = 301,
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -97,10 +97,6 @@
    * never certain. Must exceed AgentPolicy::m_entryTimeout + m_runLease,
    * because the agent may first lose its connection and then be paused. */
   Duration m_runsEndAfter{};
-  /** A queue's job is still of use to its caller if it takes up to this
-   * multiple of its objective. With 1, a job that cannot meet its objective is
-   * refused. */
-  double m_lateAnswerFactor = 1;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -109,17 +109,6 @@
       return Millis(aS.m_entryPolicy.m_reconcileAfter, 1, 600000);
     },
     "silence after an attempt should have ended until the agent is asked" },
-  SettingField{
-    "policy.late_answer_factor",
-    kEntry,
-    false,
-    [](Settings& aS) -> FieldBinding {
-      return NumberBinding<double>{ &aS.m_entryPolicy.m_lateAnswerFactor,
-                                    1,
-                                    100 };
-    },
-    "a queue's job is of use up to this multiple of its objective; 1: what "
-    "can't meet its objective is refused" },
   SettingField{ "policy.status_memory_ms",
                 kEntry,
                 false,
