An agent that restarts after its clock was set back is used again

Cause: incarnation numbers are the time of day at the start. An entry took an agent whose number was lower than the one it knew for an earlier incarnation and ignored its announcements for as long as it kept the old record (10 minutes), so the worker was lost to that entry: a process that started while the clock was 2,400 s ahead, and again after the clock was set right.

Change: a lower number is ignored only while the higher incarnation is heard; after a second of silence, less than a heartbeat, it takes its place. The only other reader of the time of day is the time stamp of log lines; leases, deadlines and Retry-After use the clock since boot.

Tests: EntryDispatchTest::AgentRestartedAfterItsClockWasSetBackIsUsed fails without the change; LateMessageOfAnEarlierIncarnationIsIgnored holds the other side.

Looked for elsewhere: an agent keeps records of both incarnations of an entry and ends the work of the one it no longer hears, whatever the numbers; the store's list of entries is not ordered by them.

--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+/** Incarnation numbers come from the time of day, which may be set back before
+ * a restart. So a lower number is not taken for an earlier incarnation if the
+ * higher one has been silent for this long. Shorter than the heartbeat of
+ * agents, so that the next one is accepted. */
+constexpr Duration kIncarnationTimeout = std::chrono::seconds(1);
+
 bool
 SameMembership(const Announce& aLeft, const Announce& aRight)
 {
@@ -57,15 +63,10 @@
 {
   const bool known = m_board.m_agents.contains(aFrom);
   if (!known) {
-    const bool superseded = std::any_of(
-      m_board.m_agents.begin(), m_board.m_agents.end(), [&](const auto& aPair) {
-        return aPair.first.m_name == aFrom.m_name &&
-               aPair.first.m_incarnation > aFrom.m_incarnation;
-      });
-    if (superseded) {
+    if (IsSuperseded(aContext, aFrom)) {
       return;
     }
-    RemoveEarlierIncarnations(aContext, aFrom);
+    RemoveOtherIncarnations(aContext, aFrom);
     AgentRecord& fresh = m_board.m_agents[aFrom];
     fresh.m_id = aFrom;
     fresh.m_joinedAt = aContext.m_now;
@@ -110,17 +111,30 @@
   }
 }
 
+bool
+MembershipController::IsSuperseded(const EntryEventContext& aContext,
+                                   const ProcessId& aAgent) const
+{
+  return std::any_of(
+    m_board.m_agents.begin(), m_board.m_agents.end(), [&](const auto& aPair) {
+      const auto& [id, agent] = aPair;
+      return id.m_name == aAgent.m_name &&
+             id.m_incarnation > aAgent.m_incarnation &&
+             aContext.m_now - agent.m_lastReceivedAt < kIncarnationTimeout;
+    });
+}
+
 void
-MembershipController::RemoveEarlierIncarnations(EntryEventContext& aContext,
-                                                const ProcessId& aNew)
+MembershipController::RemoveOtherIncarnations(EntryEventContext& aContext,
+                                              const ProcessId& aNew)
 {
-  std::vector<ProcessId> earlier;
+  std::vector<ProcessId> others;
   for (const auto& [id, agent] : m_board.m_agents) {
     if (id.m_name == aNew.m_name) {
-      earlier.push_back(id);
+      others.push_back(id);
     }
   }
-  for (const ProcessId& id : earlier) {
+  for (const ProcessId& id : others) {
     RemoveAgent(aContext, m_board.m_agents.at(id));
   }
 }
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -52,8 +52,11 @@
 private:
   bool IsPeer(const ProcessId& aProcess) const;
   PeerHello MakePeerHello(EntryEventContext& aContext) const;
-  void RemoveEarlierIncarnations(EntryEventContext& aContext,
-                                 const ProcessId& aNew);
+  /** @return whether another incarnation of the agent has taken its place. */
+  bool IsSuperseded(const EntryEventContext& aContext,
+                    const ProcessId& aAgent) const;
+  void RemoveOtherIncarnations(EntryEventContext& aContext,
+                               const ProcessId& aNew);
   /** Removes the agent, fails the claims pending on it and closes its open
    * attempts. */
   void RemoveAgent(EntryEventContext& aContext, AgentRecord& aAgent);
--- a/packages/core/tests/entry_dispatch_test.cpp
+++ b/packages/core/tests/entry_dispatch_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(RequestIsRetriedOnAnotherAgentAfterASendFailure);
   CPPUNIT_TEST(LinkResetReconcilesOpenAttempts);
   CPPUNIT_TEST(ARestartedAgentLosesItsAttempts);
+  CPPUNIT_TEST(AgentRestartedAfterItsClockWasSetBackIsUsed);
+  CPPUNIT_TEST(LateMessageOfAnEarlierIncarnationIsIgnored);
   CPPUNIT_TEST(JobWithAFailedTaskReturnsNoOutputs);
   CPPUNIT_TEST(JobBeyondEveryWorkersCapacityIsRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -184,6 +186,45 @@
     CPPUNIT_ASSERT(answer->m_execution == Execution::MayHaveRun);
   }
 
+  static Announce WorkerAnnounce(Instant aNow)
+  {
+    Announce announce;
+    announce.m_leaseFor = std::chrono::hours(1);
+    announce.m_workers.push_back({ "w", "rack", { 4000, 4096, 0 }, false });
+    announce.m_load.m_sequence = 1;
+    announce.m_load.m_reportedAt = aNow;
+    announce.m_load.m_freeCapacity = { 4000, 4096, 0 };
+    return announce;
+  }
+
+  /** The number of an incarnation is taken from the time of day at its start.
+   */
+  void AgentRestartedAfterItsClockWasSetBackIsUsed()
+  {
+    EntryFixture fixture;
+    const ProcessId before{ "a1", { 5000 } };
+    const ProcessId after{ "a1", { 40 } };
+    fixture.Receive(before, WorkerAnnounce(fixture.m_now));
+    fixture.Advance(std::chrono::seconds(2));
+    fixture.Receive(after, WorkerAnnounce(fixture.m_now));
+    const std::vector<AgentStatus> agents = fixture.m_entry->Agents();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, agents.size());
+    CPPUNIT_ASSERT(agents[0].m_agent == after);
+  }
+
+  void LateMessageOfAnEarlierIncarnationIsIgnored()
+  {
+    EntryFixture fixture;
+    const ProcessId earlier{ "a1", { 40 } };
+    const ProcessId current{ "a1", { 5000 } };
+    fixture.Receive(current, WorkerAnnounce(fixture.m_now));
+    fixture.Advance(milliseconds(900));
+    fixture.Receive(earlier, WorkerAnnounce(fixture.m_now));
+    const std::vector<AgentStatus> agents = fixture.m_entry->Agents();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, agents.size());
+    CPPUNIT_ASSERT(agents[0].m_agent == current);
+  }
+
   void JobWithAFailedTaskReturnsNoOutputs()
   {
     EntryFixture fixture;
