A restarted entry holds callers' requests until it can serve them, for a second at most

Nothing was known against these requests but that the entry had just started. One request got 404, as the configuration was set for the adapter before the shards had it.

Change: the callers' server of an adapter holds what arrives until the configuration and an agent are known, at most a second after the start; then it answers as before. Readiness says 503 meanwhile, as before. The shards get a configuration first.

The 404 has no test of its own: it is a race of microseconds.

Ruled out: not to listen until then; callers would come back 1.3 s later.

--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -17,6 +17,9 @@
  * configuration versions before it treats the store's configuration as
  * confirmed. */
 constexpr core::Duration kConfirmationTimeout = std::chrono::seconds(2);
+/** How long after its start an entry holds the requests of an adapter's callers
+ * until it knows the configuration and an agent. */
+constexpr core::Duration kMaxRequestHold = std::chrono::seconds(1);
 
 ShardSet::CoreFactory
 MakeCoreFactory(const Settings& aSettings)
@@ -87,8 +90,10 @@
   StartPeers();
   AddRoutes();
   m_httpServer.StartServing();
-  m_callerServer.StartServing();
   m_readinessServer.StartServing();
+  ServeCallersIfReady();
+  m_storeLink.Timer().After(kMaxRequestHold,
+                            [this] { m_callerServer.StartServing(); });
   m_events->Record(core::EventCode::ProcessStarted, Describe());
   return std::nullopt;
 }
@@ -99,6 +104,7 @@
   if (m_adapter == nullptr) {
     return std::nullopt;
   }
+  m_callerServer.HoldUntilServing();
   m_callerServer.SetHandler(m_adapter->MakeCallerHandler(m_jobGateway));
   m_readinessServer.SetHandler(
     [this](const network::HttpRequest&,
@@ -173,8 +179,19 @@
 void
 EntryRole::OnConfig(core::ConfigChanged aConfig)
 {
-  m_config.Set(aConfig);
-  m_shards.Broadcast(std::move(aConfig));
+  // The shards come first: a request that finds a queue in m_config must not be
+  // told by a shard that there is none.
+  m_shards.Broadcast(aConfig);
+  m_config.Set(std::move(aConfig));
+  ServeCallersIfReady();
+}
+
+void
+EntryRole::ServeCallersIfReady()
+{
+  if (!m_callerServer.IsServing() && m_config.Get() && HasReachableAgent()) {
+    m_callerServer.StartServing();
+  }
 }
 
 void
@@ -232,6 +249,7 @@
     m_gate.OnAgentVersion(announce->m_load.m_newestConfig);
   }
   aOwner.Handle(std::move(aReceived));
+  ServeCallersIfReady();
 }
 
 void
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -57,6 +57,9 @@
   void AddStatus(nlohmann::json& aStatus) const;
   /** @return the version of the configuration in force, 0 for none. */
   std::uint64_t ConfigVersion() const;
+  /** Starts to serve an adapter's callers once the configuration and an agent
+   * are known. */
+  void ServeCallersIfReady();
   void AddMetrics(MetricList& aMetrics) const;
   std::optional<core::Error> ListenForAdapter();
   network::HttpResponse MakeReadinessResponse() const;
--- a/packages/daemon/internal/routedhttpserver.cpp
+++ b/packages/daemon/internal/routedhttpserver.cpp
@@ -81,15 +81,41 @@
   }
 }
 
+void
+RoutedHttpServer::StartServing()
+{
+  m_serving = true;
+  m_heldRequests.Release(ServeHandler());
+}
+
+network::HttpHandler
+RoutedHttpServer::ServeHandler()
+{
+  return [this](const network::HttpRequest& aRequest,
+                network::HttpResponder aResponder) {
+    return Serve(aRequest, std::move(aResponder));
+  };
+}
+
 network::DisconnectHook
 RoutedHttpServer::Handle(const network::HttpRequest& aRequest,
                          network::HttpResponder aResponder)
 {
-  if (!m_serving) {
-    aResponder(network::MakeErrorResponse(core::ErrorKind::Overloaded,
-                                          { "the process is starting" }));
-    return {};
+  if (m_serving) {
+    return Serve(aRequest, std::move(aResponder));
+  }
+  if (m_holdsRequests) {
+    return m_heldRequests.Add(aRequest, std::move(aResponder), ServeHandler());
   }
+  aResponder(network::MakeErrorResponse(core::ErrorKind::Overloaded,
+                                        { "the process is starting" }));
+  return {};
+}
+
+network::DisconnectHook
+RoutedHttpServer::Serve(const network::HttpRequest& aRequest,
+                        network::HttpResponder aResponder)
+{
   network::HttpResponder responder =
     [this, answer = std::move(aResponder)](network::HttpResponse aResponse) {
       m_metrics.CountResponse(aResponse.m_status);
--- a/packages/daemon/internal/routedhttpserver.h
+++ b/packages/daemon/internal/routedhttpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/internal/heldrequests.h"
 #include "daemon/internal/responsemetrics.h"
 #include "daemon/internal/router.h"
 #include "daemon/settings/settings.h"
@@ -23,7 +24,12 @@
   RoutedHttpServer(const RoutedHttpServer&) = delete;
   RoutedHttpServer& operator=(const RoutedHttpServer&) = delete;
 
-  /** Starts to listen. Requests are refused until StartServing(). */
+  /** Lets requests wait for StartServing() instead of refusing them. Must not
+   * be called after Listen(). */
+  void HoldUntilServing() { m_holdsRequests = true; }
+
+  /** Starts to listen. Requests are refused until StartServing(), unless
+   * HoldUntilServing() was called. */
   std::optional<core::Error> Listen(const HttpSettings& aSettings);
 
   /** Starts to listen at @p aListen, in the form IP:PORT, instead of the
@@ -32,7 +38,9 @@
                                       HttpSettings aSettings);
 
   /** Starts to serve requests. No routes may be added afterwards. */
-  void StartServing() { m_serving = true; }
+  void StartServing();
+
+  bool IsServing() const { return m_serving; }
 
   /** Lets @p aHandler answer all requests instead of the routes. Must not be
    * called after StartServing(). */
@@ -60,11 +68,16 @@
 private:
   network::DisconnectHook Handle(const network::HttpRequest& aRequest,
                                  network::HttpResponder aResponder);
+  network::DisconnectHook Serve(const network::HttpRequest& aRequest,
+                                network::HttpResponder aResponder);
+  network::HttpHandler ServeHandler();
 
   Router m_router;
   network::HttpHandler m_handler;
   ResponseMetrics m_metrics;
   std::string m_address;
+  bool m_holdsRequests = false;
+  HeldRequests m_heldRequests;
   std::atomic<bool> m_serving{ false };
   std::unique_ptr<network::IHttpServer> m_server;
 };
