--- a/packages/daemon/tests/heldrequests_test.cpp
+++ b/packages/daemon/tests/heldrequests_test.cpp
@@ -14,11 +14,11 @@
 {
   network::HttpHandler Handler()
   {
-    return
-      [this](const network::HttpRequest& aRequest, network::HttpResponder) {
-        m_handled.push_back(aRequest.m_path);
-        return [this, path = aRequest.m_path] { m_lost.push_back(path); };
-      };
+    return [this](const network::HttpRequest& aRequest,
+                  const network::HttpResponder& /*aResponder*/) {
+      m_handled.push_back(aRequest.m_path);
+      return [this, path = aRequest.m_path] { m_lost.push_back(path); };
+    };
   }
 
   std::vector<std::string> m_handled;
