--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -77,7 +77,11 @@
                 [](const RevokeBatch&) {},
                 [](const Reconcile&) {},
                 [](const FenceQuery&) {},
-                [](const EntryHello&) {} },
+                [](const EntryHello&) {},
+                [](const PeerLoad&) {},
+                [](const ForwardJob&) {},
+                [](const ForwardResult&) {},
+                [](const ForwardCancel&) {} },
     aEvent.m_message);
 }
 
--- a/packages/core/internal/messages.cpp
+++ b/packages/core/internal/messages.cpp
@@ -43,7 +43,13 @@
       [](const Announce&) -> std::string_view { return "announce"; },
       [](const ReportBatch&) -> std::string_view { return "report_batch"; },
       [](const FenceReply&) -> std::string_view { return "fence_reply"; },
-      [](const PeerHello&) -> std::string_view { return "peer_hello"; } },
+      [](const PeerHello&) -> std::string_view { return "peer_hello"; },
+      [](const PeerLoad&) -> std::string_view { return "peer_load"; },
+      [](const ForwardJob&) -> std::string_view { return "forward_job"; },
+      [](const ForwardResult&) -> std::string_view { return "forward_result"; },
+      [](const ForwardCancel&) -> std::string_view {
+        return "forward_cancel";
+      } },
     aMessage);
 }
 
--- a/packages/core/types/ids.h
+++ b/packages/core/types/ids.h
@@ -33,6 +33,9 @@
 using RunId = StrongId<struct RunTag>;
 /** One query about a caller key, sent by an entry. */
 using FenceId = StrongId<struct FenceTag>;
+/** One job that an entry forwards to another one; unique within an incarnation
+ * of the entry that forwards. */
+using ForwardId = StrongId<struct ForwardTag>;
 /** Version of an accepted configuration; each accepted patch increments it. */
 using ConfigVersion = StrongId<struct ConfigTag>;
 
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "core/types/answer.h"
 #include "core/types/errorkind.h"
 #include "core/types/ids.h"
+#include "core/types/jobspec.h"
 #include "core/types/resources.h"
 #include "core/types/time.h"
+#include "core/types/zonedrains.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -79,6 +82,31 @@
   Instant m_dispatchTime;
 };
 
+/** Core time of waiting tasks of one priority. */
+struct PriorityWork
+{
+  /** QueueConfig::m_priority; 0 is the most urgent. */
+  std::uint32_t m_priority = 0;
+  /** Expected run time multiplied by cores, summed over the tasks. */
+  Duration m_coreTime{};
+
+  bool operator==(const PriorityWork&) const = default;
+};
+
+/** The tasks that wait at one entry for free capacity. */
+struct Demand
+{
+  /** Cores that all waiting tasks need together, in thousandths. */
+  std::uint64_t m_milliCores = 0;
+  /** On the receiving agent's clock: the earliest Offer::m_dispatchTime of the
+   * waiting tasks. */
+  Instant m_earliestDispatch;
+  /** In ascending order of priority. */
+  std::vector<PriorityWork> m_work;
+
+  bool operator==(const Demand&) const = default;
+};
+
 /** Offers to one agent incarnation; any other incarnation refuses them. */
 struct OfferBatch
 {
@@ -91,6 +119,9 @@
    * of free capacity, in place of what an earlier message said; zero if no work
    * is left that waits. */
   Duration m_subscribeFor{};
+  /** What waits at the sender after these offers; absent if the sender is of a
+   * version that does not state it. */
+  std::optional<Demand> m_demand = std::nullopt;
   /** Whether the encoded message may omit a payload that equals the one of the
    * offer before; see Announce::m_readsOmittedPayloads. Not part of the
    * message. */
@@ -138,6 +169,9 @@
   bool m_keepConfig = false;
   /** The shard of the entry that subscribes. */
   std::uint8_t m_shard = 0;
+  ZoneDrains m_drains = {};
+  /** What waits at the sender; absent if the message does not state it. */
+  std::optional<Demand> m_demand = std::nullopt;
 };
 
 /** One part of the document of an accepted configuration. */
@@ -189,6 +223,11 @@
   Duration m_queuedTaskWork{};
   /** The newest configuration known to the agent. */
   ConfigVersion m_newestConfig = {};
+  /** ZoneDrains::Digest() of the agent's copy. */
+  std::uint64_t m_drainsDigest = 0;
+  /** Core time that waits at other entries than the receiver, as far as the
+   * agent knows, in ascending order of priority. */
+  std::vector<PriorityWork> m_demandOfOthers = {};
 };
 
 /** An endpoint's state as known to its agent. */
@@ -213,6 +252,8 @@
   /** The only service whose tasks the worker runs; empty for any service. */
   std::string m_service = {};
   std::vector<std::string> m_labels = {};
+  /** Whether the worker still runs tasks slowly after its start. */
+  bool m_warmingUp = false;
 
   bool HasLabel(std::string_view aLabel) const
   {
@@ -254,6 +295,7 @@
   /** Whether the agent reads batches that omit repeated payloads; agents of
    * earlier versions do not. */
   bool m_readsOmittedPayloads = false;
+  ZoneDrains m_drains = {};
 };
 
 /** The state or outcome of one attempt. */
@@ -291,6 +333,8 @@
   /** Time from receipt of the offer to the start. */
   Duration m_waitedFor{};
   std::string m_output;
+  /** Whether the worker was warming up when the attempt started. */
+  bool m_warmingUp = false;
 };
 
 /** Attempt reports, with the agent's load. */
@@ -339,6 +383,49 @@
    * complete. */
   Duration m_recordsCover{};
   std::vector<DepartedAgent> m_departed;
+  ZoneDrains m_drains = {};
+};
+
+/** Sent between entries: whether the sender has processor time for forwarded
+ * jobs. Also the heartbeat between two entries with open forwarded jobs. */
+struct PeerLoad
+{
+  /** Processor that the sender may use, in thousandths of a core; 0 if it is
+   * not limited or not known. */
+  std::uint32_t m_allowedMilliCores = 0;
+  /** Share of the allowed processor time that the sender uses, in percent. */
+  std::uint32_t m_usedPercent = 0;
+  bool m_draining = false;
+  /** Whether the sender admits forwarded jobs. */
+  bool m_acceptsForwardedJobs = false;
+};
+
+/** Passes a job that the sender received from its caller to another entry,
+ * which admits and answers it in place of the sender. */
+struct ForwardJob
+{
+  ForwardId m_forward;
+  std::string m_queue;
+  std::string m_team;
+  std::string m_name;
+  /** Time left to the caller's deadline. */
+  Duration m_deadlineIn{};
+  std::vector<TaskSpec> m_tasks;
+  std::vector<StepSpec> m_steps;
+};
+
+/** The answer to a forwarded job. */
+struct ForwardResult
+{
+  ForwardId m_forward;
+  /** Its m_submission is that of the sender. */
+  Answer m_answer;
+};
+
+/** Cancels forwarded jobs whose callers have gone. */
+struct ForwardCancel
+{
+  std::vector<ForwardId> m_forwards;
 };
 
 using Message = std::variant<OfferBatch,
@@ -351,7 +438,11 @@
                              Announce,
                              ReportBatch,
                              FenceReply,
-                             PeerHello>;
+                             PeerHello,
+                             PeerLoad,
+                             ForwardJob,
+                             ForwardResult,
+                             ForwardCancel>;
 
 /** @return the name of the type of @p aMessage for metrics. */
 std::string_view
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -65,6 +65,8 @@
   core::OfferBatch ReadBody(wire::OfferBatch& aFrom);
   core::ReportBatch ReadBody(wire::ReportBatch& aFrom);
   core::FenceReply ReadBody(wire::FenceReply& aFrom);
+  core::ForwardJob ReadBody(wire::ForwardJob& aFrom);
+  core::ForwardResult ReadBody(wire::ForwardResult& aFrom);
 
   bool m_valid = true;
 };
@@ -81,6 +83,31 @@
   return { aFrom.key(), aFrom.submission(), aFrom.claim() };
 }
 
+std::vector<core::PriorityWork>
+ReadWork(const google::protobuf::RepeatedPtrField<wire::PriorityWork>& aFrom)
+{
+  std::vector<core::PriorityWork> work;
+  work.reserve(static_cast<std::size_t>(aFrom.size()));
+  for (const wire::PriorityWork& one : aFrom) {
+    work.push_back({ one.priority(), DurationFrom(one.core_time()) });
+  }
+  return work;
+}
+
+core::Demand
+ReadDemand(const wire::Demand& aFrom)
+{
+  return { aFrom.milli_cores(),
+           InstantFrom(aFrom.earliest_dispatch()),
+           ReadWork(aFrom.work()) };
+}
+
+core::ZoneDrains
+ReadDrains(const wire::ZoneDrains& aFrom)
+{
+  return { aFrom.revision(), { aFrom.zones().begin(), aFrom.zones().end() } };
+}
+
 core::LoadReport
 ReadLoad(const wire::LoadReport& aFrom)
 {
@@ -96,6 +123,8 @@
   load.m_freeCapacity = ReadResources(aFrom.free_room());
   load.m_queuedTasks = aFrom.queued_tasks();
   load.m_queuedTaskWork = DurationFrom(aFrom.queued_task_work());
+  load.m_drainsDigest = aFrom.drains_digest();
+  load.m_demandOfOthers = ReadWork(aFrom.demand_of_others());
   return load;
 }
 
@@ -135,11 +164,16 @@
 core::EntryHello
 ReadBody(const wire::EntryHello& aFrom)
 {
-  return { { aFrom.config() },
-           aFrom.draining(),
-           DurationFrom(aFrom.subscribe_for()),
-           aFrom.keep_config(),
-           static_cast<std::uint8_t>(aFrom.shard()) };
+  core::EntryHello hello{ { aFrom.config() },
+                          aFrom.draining(),
+                          DurationFrom(aFrom.subscribe_for()),
+                          aFrom.keep_config(),
+                          static_cast<std::uint8_t>(aFrom.shard()) };
+  hello.m_drains = ReadDrains(aFrom.drains());
+  if (aFrom.has_demand()) {
+    hello.m_demand = ReadDemand(aFrom.demand());
+  }
+  return hello;
 }
 
 core::ConfigUpdate
@@ -176,7 +210,8 @@
            ReadResources(aFrom.capacity()),
            aFrom.quarantined(),
            aFrom.service(),
-           { aFrom.labels().begin(), aFrom.labels().end() } };
+           { aFrom.labels().begin(), aFrom.labels().end() },
+           aFrom.warming_up() };
 }
 
 core::Announce
@@ -195,6 +230,7 @@
   }
   announce.m_load = ReadLoad(aFrom.load());
   announce.m_readsOmittedPayloads = aFrom.reads_same_payload();
+  announce.m_drains = ReadDrains(aFrom.drains());
   return announce;
 }
 
@@ -212,9 +248,45 @@
         DurationFrom(departed.age()),
         DurationFrom(departed.was_member_for()) });
   }
+  hello.m_drains = ReadDrains(aFrom.drains());
   return hello;
 }
 
+core::PeerLoad
+ReadBody(const wire::PeerLoad& aFrom)
+{
+  return { aFrom.allowed_milli_cores(),
+           aFrom.used_percent(),
+           aFrom.draining(),
+           aFrom.accepts_forwarded_jobs() };
+}
+
+core::ForwardCancel
+ReadBody(const wire::ForwardCancel& aFrom)
+{
+  core::ForwardCancel cancel;
+  for (const std::uint64_t forward : aFrom.forwards()) {
+    cancel.m_forwards.push_back({ forward });
+  }
+  return cancel;
+}
+
+core::TaskSpec
+ReadTask(wire::ForwardedTask& aFrom)
+{
+  core::TaskSpec task;
+  task.m_need = ReadResources(aFrom.need());
+  if (aFrom.has_declared_run()) {
+    task.m_declaredRun = DurationFrom(aFrom.declared_run());
+  }
+  task.m_payload = std::move(*aFrom.mutable_payload());
+  task.m_name = std::move(*aFrom.mutable_name());
+  task.m_requiredLabel = std::move(*aFrom.mutable_required_label());
+  task.m_preferredLabel = std::move(*aFrom.mutable_preferred_label());
+  task.m_step = aFrom.step();
+  return task;
+}
+
 core::Offer
 BodyReader::ReadOffer(wire::Offer& aFrom)
 {
@@ -250,6 +322,7 @@
   report.m_ranFor = DurationFrom(aFrom.ran_for());
   report.m_waitedFor = DurationFrom(aFrom.waited_for());
   report.m_output = std::move(*aFrom.mutable_output());
+  report.m_warmingUp = aFrom.warming_up();
   return report;
 }
 
@@ -275,6 +348,9 @@
     batch.m_offers.push_back(std::move(read));
   }
   batch.m_subscribeFor = DurationFrom(aFrom.subscribe_for());
+  if (aFrom.has_demand()) {
+    batch.m_demand = ReadDemand(aFrom.demand());
+  }
   return batch;
 }
 
@@ -302,6 +378,57 @@
   return reply;
 }
 
+core::ForwardJob
+BodyReader::ReadBody(wire::ForwardJob& aFrom)
+{
+  core::ForwardJob job;
+  job.m_forward = { aFrom.forward() };
+  job.m_queue = std::move(*aFrom.mutable_queue());
+  job.m_team = std::move(*aFrom.mutable_team());
+  job.m_name = std::move(*aFrom.mutable_name());
+  job.m_deadlineIn = DurationFrom(aFrom.deadline_in());
+  std::size_t repeatedBytes = 0;
+  for (wire::ForwardedTask& task : *aFrom.mutable_tasks()) {
+    core::TaskSpec read = ReadTask(task);
+    if (task.same_payload()) {
+      const bool hasPrevious = !job.m_tasks.empty();
+      repeatedBytes += hasPrevious ? job.m_tasks.back().m_payload.size() : 0;
+      if (!hasPrevious || repeatedBytes > kMaxRepeatedBytes) {
+        m_valid = false;
+        return job;
+      }
+      read.m_payload = job.m_tasks.back().m_payload;
+    }
+    job.m_tasks.push_back(std::move(read));
+  }
+  for (const wire::ForwardedStep& step : aFrom.steps()) {
+    job.m_steps.push_back(
+      { { step.prerequisites().begin(), step.prerequisites().end() },
+        step.max_per_worker() });
+  }
+  return job;
+}
+
+core::ForwardResult
+BodyReader::ReadBody(wire::ForwardResult& aFrom)
+{
+  core::ForwardResult result;
+  result.m_forward = { aFrom.forward() };
+  core::Answer& answer = result.m_answer;
+  answer.m_submission = { aFrom.submission() };
+  answer.m_kind = ReadKind(aFrom.error_kind());
+  answer.m_execution = CheckedEnum(aFrom.execution(), core::Execution::Ran);
+  answer.m_detail = std::move(*aFrom.mutable_detail());
+  if (aFrom.has_retry_after()) {
+    answer.m_retryAfter = DurationFrom(aFrom.retry_after());
+  }
+  answer.m_ranFor = DurationFrom(aFrom.ran_for());
+  for (std::string& output : *aFrom.mutable_outputs()) {
+    answer.m_outputs.push_back(std::move(output));
+  }
+  return result;
+}
+
 std::optional<core::Message>
 BodyReader::Read(wire::Envelope& aFrom)
 {
@@ -328,6 +455,14 @@
       return ReadBody(*aFrom.mutable_fence_reply());
     case wire::Envelope::kPeerHello:
       return protocol::ReadBody(aFrom.peer_hello());
+    case wire::Envelope::kPeerLoad:
+      return protocol::ReadBody(aFrom.peer_load());
+    case wire::Envelope::kForwardJob:
+      return ReadBody(*aFrom.mutable_forward_job());
+    case wire::Envelope::kForwardResult:
+      return ReadBody(*aFrom.mutable_forward_result());
+    case wire::Envelope::kForwardCancel:
+      return protocol::ReadBody(aFrom.forward_cancel());
     case wire::Envelope::kGreeting:
     case wire::Envelope::BODY_NOT_SET:
       break;
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -67,6 +67,54 @@
   }
 }
 
+void
+Write(const core::PriorityWork& aFrom, wire::PriorityWork& aTo)
+{
+  aTo.set_priority(aFrom.m_priority);
+  aTo.set_core_time(ToWire(aFrom.m_coreTime));
+}
+
+void
+Write(const core::Demand& aFrom, wire::Demand& aTo)
+{
+  aTo.set_milli_cores(aFrom.m_milliCores);
+  aTo.set_earliest_dispatch(ToWire(aFrom.m_earliestDispatch));
+  for (const core::PriorityWork& work : aFrom.m_work) {
+    Write(work, *aTo.add_work());
+  }
+}
+
+void
+Write(const core::ZoneDrains& aFrom, wire::ZoneDrains& aTo)
+{
+  aTo.set_revision(aFrom.m_revision);
+  for (const std::string& zone : aFrom.m_zones) {
+    aTo.add_zones(zone);
+  }
+}
+
+/** @param aPrevious the task whose payload need not be repeated; null if there
+ * is none. */
+void
+Write(const core::TaskSpec& aFrom,
+      const core::TaskSpec* aPrevious,
+      wire::ForwardedTask& aTo)
+{
+  Write(aFrom.m_need, *aTo.mutable_need());
+  if (aFrom.m_declaredRun) {
+    aTo.set_declared_run(ToWire(*aFrom.m_declaredRun));
+  }
+  if (aPrevious != nullptr && aPrevious->m_payload == aFrom.m_payload) {
+    aTo.set_same_payload(true);
+  } else {
+    aTo.set_payload(aFrom.m_payload);
+  }
+  aTo.set_name(aFrom.m_name);
+  aTo.set_required_label(aFrom.m_requiredLabel);
+  aTo.set_preferred_label(aFrom.m_preferredLabel);
+  aTo.set_step(aFrom.m_step);
+}
+
 void
 Write(const core::LoadReport& aFrom, wire::LoadReport& aTo)
 {
@@ -81,6 +129,10 @@
   Write(aFrom.m_freeCapacity, *aTo.mutable_free_room());
   aTo.set_queued_tasks(aFrom.m_queuedTasks);
   aTo.set_queued_task_work(ToWire(aFrom.m_queuedTaskWork));
+  aTo.set_drains_digest(aFrom.m_drainsDigest);
+  for (const core::PriorityWork& work : aFrom.m_demandOfOthers) {
+    Write(work, *aTo.add_demand_of_others());
+  }
 }
 
 void
@@ -103,6 +155,7 @@
   for (const std::string& label : aFrom.m_labels) {
     aTo.add_labels(label);
   }
+  aTo.set_warming_up(aFrom.m_warmingUp);
 }
 
 void
@@ -114,6 +167,7 @@
   aTo.set_ran_for(ToWire(aFrom.m_ranFor));
   aTo.set_waited_for(ToWire(aFrom.m_waitedFor));
   aTo.set_output(aFrom.m_output);
+  aTo.set_warming_up(aFrom.m_warmingUp);
 }
 
 void
@@ -146,6 +200,9 @@
       previous = aFrom.m_omitRepeatedPayloads ? &offer : nullptr;
     }
     to.set_subscribe_for(ToWire(aFrom.m_subscribeFor));
+    if (aFrom.m_demand) {
+      Write(*aFrom.m_demand, *to.mutable_demand());
+    }
   }
 
   void operator()(const core::RevokeBatch& aFrom) const
@@ -182,6 +239,10 @@
     to.set_subscribe_for(ToWire(aFrom.m_subscribeFor));
     to.set_keep_config(aFrom.m_keepConfig);
     to.set_shard(aFrom.m_shard);
+    WriteDrains(aFrom.m_drains, to);
+    if (aFrom.m_demand) {
+      Write(*aFrom.m_demand, *to.mutable_demand());
+    }
   }
 
   void operator()(const core::ConfigUpdate& aFrom) const
@@ -218,6 +279,7 @@
     }
     Write(aFrom.m_load, *to.mutable_load());
     to.set_reads_same_payload(aFrom.m_readsOmittedPayloads);
+    WriteDrains(aFrom.m_drains, to);
   }
 
   void operator()(const core::ReportBatch& aFrom) const
@@ -248,9 +310,76 @@
     for (const core::DepartedAgent& departed : aFrom.m_departed) {
       Write(departed, *to.add_departed());
     }
+    WriteDrains(aFrom.m_drains, to);
+  }
+
+  void operator()(const core::PeerLoad& aFrom) const
+  {
+    wire::PeerLoad& to = *m_envelope.mutable_peer_load();
+    to.set_allowed_milli_cores(aFrom.m_allowedMilliCores);
+    to.set_used_percent(aFrom.m_usedPercent);
+    to.set_draining(aFrom.m_draining);
+    to.set_accepts_forwarded_jobs(aFrom.m_acceptsForwardedJobs);
+  }
+
+  void operator()(const core::ForwardJob& aFrom) const
+  {
+    wire::ForwardJob& to = *m_envelope.mutable_forward_job();
+    to.set_forward(aFrom.m_forward.m_value);
+    to.set_queue(aFrom.m_queue);
+    to.set_team(aFrom.m_team);
+    to.set_name(aFrom.m_name);
+    to.set_deadline_in(ToWire(aFrom.m_deadlineIn));
+    const core::TaskSpec* previous = nullptr;
+    for (const core::TaskSpec& task : aFrom.m_tasks) {
+      Write(task, previous, *to.add_tasks());
+      previous = &task;
+    }
+    for (const core::StepSpec& step : aFrom.m_steps) {
+      wire::ForwardedStep& written = *to.add_steps();
+      for (const std::uint32_t prerequisite : step.m_prerequisites) {
+        written.add_prerequisites(prerequisite);
+      }
+      written.set_max_per_worker(step.m_maxPerWorker);
+    }
+  }
+
+  void operator()(const core::ForwardResult& aFrom) const
+  {
+    wire::ForwardResult& to = *m_envelope.mutable_forward_result();
+    const core::Answer& answer = aFrom.m_answer;
+    to.set_forward(aFrom.m_forward.m_value);
+    to.set_error_kind(static_cast<std::uint32_t>(answer.m_kind));
+    to.set_execution(static_cast<std::uint32_t>(answer.m_execution));
+    to.set_detail(answer.m_detail);
+    if (answer.m_retryAfter) {
+      to.set_retry_after(ToWire(*answer.m_retryAfter));
+    }
+    to.set_ran_for(ToWire(answer.m_ranFor));
+    for (const std::string& output : answer.m_outputs) {
+      to.add_outputs(output);
+    }
+    to.set_submission(answer.m_submission.m_value);
+  }
+
+  void operator()(const core::ForwardCancel& aFrom) const
+  {
+    wire::ForwardCancel& to = *m_envelope.mutable_forward_cancel();
+    for (const core::ForwardId forward : aFrom.m_forwards) {
+      to.add_forwards(forward.m_value);
+    }
   }
 
 private:
+  /** Writes the list into the field of @p aTo unless it was never read. */
+  template<typename Body>
+  static void WriteDrains(const core::ZoneDrains& aDrains, Body& aTo)
+  {
+    if (aDrains.m_revision != 0) {
+      Write(aDrains, *aTo.mutable_drains());
+    }
+  }
+
   wire::Envelope& m_envelope;
 };
 
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -18,7 +18,32 @@
 core::LoadReport
 SampleLoad()
 {
-  return { 7, At(3s), 21, { 4 }, 5, 6, 900ms, { 1500, 64, 1 }, 8, 4s };
+  return { 7,  At(3s), 21, { 4 },        5, 6, 900ms, { 1500, 64, 1 }, 8,
+           4s, { 6 },  99, { { 2, 3s } } };
+}
+
+core::Demand
+SampleDemand()
+{
+  return { 9400, At(6s), { { 0, 2s }, { 2, 5s } } };
+}
+
+core::ZoneDrains
+SampleDrains()
+{
+  return { 300, { "cavite-d", "manila-1" } };
+}
+
+core::TaskSpec
+SampleTask(std::string aName)
+{
+  return { { 500, 128, 2 },
+           300ms,
+           std::string("\0payload\xff", 9),
+           std::move(aName),
+           "kind-a",
+           "r1",
+           1 };
 }
 
 core::Offer
@@ -44,14 +69,17 @@
 core::Announce
 SampleAnnounce()
 {
-  return { "manila-1",
-           "http://127.0.0.1:9000",
-           true,
-           6s,
-           core::EndpointInfo{ "stock-check", 8, 64, true },
-           { { "w1", "r1", { 16000, 32768, 1 }, true } },
-           SampleLoad(),
-           true };
+  return {
+    "manila-1",
+    "http://127.0.0.1:9000",
+    true,
+    6s,
+    core::EndpointInfo{ "stock-check", 8, 64, true },
+    { { "w1", "r1", { 16000, 32768, 1 }, true, "stock", { "a" }, true } },
+    SampleLoad(),
+    true,
+    SampleDrains()
+  };
 }
 
 auto
@@ -67,7 +95,9 @@
                   aLoad.m_queuedRequestWork,
                   aLoad.m_freeCapacity,
                   aLoad.m_queuedTasks,
-                  aLoad.m_queuedTaskWork);
+                  aLoad.m_queuedTaskWork,
+                  aLoad.m_drainsDigest,
+                  aLoad.m_demandOfOthers);
 }
 
 auto
@@ -98,7 +128,8 @@
                   aReport.m_kind,
                   aReport.m_ranFor,
                   aReport.m_waitedFor,
-                  aReport.m_output);
+                  aReport.m_output,
+                  aReport.m_warmingUp);
 }
 
 auto
@@ -110,6 +141,24 @@
                   aDeparted.m_wasMemberFor);
 }
 
+auto
+Fields(const core::TaskSpec& aTask)
+{
+  return std::tie(aTask.m_need,
+                  aTask.m_declaredRun,
+                  aTask.m_payload,
+                  aTask.m_name,
+                  aTask.m_requiredLabel,
+                  aTask.m_preferredLabel,
+                  aTask.m_step);
+}
+
+auto
+Fields(const core::StepSpec& aStep)
+{
+  return std::tie(aStep.m_prerequisites, aStep.m_maxPerWorker);
+}
+
 template<typename T>
 bool
 SameList(const std::vector<T>& aLeft, const std::vector<T>& aRight)
@@ -129,7 +178,8 @@
   return aLeft.m_agentIncarnation == aRight.m_agentIncarnation &&
          aLeft.m_sequence == aRight.m_sequence &&
          SameList(aLeft.m_offers, aRight.m_offers) &&
-         aLeft.m_subscribeFor == aRight.m_subscribeFor;
+         aLeft.m_subscribeFor == aRight.m_subscribeFor &&
+         aLeft.m_demand == aRight.m_demand;
 }
 
 bool
@@ -160,7 +210,8 @@
          aLeft.m_draining == aRight.m_draining &&
          aLeft.m_subscribeFor == aRight.m_subscribeFor &&
          aLeft.m_keepConfig == aRight.m_keepConfig &&
-         aLeft.m_shard == aRight.m_shard;
+         aLeft.m_shard == aRight.m_shard && aLeft.m_drains == aRight.m_drains &&
+         aLeft.m_demand == aRight.m_demand;
 }
 
 bool
@@ -189,7 +240,8 @@
          aLeft.m_endpoint == aRight.m_endpoint &&
          aLeft.m_workers == aRight.m_workers &&
          Fields(aLeft.m_load) == Fields(aRight.m_load) &&
-         aLeft.m_readsOmittedPayloads == aRight.m_readsOmittedPayloads;
+         aLeft.m_readsOmittedPayloads == aRight.m_readsOmittedPayloads &&
+         aLeft.m_drains == aRight.m_drains;
 }
 
 bool
@@ -213,7 +265,47 @@
   return aLeft.m_config == aRight.m_config &&
          aLeft.m_draining == aRight.m_draining &&
          aLeft.m_recordsCover == aRight.m_recordsCover &&
-         SameList(aLeft.m_departed, aRight.m_departed);
+         SameList(aLeft.m_departed, aRight.m_departed) &&
+         aLeft.m_drains == aRight.m_drains;
+}
+
+bool
+Same(const core::PeerLoad& aLeft, const core::PeerLoad& aRight)
+{
+  return aLeft.m_allowedMilliCores == aRight.m_allowedMilliCores &&
+         aLeft.m_usedPercent == aRight.m_usedPercent &&
+         aLeft.m_draining == aRight.m_draining &&
+         aLeft.m_acceptsForwardedJobs == aRight.m_acceptsForwardedJobs;
+}
+
+bool
+Same(const core::ForwardJob& aLeft, const core::ForwardJob& aRight)
+{
+  return aLeft.m_forward == aRight.m_forward &&
+         aLeft.m_queue == aRight.m_queue && aLeft.m_team == aRight.m_team &&
+         aLeft.m_name == aRight.m_name &&
+         aLeft.m_deadlineIn == aRight.m_deadlineIn &&
+         SameList(aLeft.m_tasks, aRight.m_tasks) &&
+         SameList(aLeft.m_steps, aRight.m_steps);
+}
+
+bool
+Same(const core::ForwardResult& aLeft, const core::ForwardResult& aRight)
+{
+  const core::Answer& left = aLeft.m_answer;
+  const core::Answer& right = aRight.m_answer;
+  return aLeft.m_forward == aRight.m_forward &&
+         left.m_submission == right.m_submission &&
+         left.m_kind == right.m_kind && left.m_execution == right.m_execution &&
+         left.m_detail == right.m_detail &&
+         left.m_retryAfter == right.m_retryAfter &&
+         left.m_outputs == right.m_outputs && left.m_ranFor == right.m_ranFor;
+}
+
+bool
+Same(const core::ForwardCancel& aLeft, const core::ForwardCancel& aRight)
+{
+  return aLeft.m_forwards == aRight.m_forwards;
 }
 
 } // namespace
@@ -222,11 +314,12 @@
 SampleMessages()
 {
   return {
-    core::OfferBatch{ { 9 }, 21, { SampleOffer() }, 2s },
+    core::OfferBatch{ { 9 }, 21, { SampleOffer() }, 2s, SampleDemand() },
     core::RevokeBatch{ { { 11 }, { 12 } }, true },
     core::Reconcile{ { { 11 } } },
     core::FenceQuery{ { 3 }, "stock-check", { "slip-7", 2, 5 }, 10min },
-    core::EntryHello{ { 4 }, true, 2s, true, 3 },
+    core::EntryHello{
+      { 4 }, true, 2s, true, 3, SampleDrains(), SampleDemand() },
     core::ConfigUpdate{ { 5 }, "{}", 8, 10, 77 },
     core::ConfigRequest{ { 4 }, { 5 }, 77, 8 },
     SampleAnnounce(),
@@ -235,15 +328,36 @@
                            core::ErrorKind::RunLost,
                            120ms,
                            40ms,
-                           "output" } },
+                           "output",
+                           true } },
                        SampleLoad() },
     core::FenceReply{ { 3 },
                       core::AttemptFate::Failed,
                       core::ErrorKind::TaskFailed,
                       "output",
                       10min },
-    core::PeerHello{
-      { 4 }, true, 10min, { { { "a1", { 2 } }, "stock-check", 5s, 1min } } },
+    core::PeerHello{ { 4 },
+                     true,
+                     10min,
+                     { { { "a1", { 2 } }, "stock-check", 5s, 1min } },
+                     SampleDrains() },
+    core::PeerLoad{ 120, 85, true, true },
+    core::ForwardJob{ { 8 },
+                      "checks",
+                      "tala",
+                      "5c0e",
+                      1200ms,
+                      { SampleTask("5c0e.0.0.0"), SampleTask("5c0e.0.0.1") },
+                      { { {}, 0 }, { { 0 }, 2 } } },
+    core::ForwardResult{ { 8 },
+                         { { 4 },
+                           core::ErrorKind::Overloaded,
+                           core::Execution::NotRun,
+                           "detail",
+                           700ms,
+                           { "output" },
+                           120ms } },
+    core::ForwardCancel{ { { 8 }, { 9 } } },
   };
 }
 
