Event and accessor for drained zones

Cause: the store's side and the decisions of zone drains are separate parts. Change: ZoneDrainsChanged, IEntry::Drains(), the remaining warm-up time of an announced worker. The entry only keeps the list so far. Result: no change of behaviour.

--- a/packages/core/ientry.h
+++ b/packages/core/ientry.h
@@ -57,6 +57,9 @@
   /** @return all known agents, ordered by name. */
   virtual std::vector<AgentStatus> Agents() const = 0;
 
+  /** @return the newest list of drained zones that the entry knows. */
+  virtual const ZoneDrains& Drains() const = 0;
+
   virtual EntryCounters Counters() const = 0;
 };
 
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -215,6 +215,12 @@
     aContext.m_now - m_board.m_policy.m_keyRetention;
 }
 
+void
+Entry::On(EntryEventContext& /*aContext*/, ZoneDrainsChanged aEvent)
+{
+  m_board.m_drains = std::move(aEvent.m_drains);
+}
+
 Instant
 Entry::NextWake() const
 {
@@ -297,6 +303,12 @@
   return agents;
 }
 
+const ZoneDrains&
+Entry::Drains() const
+{
+  return m_board.m_drains;
+}
+
 EntryCounters
 Entry::Counters() const
 {
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -30,6 +30,7 @@
   std::optional<SubmissionStatus> Find(const std::string& aName) const override;
   std::size_t PendingJobs(std::string_view aQueue) const override;
   std::vector<AgentStatus> Agents() const override;
+  const ZoneDrains& Drains() const override;
   EntryCounters Counters() const override;
 
 private:
@@ -45,6 +46,7 @@
   void On(EntryEventContext& aContext, const CallerGone& aEvent);
   void On(EntryEventContext& aContext, PeersChanged aEvent);
   void On(EntryEventContext& aContext, const NoPriorSubmissions& aEvent);
+  void On(EntryEventContext& aContext, ZoneDrainsChanged aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -172,6 +172,8 @@
   ConfigTransfer m_configTransfer;
   bool m_isTransferTimerArmed = false;
 
+  ZoneDrains m_drains;
+
   // Membership
   std::map<ProcessId, AgentRecord> m_agents;
   /** The agents that have workers. */
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -113,6 +113,12 @@
 struct NoPriorSubmissions
 {};
 
+/** The zones that operators have drained, as read from the store. */
+struct ZoneDrainsChanged
+{
+  ZoneDrains m_drains;
+};
+
 using EntryEvent = std::variant<MessageReceived,
                                 SendFailed,
                                 LinkReset,
@@ -124,7 +130,8 @@
                                 CancelSubmission,
                                 CallerGone,
                                 PeersChanged,
-                                NoPriorSubmissions>;
+                                NoPriorSubmissions,
+                                ZoneDrainsChanged>;
 
 // ---- agent ----
 
@@ -155,6 +162,8 @@
   bool m_hasRunLeases = false;
   /** The worker's incarnation; empty if it announces none. */
   std::string m_incarnation = {};
+  /** How much longer the worker runs tasks slowly after its start. */
+  Duration m_warmUpRemaining = {};
 };
 
 /** A worker deregistered. Unlike WorkerAnnounced::m_leaving, the event carries
--- a/packages/daemon/tests/fakes.h
+++ b/packages/daemon/tests/fakes.h
@@ -49,6 +49,7 @@
     return 0;
   }
   std::vector<core::AgentStatus> Agents() const override { return m_agents; }
+  const core::ZoneDrains& Drains() const override { return m_drains; }
   core::EntryCounters Counters() const override { return {}; }
 
   /** @return the recorded events of type @p Event, oldest first. */
@@ -68,6 +69,7 @@
   std::vector<core::EntryEvent> m_events;
   std::optional<core::SubmissionStatus> m_status;
   std::vector<core::AgentStatus> m_agents;
+  core::ZoneDrains m_drains;
   core::Instant m_nextWake = core::kNever;
 };
 
