A closing listener first accepts the connections that wait for it

The new test shows it: five clients in the accept queue of a busy server were reset.

Change: the server closes its listener once the accept queue is empty, 500 ms later at the latest, and a process that leaves answers what came meanwhile.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -14,6 +14,7 @@
 #include <ctime>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <string_view>
 
 namespace mulberrysail::daemon {
@@ -87,29 +88,45 @@
   }
 }
 
-/** Waits until the role is drained, then calls IRole::Leave(). Returns without
- * calling it if @p aTimeout expires first.
- * @param aTimeout the time limit; zero for none.
+/** Waits until the role is drained.
+ * @param aUntil the time limit; absent for none.
  * @return whether the role was drained within the limit. */
 bool
-CompleteDrain(IRole& aRole, const Signals& aSignals, core::Duration aTimeout)
+WaitUntilDrained(const IRole& aRole,
+                 const Signals& aSignals,
+                 std::optional<std::chrono::steady_clock::time_point> aUntil)
 {
   constexpr std::chrono::milliseconds kCheckInterval{ 10 };
-  // How long to wait for the deregistration request to reach the store. The
-  // response is not checked.
-  constexpr std::chrono::milliseconds kLeaveTime{ 100 };
-  const std::chrono::steady_clock::time_point start =
-    std::chrono::steady_clock::now();
   while (!aRole.Drained()) {
-    const bool limited = aTimeout != core::Duration::zero();
-    if (limited && std::chrono::steady_clock::now() - start > aTimeout) {
+    if (aUntil && std::chrono::steady_clock::now() > *aUntil) {
       return false;
     }
     aSignals.WaitForSignal(kCheckInterval);
   }
+  return true;
+}
+
+/** Waits until the role is drained, calls IRole::Leave(), and waits for the
+ * responses to requests that came meanwhile. Returns early if @p aTimeout
+ * expires.
+ * @param aTimeout the time limit; zero for none.
+ * @return whether the role was drained within the limit. */
+bool
+CompleteDrain(IRole& aRole, const Signals& aSignals, core::Duration aTimeout)
+{
+  // How long to wait for the deregistration request to reach the store. The
+  // response is not checked.
+  constexpr std::chrono::milliseconds kLeaveTime{ 100 };
+  std::optional<std::chrono::steady_clock::time_point> until;
+  if (aTimeout != core::Duration::zero()) {
+    until = std::chrono::steady_clock::now() + aTimeout;
+  }
+  if (!WaitUntilDrained(aRole, aSignals, until)) {
+    return false;
+  }
   aRole.Leave();
   aSignals.WaitForSignal(kLeaveTime);
-  return true;
+  return WaitUntilDrained(aRole, aSignals, until);
 }
 
 /** Reads the settings file again. The log level takes effect at once, all other
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -6,6 +6,8 @@
 #include <restinio/http_server.hpp>
 #include <restinio/uri_helpers.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cctype>
@@ -29,6 +31,10 @@
 constexpr std::chrono::seconds kWriteTimeout{ 30 };
 /** Effectively unlimited: requests end by their own deadlines. */
 constexpr std::chrono::hours kHandlingTimeout{ 24 * 365 };
+/** Interval at which a closing server checks for connections that are not
+ * accepted yet, and the time after which it closes its listener in any case. */
+constexpr std::chrono::milliseconds kAcceptQueueInterval{ 1 };
+constexpr std::chrono::milliseconds kMaxAcceptQueueWait{ 500 };
 /** Longest interval between two checks of the connection timeouts. */
 constexpr std::chrono::milliseconds kMaxTimerPeriod{ 1000 };
 
@@ -411,7 +417,8 @@
   {
     m_context->m_registry->Drain();
     if (!m_stopped && !m_closing.exchange(true)) {
-      m_server->close_async([] {}, [](const std::exception_ptr& /*aError*/) {});
+      CloseListenerAfterAccepting(std::chrono::steady_clock::now() +
+                                  kMaxAcceptQueueWait);
     }
   }
 
@@ -433,6 +440,23 @@
   }
 
 private:
+  /** Closes the listener once all connections in the kernel's accept queue have
+   * been accepted: closing it earlier would reset them.
+   * @param aUntil when to close the listener in any case. */
+  void CloseListenerAfterAccepting(std::chrono::steady_clock::time_point aUntil)
+  {
+    pollfd listener{ m_listener, POLLIN, 0 };
+    if (poll(&listener, 1, 0) <= 0 ||
+        std::chrono::steady_clock::now() >= aUntil) {
+      m_server->close_async([] {}, [](const std::exception_ptr& /*aError*/) {});
+      return;
+    }
+    m_acceptQueueTimer.expires_after(kAcceptQueueInterval);
+    m_acceptQueueTimer.async_wait([this, aUntil](const asio::error_code&) {
+      CloseListenerAfterAccepting(aUntil);
+    });
+  }
+
   restinio::server_settings_t<ServerTraits> MakeSettings()
   {
     const std::size_t maxHead = 2UL * m_options.m_maxHeaderBytes;
@@ -440,6 +464,7 @@
     settings.address(m_options.m_address)
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aAcceptor) {
         m_port = aAcceptor.local_endpoint().port();
+        m_listener = aAcceptor.native_handle();
       })
       .timer_manager(std::min<std::chrono::steady_clock::duration>(
         kMaxTimerPeriod, m_options.m_readTimeout))
@@ -485,6 +510,9 @@
   const ContextPtr m_context = std::make_shared<ServerContext>();
   std::optional<Server> m_server;
   std::uint16_t m_port = 0;
+  /** The listener's file descriptor. */
+  int m_listener = -1;
+  asio::steady_timer m_acceptQueueTimer{ m_context->m_ioContext };
   std::vector<std::thread> m_threads;
   std::atomic<bool> m_closing{ false };
   std::atomic<bool> m_stopped{ false };
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(ThousandsOfSlowConnectionsBlockNoRequest);
   CPPUNIT_TEST(ConnectionsOverTheLimitAreClosed);
   CPPUNIT_TEST(StopAcceptingFinishesOpenRequests);
+  CPPUNIT_TEST(StopAcceptingServesTheAcceptQueue);
   CPPUNIT_TEST(ResponseIsUnwrittenUntilItIsRead);
   CPPUNIT_TEST(ResponderOutlivesTheServer);
   CPPUNIT_TEST(PortInUseIsAnError);
@@ -269,6 +270,38 @@
     }
   }
 
+  /** A listener that is closed while connections wait in the kernel's accept
+   * queue resets them, and their clients cannot tell whether they were heard.
+   */
+  void StopAcceptingServesTheAcceptQueue()
+  {
+    constexpr std::size_t kQueued = 5;
+    m_options.m_threads = 1;
+    std::promise<void> blocked;
+    std::promise<void> release;
+    Start([&](const HttpRequest& aRequest, const HttpResponder& aResponder) {
+      if (aRequest.m_path == "/block") {
+        blocked.set_value();
+        release.get_future().wait();
+      }
+      aResponder({});
+      return DisconnectHook();
+    });
+    RawSocket blocking = Open();
+    blocking.Send(Get("/block"));
+    blocked.get_future().wait();
+    std::vector<RawSocket> queued;
+    for (std::size_t i = 0; i < kQueued; ++i) {
+      queued.push_back(Open());
+      queued.back().Send(Get("/"));
+    }
+    m_server->StopAccepting();
+    release.set_value();
+    for (RawSocket& socket : queued) {
+      CPPUNIT_ASSERT(socket.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    }
+  }
+
   void ResponderOutlivesTheServer()
   {
     StartCapturing();
