--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -70,6 +70,9 @@
       std::min(entry.m_earliestRefused.value_or(aOffer.m_dispatchTime),
                aOffer.m_dispatchTime);
   }
+  if (kind == ErrorKind::Draining && IsZoneDrained(m_board)) {
+    ++m_board.m_counters.m_refusedForDrain;
+  }
   if (kind != ErrorKind::None) {
     Outcomes(m_board).RefuseOffer(key, aOffer, kind);
     return;
@@ -118,7 +121,7 @@
 ErrorKind
 Admission::CheckOffer(const Offer& aOffer) const
 {
-  if (m_board.m_draining) {
+  if (!AcceptsWork(m_board)) {
     return ErrorKind::Draining;
   }
   if (m_board.m_now > aOffer.m_startBy) {
--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -9,6 +9,7 @@
 #include "core/internal/agent/reporter.h"
 #include "core/internal/agent/runs.h"
 #include "core/internal/agent/starter.h"
+#include "core/internal/agent/zonedraincopy.h"
 #include "core/internal/overloaded.h"
 
 #include <xxhash.h>
@@ -151,6 +152,7 @@
   subscribedUntil =
     std::max(subscribedUntil, m_board.m_now + aHello.m_subscribeFor);
   HandleConfigVersion(aEntry, aHello);
+  ZoneDrainCopy(m_board).Update(aEntry, aHello.m_drains);
 }
 
 void
@@ -315,6 +317,9 @@
     if (worker.m_leaseEnds > m_board.m_now) {
       wake = std::min(wake, worker.m_leaseEnds);
     }
+    if (worker.m_info.m_warmingUp) {
+      wake = std::min(wake, worker.m_warmUpEnds);
+    }
     if (worker.m_breaker.m_state == BreakerState::Open) {
       wake = std::min(wake, worker.m_breaker.m_openUntil);
     }
--- a/packages/core/internal/agent/attempt.h
+++ b/packages/core/internal/agent/attempt.h
@@ -43,6 +43,8 @@
   /** The worker that runs the attempt; while the attempt is queued, the worker
    * to avoid. */
   std::string m_worker;
+  /** Whether the worker was warming up when the attempt started. */
+  bool m_startedWarmingUp = false;
   /** Identifies the run to the worker: task name and start number. */
   RunName m_runName;
   /** Workers with run leases only: when the worker confirmed the start, or when
--- a/packages/core/internal/agent/board.h
+++ b/packages/core/internal/agent/board.h
@@ -11,6 +11,7 @@
 #include "core/types/commands.h"
 #include "core/types/policy.h"
 #include "core/types/status.h"
+#include "core/types/zonedrains.h"
 
 #include <string>
 #include <unordered_map>
@@ -69,9 +70,26 @@
   KeySection m_keys;
   LearningSection m_learning;
   ConfigSection m_config;
+  /** The newest list of drained zones that an entry has sent. */
+  ZoneDrains m_drains;
   AgentCounters m_counters;
 };
 
+/** @return whether operators have drained the agent's zone. */
+inline bool
+IsZoneDrained(const AgentBoard& aBoard)
+{
+  return aBoard.m_drains.Contains(aBoard.m_policy.m_zone);
+}
+
+/** @return whether new work may be started: the agent is neither shutting down
+ * nor in a drained zone. */
+inline bool
+AcceptsWork(const AgentBoard& aBoard)
+{
+  return !aBoard.m_draining && !IsZoneDrained(aBoard);
+}
+
 /** Adds a command that records a timeline event. */
 inline void
 Record(AgentBoard& aBoard,
--- a/packages/core/internal/agent/endpointsection.h
+++ b/packages/core/internal/agent/endpointsection.h
@@ -16,7 +16,7 @@
   std::string m_url;
   Instant m_leaseEnds;
   /** Set when queued requests may have to be refused because the endpoint
-   * changed or expired, or the agent is draining. */
+   * changed or expired, the agent is draining, or its zone was drained. */
   bool m_recheckQueuedRequests = false;
   /** Running requests, including those of an endpoint that was removed. */
   std::uint32_t m_runningRequests = 0;
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -47,6 +47,9 @@
    * for lack of capacity since the entry was last notified of free capacity. */
   std::optional<Instant> m_earliestRefused;
   bool m_announceDue = false;
+  /** When an Announce was last scheduled because the entry's list of drained
+   * zones was out of date. */
+  Instant m_drainsAnnouncedAt = Instant(std::chrono::hours(-1));
   /** Set when a send to the entry failed; cleared by a message from the entry,
    * an opened link or the next heartbeat. */
   bool m_unreachable = false;
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -24,7 +24,7 @@
 EndpointServes(const AgentBoard& aBoard)
 {
   return aBoard.m_endpoint.m_info && !aBoard.m_endpoint.m_info->m_leaving &&
-         !aBoard.m_draining;
+         AcceptsWork(aBoard);
 }
 
 bool
@@ -177,6 +177,9 @@
   }
   Worker& worker = workers[aAnnounced.m_info.m_name];
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
+  aAnnounced.m_info.m_warmingUp =
+    aAnnounced.m_warmUpRemaining > Duration::zero();
+  worker.m_warmUpEnds = m_board.m_now + aAnnounced.m_warmUpRemaining;
   const bool wasLive = IsLive(m_board, worker);
   const bool changed = worker.m_info != aAnnounced.m_info ||
                        worker.m_leaving != aAnnounced.m_leaving || !wasLive;
@@ -201,7 +204,8 @@
              .Add("service", worker.m_info.m_service)
              .Add("millicores", worker.m_info.m_capacity.m_milliCores)
              .Add("memory_mb", worker.m_info.m_capacity.m_memoryMb)
-             .Add("runs", worker.m_runningTasks));
+             .Add("runs", worker.m_runningTasks)
+             .Add("warm_up_ms", aAnnounced.m_warmUpRemaining));
     ScheduleAnnounceToAll(m_board);
   }
 }
@@ -237,6 +241,7 @@
 {
   ExpireEndpoint();
   ExpireWorkers();
+  EndWarmUps();
   EndAttemptsOfUnresponsiveEntries();
   RemoveStaleEntries();
 }
@@ -345,6 +350,17 @@
   }
 }
 
+void
+Membership::EndWarmUps()
+{
+  for (auto& [name, worker] : m_board.m_workers.m_workers) {
+    if (worker.m_info.m_warmingUp && worker.m_warmUpEnds <= m_board.m_now) {
+      worker.m_info.m_warmingUp = false;
+      ScheduleAnnounceToAll(m_board);
+    }
+  }
+}
+
 void
 Membership::RemoveStaleEntries()
 {
--- a/packages/core/internal/agent/membership.h
+++ b/packages/core/internal/agent/membership.h
@@ -36,8 +36,9 @@
   void SetWorker(WorkerAnnounced aAnnounced);
   void SetWorkerLeaving(const WorkerLeft& aLeft);
 
-  /** Expires the endpoint and the workers whose leases have ended, ends the
-   * attempts of unresponsive entries, and removes stale entries. */
+  /** Expires the endpoint and the workers whose leases have ended, ends
+   * warm-ups that are over, ends the attempts of unresponsive entries, and
+   * removes stale entries. */
   void ProcessTimeouts();
 
   /** @return when the next entry with open attempts becomes unresponsive if no
@@ -57,6 +58,8 @@
   void EndAttemptsOf(EntryIndex aEntry);
   void ExpireEndpoint();
   void ExpireWorkers();
+  /** Clears WorkerInfo::m_warmingUp of the workers whose warm-up is over. */
+  void EndWarmUps();
   void EndAttemptsOfUnresponsiveEntries();
   /** Removes stale entries: unlisted, without open attempts, and not seen
    * within the retention period. */
--- a/packages/core/internal/agent/outcomes.cpp
+++ b/packages/core/internal/agent/outcomes.cpp
@@ -61,6 +61,7 @@
   report.m_ranFor = m_board.m_now - aAttempt.m_startedAt;
   report.m_waitedFor = aAttempt.m_startedAt - aAttempt.m_receivedAt;
   report.m_output = std::move(aOutput);
+  report.m_warmingUp = aAttempt.m_startedWarmingUp;
   switch (aFate) {
     case AttemptFate::Completed:
       ++m_board.m_counters.m_completed;
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -52,13 +52,14 @@
   load.m_reportedAt = aBoard.m_now;
   load.m_config = aBoard.m_config.m_copy.m_version;
   load.m_newestConfig = aBoard.m_config.m_newest;
+  load.m_drainsDigest = aBoard.m_drains.Digest();
   load.m_freeSlots = FreeSlots(aBoard);
   load.m_queuedRequests =
     static_cast<std::uint32_t>(aBoard.m_requests.m_order.size());
   load.m_queuedRequestWork = aBoard.m_requests.m_work;
   load.m_queuedTasks = static_cast<std::uint32_t>(aBoard.m_tasks.m_size);
   load.m_queuedTaskWork = aBoard.m_tasks.m_coreTime;
-  if (aBoard.m_draining) {
+  if (!AcceptsWork(aBoard)) {
     return load;
   }
   for (const auto& [name, worker] : aBoard.m_workers.m_workers) {
@@ -188,6 +189,7 @@
   announce.m_workers = LiveWorkers(m_board);
   announce.m_load = PrepareLoadReport(aEntry);
   announce.m_readsOmittedPayloads = true;
+  announce.m_drains = m_board.m_drains;
   Send(m_board, aEntry, std::move(announce));
 }
 
--- a/packages/core/internal/agent/runs.cpp
+++ b/packages/core/internal/agent/runs.cpp
@@ -99,15 +99,20 @@
 {
   const Offer& offer = aAttempt.m_offer;
   const bool retry = offer.m_kind == WorkKind::Task && !aAttempt.m_requeued &&
-                     !aAttempt.m_stopRequested && !m_board.m_draining &&
+                     !aAttempt.m_stopRequested && AcceptsWork(m_board) &&
                      m_board.m_now < ExpiryOf(offer) &&
                      HasWorkerFor(m_board, offer, aAttempt.m_worker);
   if (retry) {
     Requeue(aAttempt);
     return;
   }
-  Outcomes(m_board).EndRun(
-    aAttempt, AttemptFate::Refused, ErrorKind::ConnectFailed, {});
+  const bool isZoneDrained = IsZoneDrained(m_board);
+  m_board.m_counters.m_refusedForDrain += isZoneDrained ? 1 : 0;
+  Outcomes(m_board).EndRun(aAttempt,
+                           AttemptFate::Refused,
+                           isZoneDrained ? ErrorKind::Draining
+                                         : ErrorKind::ConnectFailed,
+                           {});
 }
 
 void
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace mulberrysail::core::agent {
 
@@ -106,7 +107,7 @@
 void
 Starter::StartTasks()
 {
-  if (m_board.m_draining) {
+  if (!AcceptsWork(m_board)) {
     return;
   }
   TaskQueue& queue = m_board.m_tasks;
@@ -156,6 +157,7 @@
   }
   Queues(m_board).Remove(aAttempt);
   aAttempt.m_worker = worker->m_info.m_name;
+  aAttempt.m_startedWarmingUp = worker->m_info.m_warmingUp;
   aAttempt.m_reserved =
     WorkerUsage(m_board).ReservationFor(aAttempt.m_offer, *worker);
   AddResources(worker->m_reserved, aAttempt.m_reserved);
@@ -176,7 +178,7 @@
 Starter::BestFit(const Attempt& aAttempt)
 {
   Worker* best = nullptr;
-  std::pair<std::uint32_t, double> bestScore;
+  std::tuple<bool, std::uint32_t, double> bestScore;
   for (auto& [name, worker] : m_board.m_workers.m_workers) {
     if (name == aAttempt.m_worker || worker.m_unreachable ||
         !CanRunOffer(worker, aAttempt.m_offer)) {
@@ -188,8 +190,10 @@
     if (free == Resources{} || !free.Fits(reservation)) {
       continue;
     }
-    const std::pair<std::uint32_t, double> score{
-      worker.m_breaker.m_failures, Leftover(worker, free, reservation)
+    const std::tuple<bool, std::uint32_t, double> score{
+      worker.m_info.m_warmingUp,
+      worker.m_breaker.m_failures,
+      Leftover(worker, free, reservation)
     };
     if (best == nullptr || score < bestScore) {
       best = &worker;
@@ -249,9 +253,18 @@
   }
 }
 
+void
+Starter::CountDrainRefusals(std::size_t aQueued)
+{
+  if (IsZoneDrained(m_board)) {
+    m_board.m_counters.m_refusedForDrain += aQueued;
+  }
+}
+
 void
 Starter::RefuseRequests()
 {
+  CountDrainRefusals(m_board.m_requests.m_order.size());
   std::vector<Attempt*> unservable;
   for (const auto& [order, attempt] : m_board.m_requests.m_order) {
     if (!EndpointServes(m_board) ||
@@ -262,25 +275,27 @@
   for (Attempt* attempt : unservable) {
     Outcomes(m_board).EndQueued(*attempt,
                                 AttemptFate::Refused,
-                                m_board.m_draining ? ErrorKind::Draining
-                                                   : ErrorKind::NoEndpoint);
+                                AcceptsWork(m_board) ? ErrorKind::NoEndpoint
+                                                     : ErrorKind::Draining);
   }
 }
 
 void
 Starter::RefuseTasks()
 {
+  const bool acceptsWork = AcceptsWork(m_board);
+  CountDrainRefusals(m_board.m_tasks.m_size);
   std::vector<Attempt*> unservable;
   for (const auto& [key, job] : m_board.m_tasks.m_jobs) {
     for (const auto& [order, attempt] : job.m_tasks) {
-      if (m_board.m_draining ||
+      if (!acceptsWork ||
           !HasWorkerFor(m_board, attempt->m_offer, attempt->m_worker)) {
         unservable.push_back(attempt);
       }
     }
   }
   for (Attempt* attempt : unservable) {
-    const ErrorKind kind = m_board.m_draining    ? ErrorKind::Draining
+    const ErrorKind kind = !acceptsWork          ? ErrorKind::Draining
                            : attempt->m_requeued ? ErrorKind::ConnectFailed
                                                  : ErrorKind::NoEndpoint;
     Outcomes(m_board).EndQueued(*attempt, AttemptFate::Refused, kind);
--- a/packages/core/internal/agent/starter.h
+++ b/packages/core/internal/agent/starter.h
@@ -18,7 +18,7 @@
   void StartTasks();
 
   /** Refuses queued attempts without an endpoint or suitable worker, and all
-   * queued attempts while the agent is draining. */
+   * queued attempts while the agent is draining or its zone is drained. */
   void RefuseUnservable();
 
   /** Refuses the queued attempts that expire at or before @p aUpTo. */
@@ -28,10 +28,12 @@
   /** Starts one task of the job. @return whether a task was started. */
   bool StartFromJob(const JobQueue& aJob);
   bool StartOnWorker(Attempt& aAttempt);
-  /** @return the worker with the fewest failures, then with the least capacity
-   * left over; null if no worker fits. */
+  /** @return a worker that isn't warming up, if one fits, with the fewest
+   * failures, then with the least capacity left over; null if none fits. */
   Worker* BestFit(const Attempt& aAttempt);
   void Start(Attempt& aAttempt, RunTarget aTarget);
+  /** Counts @p aQueued attempts as refused if the agent's zone is drained. */
+  void CountDrainRefusals(std::size_t aQueued);
   void RefuseRequests();
   void RefuseTasks();
 
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -71,6 +71,9 @@
   WorkerInfo m_info;
   std::string m_url;
   Instant m_leaseEnds;
+  /** When the worker stops being slow after its start, while
+   * WorkerInfo::m_warmingUp is set. */
+  Instant m_warmUpEnds;
   bool m_leaving = false;
   /** Set after a refused connection; cleared by the next announcement. */
   bool m_unreachable = false;
@@ -89,7 +92,8 @@
 {
   std::map<std::string, Worker, std::less<>> m_workers;
   /** Set when queued tasks may have to be refused because a worker changed,
-   * expired or was quarantined, or the agent is draining. */
+   * expired or was quarantined, the agent is draining, or its zone was drained.
+   */
   bool m_recheckQueuedTasks = false;
   std::uint64_t m_nextTicket = 1;
   /** Moving average of the cores that offered tasks need, in thousandths. */
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -53,10 +53,26 @@
    * last hello with the version was sent to it. */
   bool m_keepsConfig = false;
   Instant m_configHelloAt;
+  /** Whether the agent's zone is in EntryBoard::m_drains. */
+  bool m_isZoneDrained = false;
+  /** LoadReport::m_drainsDigest of the agent's last refusal because its zone is
+   * drained; zero if there was none. */
+  std::uint64_t m_refusedDrainsDigest = 0;
+  /** When the last hello was sent because of a change of the drained zones. */
+  Instant m_drainsHelloAt;
+
+  /** @return whether the agent has refused work because its zone is drained,
+   * and has not reported another list of drained zones since. An entry may not
+   * have received that list yet. */
+  bool RefusesForDrain() const
+  {
+    return m_refusedDrainsDigest != 0 &&
+           m_refusedDrainsDigest == m_load.m_drainsDigest;
+  }
 
   bool ServesRequests(std::string_view aService) const
   {
-    return m_reachable && !m_announced.m_leaving &&
+    return m_reachable && !m_announced.m_leaving && !m_isZoneDrained &&
            m_announced.m_endpoint.has_value() &&
            !m_announced.m_endpoint->m_leaving &&
            m_announced.m_endpoint->m_service == aService;
@@ -64,7 +80,7 @@
 
   bool ServesTasks() const
   {
-    return m_reachable && !m_announced.m_leaving &&
+    return m_reachable && !m_announced.m_leaving && !m_isZoneDrained &&
            !m_announced.m_workers.empty();
   }
 
--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -68,9 +68,7 @@
 EntryHello
 ConfigController::MakeHello(const AgentRecord& aAgent) const
 {
-  EntryHello hello;
-  hello.m_config = m_board.m_config.m_version;
-  hello.m_draining = m_board.m_draining;
+  EntryHello hello = m_board.MakeHello();
   hello.m_keepConfig = aAgent.m_keepsConfig;
   return hello;
 }
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -98,7 +98,11 @@
     aSubmission.m_items.begin(), aSubmission.m_items.end(), MayHaveRun);
   // Once a task of the job may have run, a late answer is better than none: the
   // job may finish after m_due, up to its deadline.
-  const Instant end = started ? aSubmission.m_deadline : aSubmission.m_due;
+  // The agent could have started a task until the deadline, so the drain of its
+  // zone must not shorten the time in which another agent may start it.
+  const Instant end = started || aItem.m_wasRefusedForDrain
+                        ? aSubmission.m_deadline
+                        : aSubmission.m_due;
   return std::max(end - aItem.m_expectedRun - aItem.m_successorRun,
                   aContext.m_now);
 }
@@ -238,9 +242,7 @@
     return;
   }
   aPool.m_subscribedAt = aContext.m_now;
-  EntryHello hello;
-  hello.m_config = m_board.m_config.m_version;
-  hello.m_draining = m_board.m_draining;
+  EntryHello hello = m_board.MakeHello();
   hello.m_subscribeFor = lease;
   hello.m_shard = m_board.m_shard;
   for (const AgentRecord* agent :
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -25,7 +25,8 @@
   , m_admission(m_board, m_answers, m_dispatch, m_claims)
   , m_outcomes(m_board, m_answers, m_dispatch)
   , m_configs(m_board)
-  , m_membership(m_board, m_dispatch, m_outcomes, m_claims, m_configs)
+  , m_drains(m_board)
+  , m_membership(m_board, m_dispatch, m_outcomes, m_claims, m_configs, m_drains)
 {
   m_board.m_self = std::move(aSelf);
   m_board.m_shard = aShard;
@@ -140,8 +141,9 @@
       },
       [&](const DispatchTimer&) { m_dispatch.DispatchAll(aContext); },
       [&](const HeartbeatTimer&) { m_membership.OnHeartbeat(aContext); },
-      [&](const ConfigTransferTimer&) {
-        m_configs.OnTransferTimer(aContext);
+      [&](const ConfigTransferTimer&) { m_configs.OnTransferTimer(aContext); },
+      [&](const DrainedZonesTimer& aDrained) {
+        m_drains.OnZonesTimer(aContext, aDrained.m_zones);
       } },
     aTimer);
 }
@@ -216,9 +218,9 @@
 }
 
 void
-Entry::On(EntryEventContext& /*aContext*/, ZoneDrainsChanged aEvent)
+Entry::On(EntryEventContext& aContext, const ZoneDrainsChanged& aEvent)
 {
-  m_board.m_drains = std::move(aEvent.m_drains);
+  m_membership.OnDrains(aContext, aEvent.m_drains);
 }
 
 Instant
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -8,6 +8,7 @@
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/membershipcontroller.h"
 #include "core/internal/entry/outcomecontroller.h"
+#include "core/internal/entry/zonedraincontroller.h"
 
 namespace mulberrysail::core {
 
@@ -46,7 +47,7 @@
   void On(EntryEventContext& aContext, const CallerGone& aEvent);
   void On(EntryEventContext& aContext, PeersChanged aEvent);
   void On(EntryEventContext& aContext, const NoPriorSubmissions& aEvent);
-  void On(EntryEventContext& aContext, ZoneDrainsChanged aEvent);
+  void On(EntryEventContext& aContext, const ZoneDrainsChanged& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
@@ -56,6 +57,7 @@
   AdmissionController m_admission;
   OutcomeController m_outcomes;
   ConfigController m_configs;
+  ZoneDrainController m_drains;
   MembershipController m_membership;
 };
 
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -65,6 +65,16 @@
            : m_taskPool;
 }
 
+EntryHello
+EntryBoard::MakeHello() const
+{
+  EntryHello hello;
+  hello.m_config = m_config.m_version;
+  hello.m_draining = m_draining;
+  hello.m_drains = m_drains;
+  return hello;
+}
+
 std::uint32_t
 EntryBoard::EntryCount() const
 {
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -172,7 +172,11 @@
   ConfigTransfer m_configTransfer;
   bool m_isTransferTimerArmed = false;
 
+  /** The newest list of drained zones, and its ZoneDrains::Digest(). */
   ZoneDrains m_drains;
+  std::uint64_t m_drainsDigest = 0;
+  /** Whether m_drains has named a zone since the start of the entry. */
+  bool m_hasSeenDrain = false;
 
   // Membership
   std::map<ProcessId, AgentRecord> m_agents;
@@ -228,6 +232,9 @@
     return PoolOf(aSubmission).m_queue;
   }
 
+  /** @return a hello with the state of this entry. */
+  EntryHello MakeHello() const;
+
   /** @return the number of entries that share the agents, at least 1. */
   std::uint32_t EntryCount() const;
 };
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -13,6 +13,10 @@
  * agents, so that the next one is accepted. */
 constexpr Duration kIncarnationTimeout = std::chrono::seconds(1);
 
+/** Share of a warming-up worker's cores that counts for admission, as its tasks
+ * take longer and it gets them only if no other capacity is free. */
+constexpr double kWarmingUpShare = 0.5;
+
 bool
 SameMembership(const Announce& aLeft, const Announce& aRight)
 {
@@ -37,6 +41,17 @@
   return departures;
 }
 
+/** @return the cores of the worker that count for admission. */
+double
+UsableCores(const WorkerInfo& aWorker)
+{
+  const double cores = aWorker.m_capacity.m_milliCores / 1000.0;
+  if (aWorker.m_quarantined) {
+    return 0;
+  }
+  return aWorker.m_warmingUp ? cores * kWarmingUpShare : cores;
+}
+
 std::string
 ServiceOf(const AgentRecord& aAgent)
 {
@@ -61,6 +76,7 @@
                                  const ProcessId& aFrom,
                                  Announce aAnnounce)
 {
+  OnDrains(aContext, aAnnounce.m_drains);
   const bool known = m_board.m_agents.contains(aFrom);
   if (!known) {
     if (IsSuperseded(aContext, aFrom)) {
@@ -198,6 +214,7 @@
     aLoad.m_reportedAt.time_since_epoch() - aContext.m_now.time_since_epoch();
   DispatchController::ApplyLoad(aContext, agent, aLoad);
   m_configs.OnAgentVersion(aContext, agent);
+  m_drains.OnAgentDigest(aContext, agent);
 }
 
 void
@@ -208,10 +225,7 @@
     aContext.Send(aPeer, MakePeerHello(aContext));
     return;
   }
-  EntryHello hello;
-  hello.m_config = m_board.m_config.m_version;
-  hello.m_draining = m_board.m_draining;
-  aContext.Send(aPeer, hello);
+  aContext.Send(aPeer, m_board.MakeHello());
   const auto found = m_board.m_agents.find(aPeer);
   if (found != m_board.m_agents.end()) {
     found->second.m_configHelloAt = {};
@@ -238,9 +252,7 @@
   bool anyOpen = false;
   bool changed = false;
   bool retried = false;
-  EntryHello hello;
-  hello.m_config = m_board.m_config.m_version;
-  hello.m_draining = m_board.m_draining;
+  const EntryHello hello = m_board.MakeHello();
   for (auto& [id, agent] : m_board.m_agents) {
     if (agent.m_openAttempts.empty()) {
       continue;
@@ -348,6 +360,7 @@
   PeerHello hello;
   hello.m_config = m_board.m_config.m_version;
   hello.m_draining = m_board.m_draining;
+  hello.m_drains = m_board.m_drains;
   hello.m_recordsCover = aContext.m_now - m_board.m_departuresKnownSince;
   for (const DepartedRecord& record : m_board.m_departed) {
     DepartedAgent departed = record.m_agent;
@@ -367,6 +380,7 @@
                                   const ProcessId& aFrom,
                                   const PeerHello& aHello)
 {
+  OnDrains(aContext, aHello.m_drains);
   for (const DepartedAgent& departed : aHello.m_departed) {
     const auto present = m_board.m_agents.find(departed.m_agent);
     if (present != m_board.m_agents.end()) {
@@ -393,6 +407,18 @@
   m_configs.OnPeerVersion(aContext, aFrom, aHello.m_config);
 }
 
+void
+MembershipController::OnDrains(EntryEventContext& aContext,
+                               const ZoneDrains& aDrains)
+{
+  if (!m_drains.Apply(aContext, aDrains)) {
+    return;
+  }
+  NotifyPeers(aContext);
+  RebuildIndex();
+  m_dispatch.DispatchAll(aContext);
+}
+
 void
 MembershipController::NotifyPeers(EntryEventContext& aContext) const
 {
@@ -415,6 +441,7 @@
   m_board.m_taskAgents.clear();
   m_board.m_taskPool.m_parallelism = 0;
   for (auto& [id, agent] : m_board.m_agents) {
+    agent.m_isZoneDrained = m_board.m_drains.Contains(agent.m_announced.m_zone);
     const std::string name = ServiceOf(agent);
     if (!name.empty() && agent.ServesRequests(name)) {
       ServiceState& service = m_board.Service(name);
@@ -426,8 +453,7 @@
     }
     m_board.m_taskAgents.push_back(&agent);
     for (const WorkerInfo& worker : agent.m_announced.m_workers) {
-      m_board.m_taskPool.m_parallelism +=
-        worker.m_quarantined ? 0 : worker.m_capacity.m_milliCores / 1000.0;
+      m_board.m_taskPool.m_parallelism += UsableCores(worker);
     }
   }
   m_configs.SelectHolders();
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -5,6 +5,7 @@
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/outcomecontroller.h"
+#include "core/internal/entry/zonedraincontroller.h"
 #include "core/types/events.h"
 
 namespace mulberrysail::core {
@@ -17,12 +18,14 @@
                        DispatchController& aDispatch,
                        OutcomeController& aOutcomes,
                        ClaimController& aClaims,
-                       ConfigController& aConfigs)
+                       ConfigController& aConfigs,
+                       ZoneDrainController& aDrains)
     : m_board(aBoard)
     , m_dispatch(aDispatch)
     , m_outcomes(aOutcomes)
     , m_claims(aClaims)
     , m_configs(aConfigs)
+    , m_drains(aDrains)
   {
   }
 
@@ -46,6 +49,8 @@
   void OnPeerHello(EntryEventContext& aContext,
                    const ProcessId& aFrom,
                    const PeerHello& aHello);
+  /** Applies @p aDrains if it is newer than this entry's list. */
+  void OnDrains(EntryEventContext& aContext, const ZoneDrains& aDrains);
   /** Sends the other entries what a newly started entry lacks. */
   void NotifyPeers(EntryEventContext& aContext) const;
 
@@ -68,6 +73,7 @@
   OutcomeController& m_outcomes;
   ClaimController& m_claims;
   ConfigController& m_configs;
+  ZoneDrainController& m_drains;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -25,6 +25,17 @@
          aKind == ErrorKind::StaleIncarnation;
 }
 
+/** @return whether an agent refused an attempt because its zone is drained, and
+ * not because it is shutting down, which it announces first. */
+bool
+IsRefusalForDrain(const AgentRecord& aAgent,
+                  const LoadReport& aLoad,
+                  ErrorKind aKind)
+{
+  return aKind == ErrorKind::Draining && aLoad.m_drainsDigest != 0 &&
+         !aAgent.m_announced.m_leaving;
+}
+
 /** @return the error kind of a submission whose attempt failed. A job that has
  * attempts left, but not enough time for one, has missed its deadline. */
 ErrorKind
@@ -53,7 +64,7 @@
   AgentRecord& agent = found->second;
   DispatchController::ApplyLoad(aContext, agent, aBatch.m_load);
   for (AttemptReport& report : aBatch.m_reports) {
-    OnReport(aContext, agent, std::move(report));
+    OnReport(aContext, agent, aBatch.m_load, std::move(report));
   }
   if (!m_board.m_probes.empty()) {
     m_dispatch.OnProbeReply(aContext, aFrom);
@@ -88,6 +99,7 @@
 void
 OutcomeController::OnReport(EntryEventContext& aContext,
                             AgentRecord& aAgent,
+                            const LoadReport& aLoad,
                             AttemptReport aReport)
 {
   if (aReport.m_fate == AttemptFate::Queued ||
@@ -108,7 +120,14 @@
     case AttemptFate::Refused:
     case AttemptFate::Revoked:
       ++m_board.m_counters.m_offersRefused;
-      if (StopsAcceptingWork(aReport.m_kind)) {
+      if (IsRefusalForDrain(aAgent, aLoad, aReport.m_kind)) {
+        aAgent.m_refusedDrainsDigest = aLoad.m_drainsDigest;
+        item->m_wasRefusedForDrain = true;
+        ReturnItem(aContext, work);
+        return;
+      }
+      if (StopsAcceptingWork(aReport.m_kind) &&
+          !MayBeLateRefusalForDrain(aAgent, aReport.m_kind)) {
         aAgent.m_reachable = false;
       }
       item->m_lastAttemptedAgent = aAgent.m_id;
@@ -162,24 +181,33 @@
     m_dispatch.EnqueueUnblocked(aContext, submission, item.m_step);
   }
 
-  ServiceState& service = m_board.Service(submission.m_service);
-  const Duration ran = std::max(aReport.m_ranFor, Duration(1));
-  if (submission.m_kind == WorkKind::Request) {
-    aAgent.m_slowdown.Learn(item.m_expectedRun, ran);
-    service.m_meanRun += (ran - service.m_meanRun) / kMeanRunWindow;
+  if (!aReport.m_warmingUp) {
+    LearnRunTime(aAgent, submission, item);
   }
-  const double slowdown = submission.m_kind == WorkKind::Request
-                            ? aAgent.m_slowdown.SlowdownFactor()
-                            : 1;
-  m_board.RunTimesOf(submission)
-    .Learn(item.m_declaredRun,
-           Duration(static_cast<Duration::rep>(
-             static_cast<double>(ran.count()) / slowdown)));
   if (submission.m_done == submission.m_items.size()) {
     m_answers.Complete(aContext, submission);
   }
 }
 
+void
+OutcomeController::LearnRunTime(AgentRecord& aAgent,
+                                const Submission& aSubmission,
+                                const WorkItem& aItem)
+{
+  const Duration ran = std::max(aItem.m_ranFor, Duration(1));
+  double slowdown = 1;
+  if (aSubmission.m_kind == WorkKind::Request) {
+    ServiceState& service = m_board.Service(aSubmission.m_service);
+    aAgent.m_slowdown.Learn(aItem.m_expectedRun, ran);
+    service.m_meanRun += (ran - service.m_meanRun) / kMeanRunWindow;
+    slowdown = aAgent.m_slowdown.SlowdownFactor();
+  }
+  m_board.RunTimesOf(aSubmission)
+    .Learn(aItem.m_declaredRun,
+           Duration(static_cast<Duration::rep>(
+             static_cast<double>(ran.count()) / slowdown)));
+}
+
 bool
 OutcomeController::RecordFailureAndCheckRetry(EntryEventContext& aContext,
                                               WorkRef aWork)
@@ -257,6 +285,25 @@
   }
 }
 
+void
+OutcomeController::RecordRetry(EntryEventContext& aContext,
+                               const Submission& aSubmission,
+                               const WorkItem& aItem,
+                               ErrorKind aKind)
+{
+  aContext.Record(EventCode::AttemptRetried,
+                  aSubmission,
+                  aItem,
+                  EventDetail()
+                    .Add("cause", DescribeError(aKind).m_name)
+                    .Add("agent", aItem.m_agent.m_name)
+                    .Add("load_age_ms", aItem.m_loadAgeAtOffer)
+                    .Add("answered_in_ms", aContext.m_now - aItem.m_offeredAt)
+                    .Add("refusals", aItem.m_retries)
+                    .Add("failures", aItem.m_failures)
+                    .Add("left_ms", aSubmission.m_deadline - aContext.m_now));
+}
+
 void
 OutcomeController::RetryItem(EntryEventContext& aContext,
                              WorkRef aWork,
@@ -267,17 +314,7 @@
   item.m_state = WorkState::Waiting;
   ++item.m_retries;
   ++m_board.m_counters.m_retries;
-  aContext.Record(EventCode::AttemptRetried,
-                  submission,
-                  item,
-                  EventDetail()
-                    .Add("cause", DescribeError(aKind).m_name)
-                    .Add("agent", item.m_agent.m_name)
-                    .Add("load_age_ms", item.m_loadAgeAtOffer)
-                    .Add("answered_in_ms", aContext.m_now - item.m_offeredAt)
-                    .Add("refusals", item.m_retries)
-                    .Add("failures", item.m_failures)
-                    .Add("left_ms", submission.m_deadline - aContext.m_now));
+  RecordRetry(aContext, submission, item, aKind);
   if (!submission.m_queue.empty()) {
     item.m_startBy =
       DispatchController::LatestUsefulStart(aContext, submission, item);
@@ -307,6 +344,38 @@
   }
 }
 
+void
+OutcomeController::ReturnItem(EntryEventContext& aContext, WorkRef aWork)
+{
+  Submission& submission = *m_board.Find(aWork.m_submission);
+  WorkItem& item = submission.m_items.at(aWork.m_index);
+  item.m_state = WorkState::Waiting;
+  RecordRetry(aContext, submission, item, ErrorKind::Draining);
+  if (!submission.m_queue.empty()) {
+    item.m_startBy =
+      DispatchController::LatestUsefulStart(aContext, submission, item);
+  }
+  if (aContext.m_now >= item.m_startBy) {
+    // The item is not in its wait queue; see RetryItem.
+    item.m_state = WorkState::Claiming;
+    m_answers.Fail(aContext,
+                   submission,
+                   ErrorKind::DeadlinePassedQueued,
+                   "the zone of its agent was drained too late to place it "
+                   "elsewhere");
+    return;
+  }
+  m_dispatch.Enqueue(aContext, aWork);
+}
+
+bool
+OutcomeController::MayBeLateRefusalForDrain(const AgentRecord& aAgent,
+                                            ErrorKind aKind) const
+{
+  return aKind == ErrorKind::Draining && m_board.m_hasSeenDrain &&
+         !aAgent.m_announced.m_leaving;
+}
+
 void
 OutcomeController::OnOutcomeUnknown(EntryEventContext& aContext,
                                     WorkRef aWork,
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -52,7 +52,22 @@
 private:
   void OnReport(EntryEventContext& aContext,
                 AgentRecord& aAgent,
+                const LoadReport& aLoad,
                 AttemptReport aReport);
+  /** @return whether the refusal may be due to the drain of a zone that has
+   * ended since, so that the agent may accept work again. */
+  bool MayBeLateRefusalForDrain(const AgentRecord& aAgent,
+                                ErrorKind aKind) const;
+  /** Enqueues an item that was refused because its agent's zone is drained. The
+   * refusal doesn't count as a retry. */
+  void ReturnItem(EntryEventContext& aContext, WorkRef aWork);
+  static void RecordRetry(EntryEventContext& aContext,
+                          const Submission& aSubmission,
+                          const WorkItem& aItem,
+                          ErrorKind aKind);
+  void LearnRunTime(AgentRecord& aAgent,
+                    const Submission& aSubmission,
+                    const WorkItem& aItem);
   /** Counts an attempt that ran and failed.
    * @return whether the task may be retried. */
   bool RecordFailureAndCheckRetry(EntryEventContext& aContext, WorkRef aWork);
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -24,7 +24,10 @@
 /** Added to the score of a task, whose free capacity counts at most 1. */
 constexpr double kOtherZoneScore = 1;
 constexpr double kOtherLabelScore = 2;
-constexpr double kNoFreeCapacityScore = 4;
+/** More than all other scores of free capacity: a worker that is warming up
+ * gets a task only if no other capacity is known to be free. */
+constexpr double kWarmingUpScore = 4;
+constexpr double kNoFreeCapacityScore = 8;
 constexpr double kNoCapacity = std::numeric_limits<double>::infinity();
 
 double
@@ -50,6 +53,15 @@
   return free;
 }
 
+bool
+IsAnyWarmingUp(const AgentRecord& aAgent)
+{
+  return std::any_of(
+    aAgent.m_announced.m_workers.begin(),
+    aAgent.m_announced.m_workers.end(),
+    [](const WorkerInfo& aWorker) { return aWorker.m_warmingUp; });
+}
+
 std::int64_t
 FreeSlots(std::uint32_t aFree, std::int64_t aTaken)
 {
@@ -170,7 +182,8 @@
   AgentRecord* best = nullptr;
   double bestScore = kNoCapacity;
   for (AgentRecord* agent : aCandidates) {
-    if (!agent->ServesRequests(aSubmission.m_service)) {
+    if (!agent->ServesRequests(aSubmission.m_service) ||
+        agent->RefusesForDrain()) {
       continue;
     }
     const double score = RequestScore(*agent, service, aItem);
@@ -230,7 +243,7 @@
 {
   const bool refused = aAgent.m_id == aItem.m_lastAttemptedAgent &&
                        aAgent.m_loadReceivedAt <= aItem.m_lastAttemptEndedAt;
-  if (!aAgent.ServesTasks() || refused ||
+  if (!aAgent.ServesTasks() || aAgent.RefusesForDrain() || refused ||
       HasReachedStepLimit(aJob, aItem, aAgent.m_id)) {
     return kNoCapacity;
   }
@@ -240,13 +253,15 @@
   const Resources& need = aItem.m_need;
   double capacity = 0;
   bool anyWorkerCanRun = false;
+  bool warmingUp = true;
   bool preferred = aItem.m_preferredLabel.empty();
   for (const WorkerInfo& worker : aAgent.m_announced.m_workers) {
     if (!worker.m_quarantined) {
       capacity += worker.m_capacity.m_milliCores;
-      anyWorkerCanRun =
-        anyWorkerCanRun ||
+      const bool canRun =
         CanRun(worker, aJob.m_service, aItem.m_requiredLabel, need);
+      anyWorkerCanRun = anyWorkerCanRun || canRun;
+      warmingUp = warmingUp && (worker.m_warmingUp || !canRun);
       preferred = preferred || worker.HasLabel(aItem.m_preferredLabel);
     }
   }
@@ -258,7 +273,8 @@
     // fastest, ranks before free capacity in the entry's zone, and that before
     // free capacity at any other agent.
     const bool sameZone = aAgent.m_announced.m_zone == m_board.m_policy.m_zone;
-    return (preferred ? 0 : kOtherLabelScore) +
+    return (warmingUp ? kWarmingUpScore : 0) +
+           (preferred ? 0 : kOtherLabelScore) +
            (sameZone || !PrefersOwnZone() ? 0 : kOtherZoneScore) -
            static_cast<double>(free.m_milliCores) / capacity;
   }
@@ -295,14 +311,27 @@
   const std::size_t considered = byLoad ? kMaxCandidates : 1;
   const std::vector<AgentRecord*> sample =
     all.size() > considered ? Sample(all, considered) : all;
-  m_board.m_counters.m_agentsCompared += sample.size();
-  AgentRecord* best = nullptr;
-  double bestScore = kNoCapacity;
-  for (AgentRecord* agent : sample) {
+  const ScoredAgent best = BestForTask(aJob, aItem, sample);
+  // The agents outside the sample may have capacity on workers that aren't
+  // warming up.
+  const bool mustCompareAll =
+    byLoad && sample.size() < all.size() && best.m_agent != nullptr &&
+    best.m_score >= kWarmingUpScore - 1 &&
+    best.m_score < kNoFreeCapacityScore && IsAnyWarmingUp(*best.m_agent);
+  return mustCompareAll ? BestForTask(aJob, aItem, all).m_agent : best.m_agent;
+}
+
+Placement::ScoredAgent
+Placement::BestForTask(const Submission& aJob,
+                       const WorkItem& aItem,
+                       const std::vector<AgentRecord*>& aAgents)
+{
+  m_board.m_counters.m_agentsCompared += aAgents.size();
+  ScoredAgent best{ nullptr, kNoCapacity };
+  for (AgentRecord* agent : aAgents) {
     const double score = TaskScore(*agent, aJob, aItem);
-    if (score < bestScore) {
-      best = agent;
-      bestScore = score;
+    if (score < best.m_score) {
+      best = { agent, score };
     }
   }
   return best;
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -80,6 +80,18 @@
     Duration m_queuedWork{};
   };
 
+  struct ScoredAgent
+  {
+    AgentRecord* m_agent = nullptr;
+    double m_score = 0;
+  };
+
+  /** @return the agent with the lowest TaskScore(); null if none can be offered
+   * the task. */
+  ScoredAgent BestForTask(const Submission& aJob,
+                          const WorkItem& aItem,
+                          const std::vector<AgentRecord*>& aAgents);
+
   static PredictedLoad Predict(const AgentRecord& aAgent, WorkKind aKind);
   bool HasCapacity(const AgentRecord& aAgent) const;
   /** @return expected time in microseconds until the request is done at
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -54,6 +54,8 @@
   /** Attempts that ended without success and had to be retried; includes the
    * last attempt of an abandoned item. */
   std::uint32_t m_retries = 0;
+  /** Whether an agent refused an attempt because its zone was drained. */
+  bool m_wasRefusedForDrain = false;
   /** True if an earlier attempt may have run, so that the answer must not say
    * that nothing ran. */
   bool m_mayHaveRun = false;
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -3,6 +3,7 @@
 #include "core/internal/entry/submission.h"
 
 #include <queue>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -60,6 +61,12 @@
 struct ConfigTransferTimer
 {};
 
+/** The agents of zones that were drained must be known by now. */
+struct DrainedZonesTimer
+{
+  std::vector<std::string> m_zones;
+};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -69,7 +76,8 @@
                            RetentionTimer,
                            DispatchTimer,
                            HeartbeatTimer,
-                           ConfigTransferTimer>;
+                           ConfigTransferTimer,
+                           DrainedZonesTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -66,6 +66,7 @@
   AddEntries();
   AddAgents();
   Introduce();
+  PlanDrain();
   At(m_start, [this] {
     for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
       ScheduleArrival(kind);
@@ -144,11 +145,7 @@
     HandleEntryEvent(entry, PeersChanged{ entries });
   }
   for (AgentHost& agent : m_agents) {
-    WorkerAnnounced announced;
-    announced.m_info.m_name = "worker-of-" + agent.m_id.m_name;
-    announced.m_info.m_capacity = { m_plan.m_agentMilliCores, 65536, 0 };
-    announced.m_url = "http://worker";
-    HandleAgentEvent(agent, announced);
+    AnnounceWorker(agent, {});
     HandleAgentEvent(agent, PeersChanged{ entries });
     for (const ProcessId& entry : entries) {
       HandleAgentEvent(agent, LinkReset{ entry });
@@ -156,6 +153,17 @@
   }
 }
 
+void
+FleetSimulation::AnnounceWorker(AgentHost& aAgent, Duration aWarmUp)
+{
+  WorkerAnnounced announced;
+  announced.m_info.m_name = "worker-of-" + aAgent.m_id.m_name;
+  announced.m_info.m_capacity = { m_plan.m_agentMilliCores, 65536, 0 };
+  announced.m_url = "http://worker";
+  announced.m_warmUpRemaining = aWarmUp;
+  HandleAgentEvent(aAgent, announced);
+}
+
 double
 FleetSimulation::LoadNow() const
 {
@@ -314,6 +322,7 @@
 FleetSimulation::StartTask(AgentHost& aAgent, const StartRun& aStart)
 {
   ++m_result.m_starts;
+  CountStartInDrainedZone(aAgent);
   const TaskIndex index = ParseTaskName(aStart.m_name.m_task);
   const std::uint32_t need = aStart.m_need.m_milliCores;
   aAgent.m_usedMilliCores += need;
@@ -322,7 +331,7 @@
              static_cast<double>(aAgent.m_usedMilliCores) /
                static_cast<double>(m_plan.m_agentMilliCores));
   At(
-    m_now + m_jobs.at(index.m_job).m_runs.at(index.m_task),
+    m_now + RunTimeAt(aAgent, m_jobs.at(index.m_job).m_runs.at(index.m_task)),
     [this, &aAgent, need, run = aStart.m_run] {
       aAgent.m_usedMilliCores -= need;
       WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -12,6 +12,19 @@
 
 namespace mulberrysail::core {
 
+/** A zone that is drained and returned to service. */
+struct FleetDrain
+{
+  /** Empty for no drain. */
+  std::string m_zone;
+  Duration m_from{};
+  Duration m_until{};
+  /** How long the workers of the zone warm up after m_until, and by how much
+   * their runs take longer meanwhile. */
+  Duration m_warmUp{};
+  double m_warmUpFactor = 1;
+};
+
 /** The processes of a simulated fleet and the load on it. */
 struct FleetPlan
 {
@@ -32,8 +45,13 @@
   Duration m_agentEventCost = std::chrono::microseconds(100);
   EntryPolicy m_entryPolicy;
   AgentPolicy m_agentPolicy;
+  FleetDrain m_drain;
 };
 
+/** How long after the first entry knows of a drain starts may go on: two links
+ * (0.1 s) and a start that is already under way (25 ms). */
+inline constexpr Duration kFleetDrainBound = std::chrono::milliseconds(125);
+
 /** @return policies as on a platform of callers with short objectives: agents
  * without a queue. */
 FleetPlan
@@ -59,6 +77,11 @@
   /** Greatest sum of the needs of all running tasks, as a share of an agent's
    * capacity. */
   double m_peakUse = 0;
+  /** Starts in the drained zone: before the drain, from kFleetDrainBound after
+   * its start to its end, and after it. */
+  std::size_t m_startsBeforeDrain = 0;
+  std::size_t m_startsWhileDrained = 0;
+  std::size_t m_startsAfterDrain = 0;
 
   /** @return the result in one line, for assertion messages. */
   std::string Text() const;
@@ -114,6 +137,14 @@
   void AddEntries();
   void AddAgents();
   void Introduce();
+  void AnnounceWorker(AgentHost& aAgent, Duration aWarmUp);
+  /** Schedules the drain of the plan, of which the entries learn one after the
+   * other. */
+  void PlanDrain();
+  void InformEntries(Instant aFirst, const ZoneDrains& aDrains);
+  void CountStartInDrainedZone(const AgentHost& aAgent);
+  /** @return how long a run takes that would take @p aRun on a warm worker. */
+  Duration RunTimeAt(const AgentHost& aAgent, Duration aRun) const;
   void ScheduleArrival(std::size_t aKind);
   double LoadNow() const;
   void Submit(std::size_t aKind);
--- a/packages/core/tests/schedule_cluster.cpp
+++ b/packages/core/tests/schedule_cluster.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kLargestClockOffset = std::chrono::hours(1);
 constexpr double kDeliverToNextIncarnationProbability = 0.5;
 constexpr double kWorkerMoveProbability = 0.05;
+/** Probability that an entry can read the store when it starts. */
+constexpr double kStoreReadProbability = 0.7;
 /** More steps than any schedule needs; reached if a timer fires again and
  * again without progress. */
 constexpr std::uint64_t kMaxSteps = 300000;
@@ -121,6 +123,11 @@
                           m_random.Between(Duration(0), kLargestClockOffset));
   Trace("boot " + id.m_name);
   ApplyConfig(aEntry, m_config);
+  m_drains.EntryBooted(aEntry, m_clock.Now());
+  if (m_drains.Store().m_revision > 0 &&
+      m_random.Chance(kStoreReadProbability)) {
+    InformOfDrains(aEntry, m_drains.Store());
+  }
   AnnounceEntries();
   ConnectEntry(aEntry);
 }
@@ -131,12 +138,14 @@
   const ProcessId id{ "agent" + std::to_string(aAgent),
                       Incarnation{ m_nextIncarnation++ } };
   AgentPolicy policy;
+  policy.m_zone = ScheduleDrains::ZoneOf(aAgent);
   policy.m_keyRetention = kScheduleKeyRetention;
   policy.m_maxQueuedRequests = 4;
   if (m_plan.m_lowMemory) {
     policy.m_maxRetainedBytes = kLowMemoryBytes;
   }
   m_agentDraining[aAgent] = false;
+  m_drains.OutUntil(id.m_name, m_clock.Now());
   m_agents[aAgent]->Boot(id,
                          MakeAgent(id, policy, m_random.Below(1ULL << 40U)),
                          m_random.Between(Duration(0), kLargestClockOffset));
@@ -207,7 +216,10 @@
   for (EntryCommand& command : aCommands) {
     std::visit(
       Overloaded{
-        [&](const SendMessage& aSend) { m_network.Send(self, aSend); },
+        [&](SendMessage& aSend) {
+          ApplyOmitDrains(aSend.m_message);
+          m_network.Send(self, aSend);
+        },
         [&](const AnswerCaller& aAnswer) { DeliverAnswer(self, aAnswer); },
         [](const SendSubmissionId&) {},
         [&](const core::ApplyConfig& aConfig) {
@@ -244,6 +256,7 @@
                  },
                   [&](const StartRun& aStart) {
                     Trace(self.m_name + " starts " + aStart.m_payload);
+                    CheckStartInZone(aAgent);
                     m_backends.Start(self, aStart);
                   },
                   [&](const StopRun& aStop) { m_backends.Stop(aStop.m_run); },
--- a/packages/core/tests/schedule_cluster.h
+++ b/packages/core/tests/schedule_cluster.h
@@ -5,6 +5,7 @@
 #include "core/tests/schedule_backends.h"
 #include "core/tests/schedule_checks.h"
 #include "core/tests/schedule_clock.h"
+#include "core/tests/schedule_drains.h"
 #include "core/tests/schedule_network.h"
 #include "core/tests/schedule_plan.h"
 #include "core/tests/schedule_process.h"
@@ -59,6 +60,8 @@
   void DrainAgent();
   void DrainEntry();
   void PatchConfig();
+  /** Drains a random zone, or returns it to service. */
+  void DrainZone();
 
   ScheduleClock& Clock() { return m_clock; }
   ScheduleRandom& Random() { return m_random; }
@@ -78,6 +81,14 @@
   void ExecuteAgent(std::size_t aAgent, AgentCommands& aCommands);
   void DeliverAnswer(const ProcessId& aEntry, const AnswerCaller& aAnswer);
   void ApplyDenyRun(Message& aMessage) const;
+  void ApplyOmitDrains(Message& aMessage) const;
+  /** Passes the store's list of drained zones to the entry. */
+  void InformOfDrains(std::size_t aEntry, const ZoneDrains& aDrains);
+  /** Checks that the agent may start a run: its zone isn't drained, or the
+   * agent need not know of it yet. */
+  void CheckStartInZone(std::size_t aAgent);
+  /** Checks that all processes have the same list of drained zones. */
+  void CheckDrainCopies();
   void CheckConfigVersion(const ProcessId& aProcess,
                           const RecordEvent& aRecord);
   void StopDrainedProcesses();
@@ -107,6 +118,7 @@
   std::vector<bool> m_agentDraining;
   std::uint64_t m_nextIncarnation = 1;
   ConfigVersion m_config{ 1 };
+  ScheduleDrains m_drains;
   std::string m_lastOutput = "output of nothing";
   /** Id of the last submission; zero if it was not admitted. */
   SubmissionId m_lastAdmitted;
--- a/packages/core/tests/schedule_cluster_faults.cpp
+++ b/packages/core/tests/schedule_cluster_faults.cpp
@@ -75,7 +75,10 @@
                                    : m_random.OneOf(m_agents)->Id().m_name;
   if (entry != other) {
     Trace("cut " + entry + " " + other);
-    m_network.Cut(entry, other, m_random.Between(Duration(0), kLongestCut));
+    const Duration length = m_random.Between(Duration(0), kLongestCut);
+    m_network.Cut(entry, other, length);
+    m_drains.OutUntil(ScheduleDrains::LinkName(entry, other),
+                      m_clock.Now() + length);
   }
 }
 
@@ -126,6 +129,7 @@
     if (entry.Alive() && !entry.Paused()) {
       Trace("pause " + entry.Id().m_name);
       m_checks.EntryPaused(entry.Id(), length);
+      m_drains.OutUntil(entry.Id().m_name, m_clock.Now() + length);
       entry.Pause(length);
     }
     return;
@@ -133,6 +137,7 @@
   AgentProcess& agent = *m_random.OneOf(m_agents);
   if (agent.Alive() && !agent.Paused()) {
     Trace("pause " + agent.Id().m_name);
+    m_drains.OutUntil(agent.Id().m_name, m_clock.Now() + length);
     agent.Pause(length);
   }
 }
@@ -253,6 +258,7 @@
 ScheduleCluster::CheckFinalState()
 {
   CheckConfigCopies();
+  CheckDrainCopies();
   for (const std::unique_ptr<AgentProcess>& agent : m_agents) {
     if (!agent->Alive()) {
       continue;
--- a/packages/core/tests/schedule_plan.cpp
+++ b/packages/core/tests/schedule_plan.cpp
@@ -57,6 +57,7 @@
   plan.m_runLossProbability = RandomProbability(random, 0.2);
   plan.m_refusalProbability = RandomProbability(random, 0.2);
   plan.m_failingWorker = random.Chance(0.2);
+  plan.m_zoneChanges = RandomCount(random, 5);
   plan.m_warmUp = plan.m_callerKeys
                     ? kScheduleKeyRetention + std::chrono::seconds(1)
                     : kDefaultWarmUp;
--- a/packages/core/tests/schedule_plan.h
+++ b/packages/core/tests/schedule_plan.h
@@ -26,6 +26,8 @@
   AbortDrain,
   /** A process returns to an older configuration. */
   RevertConfig,
+  /** The messages of entries carry no list of drained zones. */
+  OmitDrains,
 };
 
 /** The parameters of one schedule; all but the mutation are derived from the
@@ -56,6 +58,8 @@
   std::uint32_t m_backendCrashes = 0;
   std::uint32_t m_agentDrains = 0;
   std::uint32_t m_entryDrains = 0;
+  /** Number of times that a zone is drained or returned to service. */
+  std::uint32_t m_zoneChanges = 0;
 
   // Backend faults, for each run.
   double m_runFailureProbability = 0;
--- a/packages/core/tests/schedule_run.cpp
+++ b/packages/core/tests/schedule_run.cpp
@@ -46,6 +46,8 @@
     aFrom,
     static_cast<std::uint32_t>(aCluster.Random().Below(kMaxPatches + 1)),
     &ScheduleCluster::PatchConfig);
+  PlanAtRandomTimes(
+    aCluster, aFrom, aPlan.m_zoneChanges, &ScheduleCluster::DrainZone);
 }
 
 } // namespace
--- a/packages/core/tests/schedule_test.cpp
+++ b/packages/core/tests/schedule_test.cpp
@@ -141,6 +141,7 @@
       { Mutation::DenyRun, "deny a run" },
       { Mutation::AbortDrain, "cut a drain" },
       { Mutation::RevertConfig, "revert the configuration" },
+      { Mutation::OmitDrains, "omit the drained zones" },
     };
     for (const auto& [mutation, name] : mutations) {
       CPPUNIT_ASSERT_MESSAGE("mutation not detected in " +
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -46,6 +46,8 @@
   EntryForgotten = 404,
   EntrySilent = 405,
   AgentSilent = 406,
+  DrainedZonesChanged = 407,
+  DrainedZoneUnknown = 408,
   EndpointAnnounced = 410,
   EndpointLeaving = 411,
   EndpointLapsed = 412,
@@ -55,6 +57,8 @@
   WorkerRestored = 423,
   RunsLapsed = 424,
   ForeignRunStopped = 425,
+  ZoneDrainStarted = 426,
+  ZoneDrainEnded = 427,
 
   KeyFenced = 500,
   KeyHeld = 501,
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -70,6 +70,9 @@
 {
   std::uint64_t m_offersReceived = 0;
   std::uint64_t m_offersRefused = 0;
+  /** Attempts, offered or queued, refused because the agent's zone is drained;
+   * included in m_offersRefused. */
+  std::uint64_t m_refusedForDrain = 0;
   std::uint64_t m_started = 0;
   std::uint64_t m_completed = 0;
   std::uint64_t m_failed = 0;
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -25,7 +25,7 @@
   EventCode::ForeignRunStopped,    EventCode::KeyUncertain,
   EventCode::ConfigPatchUncertain, EventCode::StoreUnavailable,
   EventCode::ConfigUnreadable,     EventCode::MessageRejected,
-  EventCode::MessageDropped,
+  EventCode::MessageDropped,       EventCode::DrainedZoneUnknown,
 };
 
 template<std::size_t Size>
