Entries read drained zones from the store, operators change them over HTTP

Cause: operators ask to evacuate a zone with a key in the store, and no process read it. Change: the watch of the configuration also covers the drain keys, with the same one read and one watch (an adapter names the wider prefix). Changes of a watch carry the store's revision, also for deletions. The list goes to all shards before the configuration of the same read. Events 614 to 618.

--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -68,6 +68,11 @@
   StoreRecovered = 611,
   ConfigUnreadable = 612,
   StoreWatchEnded = 613,
+  ZoneDrainAccepted = 614,
+  ZoneDrainRejected = 615,
+  ZoneDrainsRead = 616,
+  ZoneDrainUnreadable = 617,
+  ZoneDrainUnknown = 618,
 
   MessageRejected = 700,
   MessageDropped = 701,
--- a/packages/ctl/internal/apicall.cpp
+++ b/packages/ctl/internal/apicall.cpp
@@ -121,6 +121,19 @@
     return Post("/v1/drain", "");
   }
 
+  std::optional<ApiCall> operator()(const ChangeDrainCommand& aCommand) const
+  {
+    return ApiCall{ .m_method = aCommand.m_drained ? "PUT" : "DELETE",
+                    .m_path = "/v1/drains/" + PathSegment(aCommand.m_zone),
+                    .m_body = {},
+                    .m_changes = true };
+  }
+
+  std::optional<ApiCall> operator()(const DrainsCommand& /*aCommand*/) const
+  {
+    return Get("/v1/drains");
+  }
+
   std::optional<ApiCall> operator()(const EndpointsCommand& /*aCommand*/) const
   {
     return Get("/v1/agents");
--- a/packages/ctl/internal/command.h
+++ b/packages/ctl/internal/command.h
@@ -60,6 +60,17 @@
 struct DrainCommand
 {};
 
+/** Drains a zone, or ends its drain. */
+struct ChangeDrainCommand
+{
+  std::string m_zone;
+  bool m_drained = true;
+};
+
+/** Lists the drained zones. */
+struct DrainsCommand
+{};
+
 struct EndpointsCommand
 {};
 
@@ -98,6 +109,8 @@
                              ConfigGetCommand,
                              PatchCommand,
                              DrainCommand,
+                             ChangeDrainCommand,
+                             DrainsCommand,
                              EndpointsCommand,
                              WorkersCommand,
                              TimelineCommand,
--- a/packages/ctl/internal/rendering.cpp
+++ b/packages/ctl/internal/rendering.cpp
@@ -88,6 +88,18 @@
   return table.Text();
 }
 
+/** @return a table of the drained zones, and the agents whose copy of the list
+ * is out of date, which also counts while the last drain is ended. */
+std::string
+RenderDrains(const Json& aBody)
+{
+  return RenderList(
+           aBody.at("zones"),
+           { "zone", "since_ms", "agents", "acknowledged", "open_attempts" }) +
+         "agents in touch that have not acknowledged: " +
+         Word(aBody.at("unacknowledged_agents")) + "\n";
+}
+
 /** Renders the answer to each command. */
 struct Renderer
 {
@@ -143,6 +155,17 @@
     return "draining\n";
   }
 
+  std::string operator()(const ChangeDrainCommand& aCommand) const
+  {
+    return aCommand.m_zone +
+           (aCommand.m_drained ? ": drained\n" : ": no longer drained\n");
+  }
+
+  std::string operator()(const DrainsCommand& /*aCommand*/) const
+  {
+    return RenderDrains(m_body);
+  }
+
   std::string operator()(const EndpointsCommand& /*aCommand*/) const
   {
     return RenderEndpoints(m_body.at("agents"));
--- a/packages/ctl/internal/subcommand.cpp
+++ b/packages/ctl/internal/subcommand.cpp
@@ -262,6 +262,13 @@
                        patch.dump() };
 }
 
+template<bool Drained>
+Command
+MakeChangeDrain(const ParseResult& aParsed)
+{
+  return ChangeDrainCommand{ aParsed["zone"].as<std::string>(), Drained };
+}
+
 Command
 MakeTimeline(const ParseResult& aParsed)
 {
@@ -335,6 +342,24 @@
       {},
       AddNothing,
       MakeEmpty<DrainCommand> },
+    { "drain-zone",
+      "ZONE",
+      "sends no more work to the workers and endpoints of a zone",
+      { "zone" },
+      AddNothing,
+      MakeChangeDrain<true> },
+    { "undrain-zone",
+      "ZONE",
+      "sends work to a drained zone again",
+      { "zone" },
+      AddNothing,
+      MakeChangeDrain<false> },
+    { "drains",
+      "",
+      "lists the drained zones and how far each drain has come",
+      {},
+      AddNothing,
+      MakeEmpty<DrainsCommand> },
     { "endpoints",
       "",
       "lists the endpoints with their agents",
--- a/packages/ctl/tests/arguments_test.cpp
+++ b/packages/ctl/tests/arguments_test.cpp
@@ -148,6 +148,10 @@
                 { { "drain" }, "POST /v1/drain" },
                 { { "endpoints" }, "GET /v1/agents" },
                 { { "workers" }, "GET /v1/workers" },
+                { { "drains" }, "GET /v1/drains" },
+                { { "drain-zone", "z1" }, "PUT /v1/drains/z1" },
+                { { "drain-zone", "a/b" }, "PUT /v1/drains/a%2Fb" },
+                { { "undrain-zone", "z1" }, "DELETE /v1/drains/z1" },
                 { { "timeline", "--since", "9" },
                   "GET /v1/timeline?since=9" } };
     for (const auto& [arguments, expected] : cases) {
@@ -196,6 +200,8 @@
       { "cancel" },
       { "cancel", "1/../2" },
       { "status", "1", "2" },
+      { "drain-zone" },
+      { "undrain-zone", "z1", "z2" },
       { "status", "--unknown" },
       { "status", "--entry", "nowhere" },
       { "patch", "--base", "1", "--id", "a", "/nonexistent" },
--- a/packages/ctl/tests/runner_test.cpp
+++ b/packages/ctl/tests/runner_test.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST_SUITE(RunnerTest);
   CPPUNIT_TEST(PrintsTheOutput);
   CPPUNIT_TEST(PrintsTables);
+  CPPUNIT_TEST(PrintsDrains);
   CPPUNIT_TEST(PrintsJsonAsItIs);
   CPPUNIT_TEST(TriesTheNextEntryOnlyIfNothingWasSent);
   CPPUNIT_TEST(ExitCodesTellWhetherItRan);
@@ -113,6 +114,31 @@
       m_out.str());
   }
 
+  void PrintsDrains()
+  {
+    m_client.m_answers[kA + "/v1/drains"] =
+      Answered(200,
+               R"({"revision": 9, "unacknowledged_agents": 1, "zones": [
+          {"zone": "z1", "since_ms": 1790000000000, "agents": 3,
+           "acknowledged": 2, "not_acknowledged": ["a2"], "open_attempts": 4},
+          {"zone": "z2", "since_ms": null, "agents": 0, "acknowledged": 0,
+           "not_acknowledged": [], "open_attempts": 0}]})");
+    CPPUNIT_ASSERT_EQUAL(0, RunIt({ "drains" }));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("zone  since_ms       agents  acknowledged  open_attempts\n"
+                  "z1    1790000000000  3       2             4\n"
+                  "z2    -              0       0             0\n"
+                  "agents in touch that have not acknowledged: 1\n"),
+      m_out.str());
+    m_client.m_answers[kA + "/v1/drains/z1"] =
+      Answered(200, R"({"zone": "z1", "drained": true})");
+    m_out.str("");
+    CPPUNIT_ASSERT_EQUAL(0, RunIt({ "drain-zone", "z1" }));
+    CPPUNIT_ASSERT_EQUAL(0, RunIt({ "undrain-zone", "z1" }));
+    CPPUNIT_ASSERT_EQUAL(std::string("z1: drained\nz1: no longer drained\n"),
+                         m_out.str());
+  }
+
   void PrintsJsonAsItIs()
   {
     m_client.m_answers[kA + "/v1/config"] =
--- a/packages/daemon/internal/announcementcodec.cpp
+++ b/packages/daemon/internal/announcementcodec.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMaxUrlBytes = 256;
 constexpr std::size_t kMaxRunNameBytes = 256;
 constexpr std::uint64_t kMaxSlots = 100000;
+constexpr std::uint64_t kMaxWarmUpMs = 24ULL * 3600 * 1000;
 
 core::Error
 NotAnObjectError()
@@ -104,6 +105,8 @@
   announced.m_info.m_capacity = ReadResources(fields, 0);
   announced.m_url = ReadUrl(fields);
   announced.m_leaving = fields.Boolean("leaving").value_or(false);
+  announced.m_warmUpRemaining = std::chrono::milliseconds(
+    fields.WholeNumber("warm_up_remaining_ms", 0, kMaxWarmUpMs).value_or(0));
   if (const json* usage = fields.List("usage")) {
     for (const json& item : *usage) {
       if (std::optional<core::Error> error =
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -20,6 +20,10 @@
 /** How long after its start an entry holds the requests of an adapter's callers
  * until it knows the configuration and an agent. */
 constexpr core::Duration kMaxRequestHold = std::chrono::seconds(1);
+/** How long after a change of the drained zones an entry looks for zones
+ * without agents. An entry that has just started learns of its agents in this
+ * time. */
+constexpr core::Duration kUnknownZoneDelay = std::chrono::seconds(5);
 
 ShardSet::CoreFactory
 MakeCoreFactory(const Settings& aSettings)
@@ -155,6 +159,13 @@
     m_events->Record(core::EventCode::ConfigUnreadable,
                      core::EventDetail().Add("cause", aDetail));
   };
+  hooks.m_onDrainsChange = [this](core::ZoneDrains aDrains) {
+    OnDrains(std::move(aDrains));
+  };
+  hooks.m_onDrainUnreadable = [this](const std::string& aDetail) {
+    m_events->Record(core::EventCode::ZoneDrainUnreadable,
+                     core::EventDetail().Add("cause", aDetail));
+  };
   m_storeLink.Timer().After(kConfirmationTimeout, [this] { m_gate.Confirm(); });
   m_configService = store::StartConfigService(
     m_storeLink.Store(),
@@ -186,6 +197,35 @@
   ServeCallersIfReady();
 }
 
+void
+EntryRole::OnDrains(core::ZoneDrains aDrains)
+{
+  std::string zones;
+  for (const std::string& zone : aDrains.m_zones) {
+    zones += (zones.empty() ? "" : ",") + zone;
+  }
+  m_events->Record(core::EventCode::ZoneDrainsRead,
+                   core::EventDetail()
+                     .Add("revision", aDrains.m_revision)
+                     .Add("zones", zones));
+  m_shards.Broadcast(core::ZoneDrainsChanged{ std::move(aDrains) });
+  m_storeLink.Timer().After(kUnknownZoneDelay,
+                            [this] { ReportUnknownZones(); });
+}
+
+void
+EntryRole::ReportUnknownZones()
+{
+  const std::vector<std::string> recorded = std::exchange(
+    m_unknownZones, ZonesWithoutAgents(m_shards.Agents(), m_shards.Drains()));
+  for (const std::string& zone : m_unknownZones) {
+    if (std::find(recorded.begin(), recorded.end(), zone) == recorded.end()) {
+      m_events->Record(core::EventCode::ZoneDrainUnknown,
+                       core::EventDetail().Add("zone", zone));
+    }
+  }
+}
+
 void
 EntryRole::ServeCallersIfReady()
 {
@@ -258,6 +298,8 @@
   m_api.AddRoutes(m_httpServer.Routes());
   m_configApi.emplace(*m_configService, m_config, *m_events);
   m_configApi->AddRoutes(m_httpServer.Routes());
+  m_drainApi.emplace(*m_configService, m_shards, *m_events);
+  m_drainApi->AddRoutes(m_httpServer.Routes());
   OperatorHooks hooks;
   hooks.m_notReadyReason = [this] { return NotReadyReason(); };
   hooks.m_drain = RequestDrain;
@@ -293,6 +335,7 @@
   aMetrics.AddGauge("config_version",
                     "Version of the configuration in force, 0 for none.",
                     ConfigVersion());
+  m_drainApi->AddMetrics(aMetrics);
   aMetrics.AddProcess();
   aMetrics.AddLog(m_events->Log());
   aMetrics.Append(m_httpServer.Metrics().Collect());
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -3,6 +3,7 @@
 #include "daemon/internal/configapi.h"
 #include "daemon/internal/configgate.h"
 #include "daemon/internal/configholder.h"
+#include "daemon/internal/drainapi.h"
 #include "daemon/internal/entryapi.h"
 #include "daemon/internal/entrypeers.h"
 #include "daemon/internal/jobgateway.h"
@@ -19,6 +20,8 @@
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace mulberrysail::daemon {
 
@@ -50,6 +53,10 @@
   network::TransportHooks MakeHooks(EntryShard& aOwner);
   void OnMessage(EntryShard& aOwner, core::MessageReceived aReceived);
   void OnConfig(core::ConfigChanged aConfig);
+  void OnDrains(core::ZoneDrains aDrains);
+  /** Records each drained zone in which no agent is known, once. Runs on the
+   * timer's thread. */
+  void ReportUnknownZones();
   void OnStoreAvailability(bool aAvailable, const std::string& aCause);
   void StartConfig();
   void StartPeers();
@@ -91,6 +98,9 @@
   RoutedHttpServer m_callerServer;
   RoutedHttpServer m_readinessServer;
   std::optional<ConfigApi> m_configApi;
+  std::optional<DrainApi> m_drainApi;
+  /** The drained zones without agents that were recorded. */
+  std::vector<std::string> m_unknownZones;
   /** Set by Drain(). */
   std::atomic<bool> m_draining{ false };
   /** Set by StartRefusing(). */
--- a/packages/daemon/internal/entryshard.cpp
+++ b/packages/daemon/internal/entryshard.cpp
@@ -214,6 +214,13 @@
   return m_core->Agents();
 }
 
+core::ZoneDrains
+EntryShard::Drains() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_core->Drains();
+}
+
 core::EntryCounters
 EntryShard::Counters() const
 {
--- a/packages/daemon/internal/entryshard.h
+++ b/packages/daemon/internal/entryshard.h
@@ -73,6 +73,7 @@
     const std::string& aName) const;
   std::size_t CountPendingJobs(std::string_view aQueue) const;
   std::vector<core::AgentStatus> Agents() const;
+  core::ZoneDrains Drains() const;
   core::EntryCounters Counters() const;
   bool Idle() const;
 
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -109,6 +109,19 @@
   return list;
 }
 
+core::ZoneDrains
+ShardSet::Drains() const
+{
+  core::ZoneDrains newest;
+  for (const std::unique_ptr<EntryShard>& shard : m_shards) {
+    core::ZoneDrains drains = shard->Drains();
+    if (drains.m_revision > newest.m_revision) {
+      newest = std::move(drains);
+    }
+  }
+  return newest;
+}
+
 core::EntryCounters
 ShardSet::Counters() const
 {
--- a/packages/daemon/internal/shardset.h
+++ b/packages/daemon/internal/shardset.h
@@ -71,6 +71,8 @@
   /** @return the agents known to any shard, each once, with the sum of its open
    * attempts. */
   std::vector<core::AgentStatus> Agents() const;
+  /** @return the newest list of drained zones that any shard knows. */
+  core::ZoneDrains Drains() const;
   /** @return the sums over all shards. */
   core::EntryCounters Counters() const;
   network::TransportCounters TransportCounters() const;
--- a/packages/daemon/tests/operatorapi_test.cpp
+++ b/packages/daemon/tests/operatorapi_test.cpp
@@ -26,6 +26,19 @@
                        std::string /*aDocument*/) override
   {
   }
+  void DrainZone(const std::string& /*aZone*/,
+                 std::chrono::milliseconds /*aSince*/,
+                 store::DrainCallback /*aCallback*/) override
+  {
+  }
+  void UndrainZone(const std::string& /*aZone*/,
+                   store::DrainCallback /*aCallback*/) override
+  {
+  }
+  std::map<std::string, std::chrono::milliseconds> DrainTimes() const override
+  {
+    return {};
+  }
   void Stop() override {}
 
   std::vector<store::ConfigPatch> m_patches;
--- a/packages/daemon/tests/runner_test.cpp
+++ b/packages/daemon/tests/runner_test.cpp
@@ -104,11 +104,14 @@
     const core::Result<core::WorkerAnnounced> worker = ParseWorkerBody(
       R"({"name": "w", "rack": "r", "cores": 16, "memory_mb": 32000,
           "accelerators": 1, "url": "http://127.0.0.1:9", "leaving": true,
+          "warm_up_remaining_ms": 2500,
           "usage": [{"run": "agent-2-7-77", "cores": 0.5, "memory_mb": 5},
                     {"run": "other", "cores": 1, "memory_mb": 1}]})");
     CPPUNIT_ASSERT(worker);
     CPPUNIT_ASSERT_EQUAL(16000U, worker.value().m_info.m_capacity.m_milliCores);
     CPPUNIT_ASSERT(worker.value().m_leaving);
+    CPPUNIT_ASSERT(worker.value().m_warmUpRemaining ==
+                   std::chrono::milliseconds(2500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, worker.value().m_usage.size());
     CPPUNIT_ASSERT(worker.value().m_usage[0].m_run == core::RunId{ 77 });
   }
--- a/packages/store/iconfigservice.h
+++ b/packages/store/iconfigservice.h
@@ -3,10 +3,13 @@
 #include "core/types/events.h"
 #include "core/types/ids.h"
 #include "core/types/result.h"
+#include "core/types/zonedrains.h"
 #include "store/istore.h"
 #include "store/itimer.h"
 
+#include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,7 +35,13 @@
  * been written. */
 using PatchCallback = std::function<void(core::Result<core::ConfigVersion>)>;
 
-/** Keeps the configuration in force up to date from the store. Thread-safe. */
+/** Receives nothing, or an error: InvalidPatch if the key is written elsewhere,
+ * StoreUnavailable if nothing was written, or PatchUncertain if the key may
+ * have been written. */
+using DrainCallback = std::function<void(core::Result<void>)>;
+
+/** Keeps the configuration in force and the drained zones up to date from the
+ * store. Thread-safe. */
 class IConfigService
 {
 public:
@@ -50,6 +59,23 @@
   virtual void ApplyPeerConfig(core::ConfigVersion aVersion,
                                std::string aDocument) = 0;
 
+  /** Drains a zone. Has no effect if it is drained already, so that the time of
+   * the first call stays. @p aCallback may be called before this returns.
+   * @param aSince the time in the value, in milliseconds of Unix time. */
+  virtual void DrainZone(const std::string& aZone,
+                         std::chrono::milliseconds aSince,
+                         DrainCallback aCallback) = 0;
+
+  /** Ends the drain of a zone; succeeds also if the zone is not drained.
+   * @p aCallback may be called before this returns. */
+  virtual void UndrainZone(const std::string& aZone,
+                           DrainCallback aCallback) = 0;
+
+  /** @return the drained zones of which the store's value says since when, in
+   * Unix time. */
+  virtual std::map<std::string, std::chrono::milliseconds> DrainTimes()
+    const = 0;
+
   /** Stops calling hooks; a hook that is already running may still finish after
    * this has returned. The callbacks of pending patches are still called. */
   virtual void Stop() = 0;
@@ -70,6 +96,13 @@
   /** A watch of the configuration has ended, and the configuration is read
    * again after a delay. */
   std::function<void(const std::string& aCause)> m_onWatchEnded = nullptr;
+  /** The drained zones have changed, or were read for the first time. Called
+   * before m_onChange for a configuration of the same read. Revisions strictly
+   * increase. */
+  std::function<void(core::ZoneDrains)> m_onDrainsChange = nullptr;
+  /** A key that drains a zone has no zone name, or its value cannot be parsed.
+   * Called once for each write of such a key. Must not call the service. */
+  std::function<void(const std::string& aDetail)> m_onDrainUnreadable = nullptr;
 };
 
 /** A configuration parsed from a value of the store. */
@@ -80,10 +113,16 @@
   std::string m_document;
 };
 
-/** A key and a format of the configuration other than the product's own. */
+/** Keys and a format of the configuration other than the product's own. */
 struct ConfigSource
 {
+  /** The prefix to watch, with which the keys below begin. */
+  std::string m_prefix;
+  /** The key of the configuration. */
   std::string m_key;
+  /** The prefix of the keys that drain zones; the rest of such a key is the
+   * name of the zone. */
+  std::string m_drainPrefix;
   /** Parses a value of the key; must be callable from any thread. */
   std::function<core::Result<ParsedConfig>(std::string_view aValue)> m_parse;
 };
--- a/packages/store/internal/configservice.cpp
+++ b/packages/store/internal/configservice.cpp
@@ -4,6 +4,7 @@
 #include "store/internal/patchoperation.h"
 #include "store/internal/storedconfig.h"
 #include "store/internal/storewatcher.h"
+#include "store/internal/zonedraintracker.h"
 
 #include <algorithm>
 #include <deque>
@@ -16,6 +17,24 @@
 
 constexpr std::size_t kMaxPatchIdBytes = 128;
 
+core::Result<void>
+ToDrainResult(WriteOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case WriteOutcome::Written:
+    case WriteOutcome::Conflict:
+      // A conflict means that the zone is drained already.
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    case WriteOutcome::NotWritten:
+      return core::Fail(core::ErrorKind::StoreUnavailable,
+                        "the store did not accept the change");
+    case WriteOutcome::Uncertain:
+      break;
+  }
+  return core::Fail(core::ErrorKind::PatchUncertain,
+                    "the store did not answer; the call may be repeated");
+}
+
 class ConfigService
   : public IConfigService
   , public std::enable_shared_from_this<ConfigService>
@@ -32,6 +51,12 @@
     , m_hooks(std::move(aHooks))
     , m_source(std::move(aSource))
     , m_key(m_source ? m_source->m_key : std::string(kConfigKey))
+    , m_prefix(m_source ? m_source->m_prefix : m_key)
+    , m_drainTracker(
+        m_source ? m_source->m_drainPrefix : std::string(kDrainPrefix),
+        m_source ? DrainValueFormat::Any : DrainValueFormat::Json,
+        m_hooks.m_onDrainUnreadable ? m_hooks.m_onDrainUnreadable
+                                    : [](const std::string& /*aDetail*/) {})
   {
   }
 
@@ -45,12 +70,14 @@
     const std::weak_ptr<ConfigService> weak = weak_from_this();
     WatcherHooks hooks;
     hooks.m_onSnapshot = [weak](const StoreRead& aRead) {
+      OnStoredDrains(weak, aRead);
       for (const StoredValue& value : aRead.m_values) {
         OnStoredValue(weak, value);
       }
       ReportIfAbsent(weak, aRead);
     };
     hooks.m_onChange = [weak](const StoredValue& aValue) {
+      OnStoredDrains(weak, aValue);
       OnStoredValue(weak, aValue);
     };
     hooks.m_onAvailabilityChange = [weak](bool aAvailable,
@@ -67,7 +94,7 @@
       }
     };
     m_watcher = std::make_shared<StoreWatcher>(
-      m_store, m_timer, m_key, m_seed, std::move(hooks));
+      m_store, m_timer, m_prefix, m_seed, std::move(hooks));
     m_watcher->Start();
   }
 
@@ -118,6 +145,41 @@
     operation->Start(lastStored);
   }
 
+  void DrainZone(const std::string& aZone,
+                 std::chrono::milliseconds aSince,
+                 DrainCallback aCallback) override
+  {
+    if (RejectsDrains(aCallback)) {
+      return;
+    }
+    // The key is created but never replaced, so that the time stays.
+    m_store.CompareAndSwap(
+      std::string(kDrainPrefix) + aZone,
+      0,
+      R"({"since_ms":)" + std::to_string(aSince.count()) + "}",
+      std::nullopt,
+      [callback = std::move(aCallback)](WriteOutcome aOutcome) {
+        callback(ToDrainResult(aOutcome));
+      });
+  }
+
+  void UndrainZone(const std::string& aZone, DrainCallback aCallback) override
+  {
+    if (RejectsDrains(aCallback)) {
+      return;
+    }
+    m_store.Delete(std::string(kDrainPrefix) + aZone,
+                   [callback = std::move(aCallback)](WriteOutcome aOutcome) {
+                     callback(ToDrainResult(aOutcome));
+                   });
+  }
+
+  std::map<std::string, std::chrono::milliseconds> DrainTimes() const override
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_drainTracker.Times();
+  }
+
   void ApplyPeerConfig(core::ConfigVersion aVersion,
                        std::string aDocument) override
   {
@@ -163,6 +225,52 @@
     self->ApplyIfNewer(stored.value().m_version, stored.value().m_document);
   }
 
+  static bool ApplyDrains(ZoneDrainTracker& aTracker, const StoreRead& aRead)
+  {
+    return aTracker.ApplyRead(aRead);
+  }
+
+  static bool ApplyDrains(ZoneDrainTracker& aTracker,
+                          const StoredValue& aChange)
+  {
+    return aTracker.ApplyChange(aChange);
+  }
+
+  /** Passes a read or a change of the watch to the tracker. The hook is called
+   * without the lock; the watcher's calls never run concurrently, so the lists
+   * keep their order. */
+  template<typename Stored>
+  static void OnStoredDrains(const std::weak_ptr<ConfigService>& aWeak,
+                             const Stored& aStored)
+  {
+    const std::shared_ptr<ConfigService> self = aWeak.lock();
+    if (!self) {
+      return;
+    }
+    std::optional<core::ZoneDrains> changed;
+    {
+      const std::lock_guard<std::mutex> lock(self->m_mutex);
+      if (!self->m_stopped && ApplyDrains(self->m_drainTracker, aStored)) {
+        changed = self->m_drainTracker.Drains();
+      }
+    }
+    if (changed && self->m_hooks.m_onDrainsChange) {
+      self->m_hooks.m_onDrainsChange(std::move(*changed));
+    }
+  }
+
+  /** Rejects a change of drains if they are written elsewhere.
+   * @return whether it was rejected. */
+  bool RejectsDrains(const DrainCallback& aCallback) const
+  {
+    if (!m_source) {
+      return false;
+    }
+    aCallback(core::Fail(core::ErrorKind::InvalidPatch,
+                         "drains of zones are written elsewhere"));
+    return true;
+  }
+
   static void ReportIfAbsent(const std::weak_ptr<ConfigService>& aWeak,
                              const StoreRead& aRead)
   {
@@ -243,8 +351,10 @@
   const ConfigHooks m_hooks;
   const std::optional<ConfigSource> m_source;
   const std::string m_key;
+  const std::string m_prefix;
   std::shared_ptr<StoreWatcher> m_watcher;
   mutable std::mutex m_mutex;
+  ZoneDrainTracker m_drainTracker;
   bool m_stopped = false;
   bool m_delivering = false;
   std::optional<core::ConfigChanged> m_current;
--- a/packages/store/internal/etcdjson.cpp
+++ b/packages/store/internal/etcdjson.cpp
@@ -111,17 +111,29 @@
   }
 }
 
+StoredValue
+ParseEvent(const json& aEvent)
+{
+  StoredValue value = ParseValue(aEvent.at("kv"));
+  value.m_changeRevision = value.m_modRevision;
+  if (aEvent.value("type", "PUT") == "DELETE") {
+    value.m_value.clear();
+    value.m_modRevision = 0;
+  }
+  return value;
+}
+
 void
 ParseEvents(const json& aResult,
             const std::function<void(StoredValue)>& aOnChange)
 {
+  std::vector<StoredValue> changes;
   for (const json& event : aResult.value("events", json::array())) {
-    StoredValue value = ParseValue(event.at("kv"));
-    if (event.value("type", "PUT") == "DELETE") {
-      value.m_value.clear();
-      value.m_modRevision = 0;
-    }
-    aOnChange(std::move(value));
+    changes.push_back(ParseEvent(event));
+  }
+  MarkTransactions(changes);
+  for (StoredValue& change : changes) {
+    aOnChange(std::move(change));
   }
 }
 
@@ -157,6 +169,12 @@
   }.dump();
 }
 
+std::string
+DeleteRequest(const std::string& aKey)
+{
+  return KeyRange(aKey, false).dump();
+}
+
 std::string
 GrantRequest(std::chrono::seconds aTtl)
 {
--- a/packages/store/internal/etcdjson.h
+++ b/packages/store/internal/etcdjson.h
@@ -28,6 +28,9 @@
                       const std::string& aValue,
                       std::optional<std::int64_t> aLease);
 
+std::string
+DeleteRequest(const std::string& aKey);
+
 std::string
 GrantRequest(std::chrono::seconds aTtl);
 
--- a/packages/store/internal/etcdstore.cpp
+++ b/packages/store/internal/etcdstore.cpp
@@ -236,6 +236,19 @@
       });
   }
 
+  void Delete(const std::string& aKey,
+              std::function<void(WriteOutcome)> aCallback) override
+  {
+    m_members->Send(
+      "/v3/kv/deleterange",
+      etcd::DeleteRequest(aKey),
+      RetryPolicy::IfNeverSent,
+      [callback = std::move(aCallback)](const HttpOutcome& aOutcome) {
+        callback(IsOk(aOutcome) ? WriteOutcome::Written
+                                : ClassifyFailedWrite(aOutcome));
+      });
+  }
+
   void GrantLease(
     std::chrono::seconds aTtl,
     std::function<void(core::Result<std::int64_t>)> aCallback) override
--- a/packages/store/internal/storedconfig.h
+++ b/packages/store/internal/storedconfig.h
@@ -15,6 +15,10 @@
 /** The key of the store that holds the configuration. */
 inline constexpr std::string_view kConfigKey = "/mulberrysail/config";
 
+/** The prefix of the keys that drain zones. It begins with kConfigKey, so that
+ * one watch covers both. */
+inline constexpr std::string_view kDrainPrefix = "/mulberrysail/config/drains/";
+
 /** An accepted patch and the version that it created. */
 struct PatchRecord
 {
--- a/packages/store/istore.h
+++ b/packages/store/istore.h
@@ -22,8 +22,19 @@
   /** The store's revision at the last write to the key; 0 if the key does not
    * exist. */
   std::int64_t m_modRevision = 0;
+  /** Of a change reported by a watch: the store's revision of the change, also
+   * for a deletion. 0 for a value that was read. */
+  std::int64_t m_changeRevision = 0;
+  /** Of a change reported by a watch: whether further changes of the same
+   * revision follow, as one transaction may change several keys. */
+  bool m_moreAtRevision = false;
 };
 
+/** Sets StoredValue::m_moreAtRevision of the changes in one message of a watch.
+ * A store reports all changes of one transaction in one message. */
+void
+MarkTransactions(std::vector<StoredValue>& aChanges);
+
 struct StoreRead
 {
   /** The store's revision at the time of the read. */
@@ -75,6 +86,10 @@
                    std::optional<std::int64_t> aLease,
                    std::function<void(WriteOutcome)> aCallback) = 0;
 
+  /** Deletes a key. Deleting a key that does not exist counts as written. */
+  virtual void Delete(const std::string& aKey,
+                      std::function<void(WriteOutcome)> aCallback) = 0;
+
   /** Creates a lease that expires if it is not renewed within @p aTtl.
    * @param aCallback receives the id of the lease. */
   virtual void GrantLease(
@@ -91,7 +106,8 @@
 
   /** Watches all keys that begin with @p aPrefix.
    * @param aFromRevision the first revision whose changes are reported.
-   * @param aOnChange receives each changed value; a deleted key has revision 0.
+   * @param aOnChange receives each change, in the order of the revisions; a
+   * deleted key has an m_modRevision of 0.
    * @param aOnEnd called once when the watch has ended, because of an error or
    * because no data was received for too long. */
   virtual void Watch(const std::string& aPrefix,
--- a/packages/store/tests/etcdstore_test.cpp
+++ b/packages/store/tests/etcdstore_test.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(LostWriteIsNotRetried);
   CPPUNIT_TEST(LeaseIsGrantedAndRenewed);
   CPPUNIT_TEST(WatchParsesMessagesSplitAcrossParts);
+  CPPUNIT_TEST(ChangesOfOneTransactionAreMarked);
+  CPPUNIT_TEST(DeletesOneKey);
   CPPUNIT_TEST(UnreadableAnswersAreErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -171,7 +173,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, changes.size());
     CPPUNIT_ASSERT_EQUAL(std::string("bar"), changes[0].m_value);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 }, changes[0].m_modRevision);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 }, changes[0].m_changeRevision);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, changes[1].m_modRevision);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 6 }, changes[1].m_changeRevision);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, ends.size());
     CPPUNIT_ASSERT(ends[0].starts_with("the store cancelled the watch"));
     const json request = json::parse(m_client.m_calls[0].m_body);
@@ -180,6 +184,42 @@
     CPPUNIT_ASSERT(m_client.m_calls[0].m_idleTimeout.count() > 0);
   }
 
+  /** Without the mark, a receiver could take a part of a transaction for the
+   * state of its revision. */
+  void ChangesOfOneTransactionAreMarked()
+  {
+    m_client.m_chunks = {
+      R"({"result":{"events":[{"kv":{"key":"Zm9v","mod_revision":"5"}},)",
+      R"({"type":"DELETE","kv":{"key":"Zm9w","mod_revision":"5"}},)",
+      R"({"kv":{"key":"Zm9x","mod_revision":"6"}}]}})",
+      "\n"
+    };
+    std::vector<bool> more;
+    m_store->Watch(
+      "foo",
+      3,
+      [&](const StoredValue& aValue) {
+        more.push_back(aValue.m_moreAtRevision);
+      },
+      [](const core::Error&) {});
+    CPPUNIT_ASSERT((more == std::vector<bool>{ true, false, false }));
+  }
+
+  void DeletesOneKey()
+  {
+    m_client.m_outcomes = { Ok(R"({"header":{},"deleted":"1"})") };
+    std::optional<WriteOutcome> result;
+    m_store->Delete("foo", [&](WriteOutcome aOutcome) { result = aOutcome; });
+    CPPUNIT_ASSERT(result == WriteOutcome::Written);
+    CPPUNIT_ASSERT_EQUAL(std::string("http://a/v3/kv/deleterange"),
+                         m_client.m_calls[0].m_url);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"key":"Zm9v"})"),
+                         m_client.m_calls[0].m_body);
+    m_client.m_outcomes = { Failed(HttpDelivery::Lost) };
+    m_store->Delete("foo", [&](WriteOutcome aOutcome) { result = aOutcome; });
+    CPPUNIT_ASSERT(result == WriteOutcome::Uncertain);
+  }
+
   void UnreadableAnswersAreErrors()
   {
     for (const std::string body :
--- a/packages/store/tests/fakestore.h
+++ b/packages/store/tests/fakestore.h
@@ -84,6 +84,17 @@
       aCallback);
   }
 
+  void Delete(const std::string& aKey,
+              std::function<void(WriteOutcome)> aCallback) override
+  {
+    Write(
+      [this, aKey] {
+        RemoveValue(aKey);
+        return WriteOutcome::Written;
+      },
+      aCallback);
+  }
+
   void GrantLease(
     std::chrono::seconds /*aTtl*/,
     std::function<void(core::Result<std::int64_t>)> aCallback) override
@@ -130,14 +141,15 @@
   void ExpireLease(std::int64_t aLease)
   {
     m_leases.erase(aLease);
-    for (auto value = m_values.begin(); value != m_values.end();) {
-      const std::string key = value->first;
-      const bool removed = m_leaseByKey[key] == aLease;
-      value = removed ? m_values.erase(value) : std::next(value);
-      if (removed) {
-        NotifyWatches({ key, "", 0 });
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : m_values) {
+      if (m_leaseByKey[key] == aLease) {
+        keys.push_back(key);
       }
     }
+    for (const std::string& key : keys) {
+      RemoveValue(key);
+    }
   }
 
   /** Applies the writes that were delayed by WriteFault::Delayed. */
@@ -230,7 +242,19 @@
     m_values[aKey] = { aKey, aValue, ++m_revision };
     m_leaseByKey[aKey] = aLease.value_or(0);
     m_writtenValues.push_back(aValue);
-    NotifyWatches(m_values[aKey]);
+    NotifyWatches({ aKey, aValue, m_revision, m_revision });
+  }
+
+  /** A deletion of a key that does not exist changes nothing. */
+  void RemoveValue(const std::string& aKey)
+  {
+    if (!m_values.contains(aKey)) {
+      return;
+    }
+    m_previousValues = m_values;
+    m_values.erase(aKey);
+    ++m_revision;
+    NotifyWatches({ aKey, "", 0, m_revision });
   }
 
   std::uint64_t m_calls = 0;
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -25,7 +25,8 @@
   EventCode::ForeignRunStopped,    EventCode::KeyUncertain,
   EventCode::ConfigPatchUncertain, EventCode::StoreUnavailable,
   EventCode::ConfigUnreadable,     EventCode::MessageRejected,
-  EventCode::MessageDropped,
+  EventCode::MessageDropped,       EventCode::ZoneDrainRejected,
+  EventCode::ZoneDrainUnreadable,  EventCode::ZoneDrainUnknown,
 };
 
 template<std::size_t Size>
