--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -72,6 +72,10 @@
   StoreRecovered = 611,
   ConfigUnreadable = 612,
   StoreWatchEnded = 613,
+  ZoneDrainAccepted = 614,
+  ZoneDrainRejected = 615,
+  ZoneDrainsRead = 616,
+  ZoneDrainUnreadable = 617,
 
   MessageRejected = 700,
   MessageDropped = 701,
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -155,6 +155,13 @@
     m_events->Record(core::EventCode::ConfigUnreadable,
                      core::EventDetail().Add("cause", aDetail));
   };
+  hooks.m_onDrainsChange = [this](core::ZoneDrains aDrains) {
+    OnDrains(std::move(aDrains));
+  };
+  hooks.m_onDrainUnreadable = [this](const std::string& aDetail) {
+    m_events->Record(core::EventCode::ZoneDrainUnreadable,
+                     core::EventDetail().Add("cause", aDetail));
+  };
   m_storeLink.Timer().After(kConfirmationTimeout, [this] { m_gate.Confirm(); });
   m_configService = store::StartConfigService(
     m_storeLink.Store(),
@@ -186,6 +193,20 @@
   ServeCallersIfReady();
 }
 
+void
+EntryRole::OnDrains(core::ZoneDrains aDrains)
+{
+  std::string zones;
+  for (const std::string& zone : aDrains.m_zones) {
+    zones += (zones.empty() ? "" : ",") + zone;
+  }
+  m_events->Record(core::EventCode::ZoneDrainsRead,
+                   core::EventDetail()
+                     .Add("revision", aDrains.m_revision)
+                     .Add("zones", zones));
+  m_shards.Broadcast(core::ZoneDrainsChanged{ std::move(aDrains) });
+}
+
 void
 EntryRole::ServeCallersIfReady()
 {
@@ -258,6 +279,8 @@
   m_api.AddRoutes(m_httpServer.Routes());
   m_configApi.emplace(*m_configService, m_config, *m_events);
   m_configApi->AddRoutes(m_httpServer.Routes());
+  m_drainApi.emplace(*m_configService, m_shards, *m_events);
+  m_drainApi->AddRoutes(m_httpServer.Routes());
   OperatorHooks hooks;
   hooks.m_notReadyReason = [this] { return NotReadyReason(); };
   hooks.m_drain = RequestDrain;
@@ -293,6 +316,7 @@
   aMetrics.AddGauge("config_version",
                     "Version of the configuration in force, 0 for none.",
                     ConfigVersion());
+  m_drainApi->AddMetrics(aMetrics);
   aMetrics.AddProcess();
   aMetrics.AddLog(m_events->Log());
   aMetrics.Append(m_httpServer.Metrics().Collect());
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -26,6 +26,7 @@
   EventCode::ConfigPatchUncertain, EventCode::StoreUnavailable,
   EventCode::ConfigUnreadable,     EventCode::MessageRejected,
   EventCode::MessageDropped,       EventCode::DrainedZoneUnknown,
+  EventCode::ZoneDrainRejected,    EventCode::ZoneDrainUnreadable,
 };
 
 template<std::size_t Size>
