One event for a drained zone without agents

Cause: the entry's core and the daemon both looked for drained zones in which no agent is known, with two events (408 and 618). Change: the core's event stays.

--- a/packages/daemon/internal/drainapi.cpp
+++ b/packages/daemon/internal/drainapi.cpp
@@ -186,22 +186,4 @@
     }));
 }
 
-std::vector<std::string>
-ZonesWithoutAgents(const std::vector<core::AgentStatus>& aAgents,
-                   const core::ZoneDrains& aDrains)
-{
-  std::vector<std::string> zones;
-  std::copy_if(aDrains.m_zones.begin(),
-               aDrains.m_zones.end(),
-               std::back_inserter(zones),
-               [&](const std::string& aZone) {
-                 return std::none_of(aAgents.begin(),
-                                     aAgents.end(),
-                                     [&](const core::AgentStatus& aAgent) {
-                                       return aAgent.m_zone == aZone;
-                                     });
-               });
-  return zones;
-}
-
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/drainapi.h
+++ b/packages/daemon/internal/drainapi.h
@@ -50,9 +50,4 @@
 CountUnacknowledged(const std::vector<core::AgentStatus>& aAgents,
                     const core::ZoneDrains& aDrains);
 
-/** @return the drained zones in which @p aAgents has no agent. */
-std::vector<std::string>
-ZonesWithoutAgents(const std::vector<core::AgentStatus>& aAgents,
-                   const core::ZoneDrains& aDrains);
-
 } // namespace mulberrysail::daemon
--- a/packages/daemon/tests/drainapi_test.cpp
+++ b/packages/daemon/tests/drainapi_test.cpp
@@ -57,7 +57,6 @@
   CPPUNIT_TEST(MapsErrors);
   CPPUNIT_TEST(ListsZonesWithTheirAgents);
   CPPUNIT_TEST(WritesMetrics);
-  CPPUNIT_TEST(FindsZonesWithoutAgents);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,14 +145,6 @@
       std::string::npos);
   }
 
-  void FindsZonesWithoutAgents()
-  {
-    SetUpDrain();
-    CPPUNIT_ASSERT(
-      (ZonesWithoutAgents(m_shards->Agents(), m_shards->Drains()) ==
-       std::vector<std::string>{ "z2" }));
-  }
-
 private:
   /** Drains z1, with one agent of two that has acknowledged, and z2. The second
    * shard has an older list. */
