Fleet simulation: entries receive the messages of entries

Cause: tests of messages between entries (peer load, forwarded jobs) need a simulated fleet, which delivered messages between entries and agents only. Change: messages to entries take the same path whoever sends them, with delay, processor time and the time of sending.

--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -281,6 +281,7 @@
 {
   const auto agent = m_agentByName.find(aSend.m_to.m_name);
   if (agent == m_agentByName.end()) {
+    SendToEntry(aEntry, std::move(aSend));
     return;
   }
   AgentHost& to = m_agents.at(agent->second);
@@ -295,19 +296,27 @@
 
 void
 FleetSimulation::SendFromAgent(AgentHost& aAgent, SendMessage aSend)
+{
+  SendToEntry(aAgent, std::move(aSend));
+}
+
+void
+FleetSimulation::SendToEntry(const Host& aFrom, SendMessage aSend)
 {
   const auto entry = m_entryByName.find(aSend.m_to.m_name);
   if (entry == m_entryByName.end()) {
     return;
   }
   EntryHost& to = m_entries.at(entry->second);
-  CountMessage(aAgent, to, aSend.m_message);
-  At(m_now + DelayBetween(aAgent, to),
-     [this, &to, from = aAgent.m_id, message = std::move(aSend.m_message)] {
-       WhenFree(to, m_plan.m_entryEventCost, [this, &to, from, message] {
-         HandleEntryEvent(to, MessageReceived{ from, message });
-       });
-     });
+  CountMessage(aFrom, to, aSend.m_message);
+  const MessageReceived received{ aFrom.m_id,
+                                  std::move(aSend.m_message),
+                                  m_now };
+  At(m_now + DelayBetween(aFrom, to), [this, &to, received] {
+    WhenFree(to, m_plan.m_entryEventCost, [this, &to, received] {
+      HandleEntryEvent(to, received);
+    });
+  });
 }
 
 void
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -121,6 +121,8 @@
   void HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent);
   void SendFromEntry(EntryHost& aEntry, SendMessage aSend);
   void SendFromAgent(AgentHost& aAgent, SendMessage aSend);
+  /** Sends a message of an agent or an entry to an entry. */
+  void SendToEntry(const Host& aFrom, SendMessage aSend);
   void StartTask(AgentHost& aAgent, const StartRun& aStart);
   Duration DelayBetween(const Host& aFrom, const Host& aTo) const;
   void CountMessage(const Host& aFrom, const Host& aTo, const Message& aSent);
