Entries with too little processor time forward a share of their jobs

Cause: the service that a caller gets depends on the entry that it reaches. An entry with 0.12 of a core spends more on its jobs than it has.

Change: an entry samples its processor usage (ProcessorSampled) and raises the share of arriving jobs that it forwards while it uses more than 60% of what it may, or its timer is late. Peers exchange PeerLoad; a job goes to one eligible peer, drawn by free processor, once. The peer admits it as its own, under a caller token of a separate range, and its answers leave the core as ForwardResult. The first entry handles a job itself only if it was not sent or the peer did not take it (Draining, UnknownService); a silent, restarted or removed peer and a reopened link mean "may have run". The peer cancels the jobs of a silent or restarted entry, and admits none that arrives late, twice, after its cancel, or in a process that was stopped. Off by default.

--- a/packages/core/ientry.h
+++ b/packages/core/ientry.h
@@ -36,8 +36,8 @@
   /** @return the latest time for the next TimerFired; kNever if none is due. */
   virtual Instant NextWake() const = 0;
 
-  /** @return whether no submission is open, so that a draining process may
-   * exit. */
+  /** @return whether no submission and no forwarded job is open, so that a
+   * draining process may exit. */
   virtual bool Idle() const = 0;
 
   /** @return the progress or outcome of @p aSubmission; nothing if it is
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -13,6 +13,17 @@
  * from the ids of other entries and incarnations. */
 constexpr unsigned kIdBaseShift = 24;
 
+/** @return whether the message is one that entries send to entries only. */
+bool
+IsFromEntry(const Message& aMessage)
+{
+  return std::holds_alternative<PeerHello>(aMessage) ||
+         std::holds_alternative<PeerLoad>(aMessage) ||
+         std::holds_alternative<ForwardJob>(aMessage) ||
+         std::holds_alternative<ForwardResult>(aMessage) ||
+         std::holds_alternative<ForwardCancel>(aMessage);
+}
+
 } // namespace
 
 Entry::Entry(ProcessId aSelf,
@@ -26,6 +37,9 @@
   , m_outcomes(m_board, m_answers, m_dispatch)
   , m_configs(m_board)
   , m_membership(m_board, m_dispatch, m_outcomes, m_claims, m_configs)
+  , m_forwards(m_board, m_answers, m_admission)
+  , m_forwardReceiver(m_board, m_answers, m_admission)
+  , m_peerLoads(m_board, m_forwards, m_forwardReceiver)
 {
   m_board.m_self = std::move(aSelf);
   m_board.m_shard = aShard;
@@ -39,12 +53,14 @@
 Entry::Handle(Instant aNow, EntryEvent aEvent, EntryCommands& aCommands)
 {
   EntryEventContext context{ aNow, aCommands };
+  const std::size_t firstCommand = aCommands.size();
   if (!m_board.m_started) {
     m_board.m_started = true;
     m_board.m_departuresKnownSince = aNow;
   }
   std::visit([&](auto& aAny) { On(context, std::move(aAny)); }, aEvent);
   m_dispatch.FlushOffers(context);
+  m_forwardReceiver.SendResults(context, firstCommand);
 }
 
 void
@@ -52,36 +68,52 @@
 {
   const ProcessId& from = aEvent.m_from;
   m_membership.OnMessageReceived(aContext, from);
+  Duration transit{};
+  if (IsFromEntry(aEvent.m_message)) {
+    if (!std::holds_alternative<PeerHello>(aEvent.m_message) &&
+        m_peerLoads.IsSuperseded(from)) {
+      ++m_board.m_counters.m_repliesDropped;
+      return;
+    }
+    transit = m_peerLoads.OnMessageReceived(aContext, from, aEvent.m_sentAt);
+  }
   std::visit(
-    Overloaded{ [&](Announce& aAnnounce) {
-                 m_membership.OnAnnounce(aContext, from, std::move(aAnnounce));
-               },
-                [&](ReportBatch& aBatch) {
-                  m_membership.OnLoadReport(aContext, from, aBatch.m_load);
-                  m_outcomes.OnReports(aContext, from, std::move(aBatch));
-                },
-                [&](FenceReply& aReply) {
-                  m_claims.OnReply(aContext, from, std::move(aReply));
-                },
-                [&](const PeerHello& aHello) {
-                  m_membership.OnPeerHello(aContext, from, aHello);
-                },
-                [&](const ConfigRequest& aRequest) {
-                  m_configs.OnRequest(aContext, from, aRequest);
-                },
-                [&](const ConfigUpdate& aUpdate) {
-                  m_configs.OnUpdate(aContext, from, aUpdate);
-                },
-                // An entry does not handle the remaining messages.
-                [](const OfferBatch&) {},
-                [](const RevokeBatch&) {},
-                [](const Reconcile&) {},
-                [](const FenceQuery&) {},
-                [](const EntryHello&) {},
-                [](const PeerLoad&) {},
-                [](const ForwardJob&) {},
-                [](const ForwardResult&) {},
-                [](const ForwardCancel&) {} },
+    Overloaded{
+      [&](Announce& aAnnounce) {
+        m_membership.OnAnnounce(aContext, from, std::move(aAnnounce));
+      },
+      [&](ReportBatch& aBatch) {
+        m_membership.OnLoadReport(aContext, from, aBatch.m_load);
+        m_outcomes.OnReports(aContext, from, std::move(aBatch));
+      },
+      [&](FenceReply& aReply) {
+        m_claims.OnReply(aContext, from, std::move(aReply));
+      },
+      [&](const PeerHello& aHello) {
+        m_membership.OnPeerHello(aContext, from, aHello);
+      },
+      [&](const ConfigRequest& aRequest) {
+        m_configs.OnRequest(aContext, from, aRequest);
+      },
+      [&](const ConfigUpdate& aUpdate) {
+        m_configs.OnUpdate(aContext, from, aUpdate);
+      },
+      [&](const PeerLoad& aLoad) { m_peerLoads.OnLoad(aContext, from, aLoad); },
+      [&](ForwardJob& aJob) {
+        m_forwardReceiver.OnJob(aContext, from, std::move(aJob), transit);
+      },
+      [&](ForwardResult& aResult) {
+        m_forwards.OnResult(aContext, from, std::move(aResult));
+      },
+      [&](const ForwardCancel& aCancel) {
+        m_forwardReceiver.OnCancel(aContext, from, aCancel);
+      },
+      // An entry does not handle the remaining messages.
+      [](const OfferBatch&) {},
+      [](const RevokeBatch&) {},
+      [](const Reconcile&) {},
+      [](const FenceQuery&) {},
+      [](const EntryHello&) {} },
     aEvent.m_message);
 }
 
@@ -92,6 +124,9 @@
   if (const OfferBatch* batch = std::get_if<OfferBatch>(&aEvent.m_message)) {
     m_outcomes.OnOffersNotSent(aContext, *batch);
   }
+  if (const ForwardJob* job = std::get_if<ForwardJob>(&aEvent.m_message)) {
+    m_forwards.OnNotSent(aContext, aEvent.m_to, *job);
+  }
   if (std::holds_alternative<FenceQuery>(aEvent.m_message)) {
     m_claims.FailClaimsPendingOn(aContext, aEvent.m_to);
   }
@@ -102,6 +137,7 @@
 Entry::On(EntryEventContext& aContext, const LinkReset& aEvent)
 {
   m_membership.OnLinkReset(aContext, aEvent.m_peer);
+  m_peerLoads.OnLinkReset(aContext, aEvent.m_peer);
 }
 
 void
@@ -140,9 +176,11 @@
       },
       [&](const DispatchTimer&) { m_dispatch.DispatchAll(aContext); },
       [&](const HeartbeatTimer&) { m_membership.OnHeartbeat(aContext); },
-      [&](const ConfigTransferTimer&) {
-        m_configs.OnTransferTimer(aContext);
-      } },
+      [&](const ConfigTransferTimer&) { m_configs.OnTransferTimer(aContext); },
+      [&](const ForwardDeadlineTimer& aDeadline) {
+        m_forwards.OnDeadline(aContext, aDeadline.m_forward);
+      },
+      [&](const ForwardTimer&) { m_peerLoads.OnTimer(aContext); } },
     aTimer);
 }
 
@@ -154,6 +192,7 @@
     aContext.Record(EventCode::ProcessDraining,
                     0,
                     EventDetail().Add("open", m_board.m_submissions.size()));
+    m_peerLoads.OnDrain(aContext);
   }
 }
 
@@ -174,12 +213,17 @@
 void
 Entry::On(EntryEventContext& aContext, SubmitJob aEvent)
 {
-  m_admission.OnJob(aContext, std::move(aEvent));
+  if (!m_forwards.TakeJob(aContext, aEvent)) {
+    m_admission.OnJob(aContext, std::move(aEvent));
+  }
 }
 
 void
 Entry::On(EntryEventContext& aContext, const CancelSubmission& aEvent)
 {
+  if (m_forwards.OnCancel(aContext, aEvent.m_submission)) {
+    return;
+  }
   if (Submission* submission = m_board.Find(aEvent.m_submission)) {
     m_answers.Cancel(aContext, *submission);
   }
@@ -188,6 +232,9 @@
 void
 Entry::On(EntryEventContext& aContext, const CallerGone& aEvent)
 {
+  if (m_forwards.OnCallerGone(aContext, aEvent.m_caller)) {
+    return;
+  }
   const auto found = m_board.m_callers.find(aEvent.m_caller);
   if (found == m_board.m_callers.end()) {
     return;
@@ -205,7 +252,9 @@
 void
 Entry::On(EntryEventContext& aContext, PeersChanged aEvent)
 {
+  const std::vector<ProcessId> before = m_board.m_peers;
   m_membership.OnPeersChanged(aContext, std::move(aEvent));
+  m_peerLoads.OnPeersChanged(aContext, before);
 }
 
 void
@@ -221,6 +270,12 @@
   m_board.m_drains = std::move(aEvent.m_drains);
 }
 
+void
+Entry::On(EntryEventContext& aContext, const ProcessorSampled& aEvent)
+{
+  m_peerLoads.OnSample(aContext, aEvent);
+}
+
 Instant
 Entry::NextWake() const
 {
@@ -230,7 +285,9 @@
 bool
 Entry::Idle() const
 {
-  return m_board.m_submissions.empty();
+  return m_board.m_submissions.empty() &&
+         m_board.m_forwarding.m_outgoing.empty() &&
+         m_board.m_forwarding.m_incoming.empty();
 }
 
 std::optional<SubmissionStatus>
@@ -242,7 +299,7 @@
   }
   const auto found = m_board.m_submissions.find(aSubmission);
   if (found == m_board.m_submissions.end()) {
-    return std::nullopt;
+    return m_forwards.Status(aSubmission);
   }
   const Submission& submission = found->second;
   SubmissionStatus status;
@@ -261,6 +318,9 @@
 std::optional<SubmissionStatus>
 Entry::Find(const std::string& aName) const
 {
+  if (const std::optional<SubmissionId> forwarded = m_forwards.Find(aName)) {
+    return m_forwards.Status(*forwarded);
+  }
   const auto named = m_board.m_byName.find(aName);
   return named == m_board.m_byName.end() ? std::nullopt : Status(named->second);
 }
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -6,8 +6,11 @@
 #include "core/internal/entry/claimcontroller.h"
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
+#include "core/internal/entry/forwardcontroller.h"
+#include "core/internal/entry/forwardreceiver.h"
 #include "core/internal/entry/membershipcontroller.h"
 #include "core/internal/entry/outcomecontroller.h"
+#include "core/internal/entry/peerloadcontroller.h"
 
 namespace mulberrysail::core {
 
@@ -47,6 +50,7 @@
   void On(EntryEventContext& aContext, PeersChanged aEvent);
   void On(EntryEventContext& aContext, const NoPriorSubmissions& aEvent);
   void On(EntryEventContext& aContext, ZoneDrainsChanged aEvent);
+  void On(EntryEventContext& aContext, const ProcessorSampled& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
@@ -57,6 +61,9 @@
   OutcomeController m_outcomes;
   ConfigController m_configs;
   MembershipController m_membership;
+  ForwardController m_forwards;
+  ForwardReceiver m_forwardReceiver;
+  PeerLoadController m_peerLoads;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -8,6 +8,9 @@
 
 /** The top bits of every id hold the shard that created it. */
 constexpr unsigned kShardShift = 56;
+/** Added to the silence after which forwarded jobs are cancelled; part of the
+ * time bound in docs/GUARANTEES.md. */
+constexpr Duration kForwardCheckInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -65,6 +68,23 @@
            : m_taskPool;
 }
 
+bool
+EntryBoard::ForwardsJobs() const
+{
+  // Only the first shard exchanges messages with peers.
+  return m_policy.m_forwardJobs && m_policy.m_processorShare > 0 &&
+         m_policy.m_agentTimeout > Duration::zero() && m_shard == 0;
+}
+
+void
+EntryBoard::ArmForwardTimer(Instant aNow)
+{
+  if (!m_forwarding.m_isTimerArmed) {
+    m_forwarding.m_isTimerArmed = true;
+    m_timers.Add(aNow + kForwardCheckInterval, ForwardTimer{});
+  }
+}
+
 std::uint32_t
 EntryBoard::EntryCount() const
 {
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -4,6 +4,7 @@
 #include "core/internal/entry/agentrecord.h"
 #include "core/internal/entry/arrivalmeter.h"
 #include "core/internal/entry/fairsharetracker.h"
+#include "core/internal/entry/forwardstate.h"
 #include "core/internal/entry/retrybudget.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/submission.h"
@@ -203,6 +204,8 @@
   std::vector<Probe> m_probes;
   RetryBudget m_retryBudget{ 20 };
 
+  ForwardState m_forwarding;
+
   TimerQueue m_timers;
   EntryCounters m_counters;
 
@@ -228,6 +231,12 @@
     return PoolOf(aSubmission).m_queue;
   }
 
+  /** @return whether this entry forwards jobs and accepts forwarded ones. */
+  bool ForwardsJobs() const;
+
+  /** Schedules the next check of peers with open forwarded jobs. */
+  void ArmForwardTimer(Instant aNow);
+
   /** @return the number of entries that share the agents, at least 1. */
   std::uint32_t EntryCount() const;
 };
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -60,6 +60,16 @@
 struct ConfigTransferTimer
 {};
 
+/** The answer to a forwarded job is due at the latest. */
+struct ForwardDeadlineTimer
+{
+  ForwardId m_forward;
+};
+
+/** Peers with open forwarded jobs may be due for a heartbeat, or silent. */
+struct ForwardTimer
+{};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -69,7 +79,9 @@
                            RetentionTimer,
                            DispatchTimer,
                            HeartbeatTimer,
-                           ConfigTransferTimer>;
+                           ConfigTransferTimer,
+                           ForwardDeadlineTimer,
+                           ForwardTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -18,6 +18,7 @@
  * ones, which may not have ended, are not counted. */
 constexpr Duration kWarmUp = std::chrono::seconds(2);
 constexpr Duration kCoolDown = std::chrono::seconds(2);
+constexpr Duration kSampleInterval = std::chrono::milliseconds(200);
 constexpr Duration kDeadline = std::chrono::seconds(2);
 
 } // namespace
@@ -50,7 +51,11 @@
   for (const auto& [type, count] : m_messagesByType) {
     text += " " + type + "=" + std::to_string(count);
   }
-  return text + " starts=" + std::to_string(m_starts) +
+  for (const double inTime : m_inTimeByEntry) {
+    text += " at_entry=" + std::to_string(inTime);
+  }
+  return text + " forwarded=" + std::to_string(m_forwarded) +
+         " starts=" + std::to_string(m_starts) +
          " offers=" + std::to_string(m_offers) +
          " refused=" + std::to_string(m_refusedOffers) +
          " messages=" + std::to_string(m_messages) +
@@ -101,15 +106,50 @@
   At(aHost.m_busyUntil, std::move(aAct));
 }
 
+void
+FleetSimulation::WhenEntryFree(EntryHost& aEntry, std::function<void()> aAct)
+{
+  const Duration cost(static_cast<Duration::rep>(
+    static_cast<double>(m_plan.m_entryEventCost.count()) / aEntry.m_cores));
+  aEntry.m_work += cost;
+  WhenFree(aEntry, cost, std::move(aAct));
+}
+
+void
+FleetSimulation::ScheduleSample(EntryHost& aEntry)
+{
+  const Instant due = m_now + kSampleInterval;
+  At(due, [this, &aEntry, due] {
+    WhenFree(aEntry, Duration::zero(), [this, &aEntry, due] {
+      // The host has done all work that was assigned before this event.
+      const Duration done =
+        aEntry.m_work - std::max(aEntry.m_busyUntil - m_now, Duration::zero());
+      ProcessorSampled sample;
+      sample.m_lateness = m_now - due;
+      sample.m_usedShare =
+        static_cast<double>((done - aEntry.m_sampledWork).count()) /
+        static_cast<double>((kSampleInterval + sample.m_lateness).count());
+      aEntry.m_sampledWork = done;
+      HandleEntryEvent(aEntry, sample);
+      ScheduleSample(aEntry);
+    });
+  });
+}
+
 void
 FleetSimulation::AddEntries()
 {
+  m_entries.reserve(m_plan.m_entries);
   for (std::size_t i = 0; i < m_plan.m_entries; ++i) {
     EntryHost& host = m_entries.emplace_back();
     host.m_id = { "entry" + std::to_string(i), { 1 } };
     host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
     EntryPolicy policy = m_plan.m_entryPolicy;
     policy.m_zone = host.m_zone;
+    if (!m_plan.m_entryCores.empty()) {
+      host.m_cores = m_plan.m_entryCores.at(i);
+    }
+    policy.m_processorShare = host.m_cores;
     host.m_core = MakeEntry(host.m_id, 0, policy, kSeed + i);
     m_entryByName[host.m_id.m_name] = i;
   }
@@ -142,6 +182,9 @@
       ConfigChanged{ ParseConfiguration({ 1 }, kJobMixDocument).value(),
                      kJobMixDocument });
     HandleEntryEvent(entry, PeersChanged{ entries });
+    if (m_plan.m_entryPolicy.m_forwardJobs) {
+      ScheduleSample(entry);
+    }
   }
   for (AgentHost& agent : m_agents) {
     WorkerAnnounced announced;
@@ -180,18 +223,17 @@
   m_jobs.push_back(DrawJob(m_random, aKind, m_now));
   const std::uint64_t number = m_jobs.size();
   // A balancer that hashes callers gives entries uneven shares.
-  std::vector<double> shares;
-  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+  std::vector<double> shares = m_plan.m_entryArrivals;
+  for (std::size_t i = shares.size(); i < m_entries.size(); ++i) {
     shares.push_back(1 + static_cast<double>(i % 3) / 2);
   }
   const std::size_t entry = boost::random::discrete_distribution<std::size_t>(
     shares.begin(), shares.end())(m_random);
+  m_entryOfJob.push_back(entry);
   SubmitJob submit = MakeSubmission(m_jobs.back(), number, kDeadline);
-  WhenFree(m_entries.at(entry),
-           m_plan.m_entryEventCost,
-           [this, entry, submit = std::move(submit)] {
-             HandleEntryEvent(m_entries.at(entry), submit);
-           });
+  WhenEntryFree(m_entries.at(entry), [this, entry, submit = std::move(submit)] {
+    HandleEntryEvent(m_entries.at(entry), submit);
+  });
 }
 
 void
@@ -313,9 +355,8 @@
                                   std::move(aSend.m_message),
                                   m_now };
   At(m_now + DelayBetween(aFrom, to), [this, &to, received] {
-    WhenFree(to, m_plan.m_entryEventCost, [this, &to, received] {
-      HandleEntryEvent(to, received);
-    });
+    WhenEntryFree(to,
+                  [this, &to, received] { HandleEntryEvent(to, received); });
   });
 }
 
@@ -346,8 +387,11 @@
   FleetResult result = m_result;
   std::array<std::size_t, kJobKinds.size()> counted{};
   std::array<std::size_t, kJobKinds.size()> inTime{};
+  std::vector<std::size_t> countedAt(m_entries.size());
+  std::vector<std::size_t> inTimeAt(m_entries.size());
   std::size_t ofUse = 0;
-  for (const Job& job : m_jobs) {
+  for (std::size_t i = 0; i < m_jobs.size(); ++i) {
+    const Job& job = m_jobs[i];
     const Duration after = job.m_arrivedAt - m_start;
     if (after < kWarmUp || after > m_plan.m_simulatedTime - kCoolDown) {
       continue;
@@ -356,6 +400,8 @@
     ++result.m_jobs;
     inTime.at(job.m_kind) += job.InTime() ? 1 : 0;
     ofUse += job.OfUse() ? 1 : 0;
+    ++countedAt.at(m_entryOfJob[i]);
+    inTimeAt.at(m_entryOfJob[i]) += job.InTime() ? 1 : 0;
   }
   std::size_t allInTime = 0;
   for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
@@ -364,6 +410,12 @@
       static_cast<double>(inTime.at(kind)) /
       static_cast<double>(std::max<std::size_t>(counted.at(kind), 1));
   }
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    result.m_inTimeByEntry.push_back(
+      static_cast<double>(inTimeAt[i]) /
+      static_cast<double>(std::max<std::size_t>(countedAt[i], 1)));
+    result.m_forwarded += m_entries[i].m_core->Counters().m_forwarded;
+  }
   const double jobs =
     static_cast<double>(std::max<std::size_t>(result.m_jobs, 1));
   result.m_inTime = static_cast<double>(allInTime) / jobs;
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -30,6 +30,10 @@
    * submission; further ones wait meanwhile. */
   Duration m_entryEventCost = std::chrono::microseconds(100);
   Duration m_agentEventCost = std::chrono::microseconds(100);
+  /** Cores of each entry, which divide m_entryEventCost; empty for one each. */
+  std::vector<double> m_entryCores;
+  /** Relative shares of the arrivals at each entry; empty for 1 to 2. */
+  std::vector<double> m_entryArrivals;
   EntryPolicy m_entryPolicy;
   AgentPolicy m_agentPolicy;
 };
@@ -47,6 +51,9 @@
   double m_ofUse = 0;
   /** Share in time by kind of job. */
   std::array<double, kJobKinds.size()> m_inTimeByKind{};
+  /** Share in time by the entry at which the jobs arrived. */
+  std::vector<double> m_inTimeByEntry;
+  std::uint64_t m_forwarded = 0;
   std::size_t m_starts = 0;
   std::size_t m_offers = 0;
   std::size_t m_refusedOffers = 0;
@@ -100,6 +107,11 @@
   struct EntryHost : Host
   {
     std::unique_ptr<IEntry> m_core;
+    double m_cores = 1;
+    /** Processor time of all events up to m_busyUntil, as elapsed time. */
+    Duration m_work{};
+    /** The part of m_work that was done before the last sample. */
+    Duration m_sampledWork{};
   };
 
   struct AgentHost : Host
@@ -111,6 +123,9 @@
   void At(Instant aWhen, std::function<void()> aAct);
   /** Calls @p aAct when @p aHost has time for one more event. */
   void WhenFree(Host& aHost, Duration aCost, std::function<void()> aAct);
+  void WhenEntryFree(EntryHost& aEntry, std::function<void()> aAct);
+  /** Samples the processor usage of an entry every 200 ms. */
+  void ScheduleSample(EntryHost& aEntry);
   void AddEntries();
   void AddAgents();
   void Introduce();
@@ -137,6 +152,8 @@
   std::map<std::string, std::size_t> m_entryByName;
   std::map<std::string, std::size_t> m_agentByName;
   std::vector<Job> m_jobs;
+  /** The entry at which each job arrived. */
+  std::vector<std::size_t> m_entryOfJob;
   FleetResult m_result;
   std::uint64_t m_nextOrder = 0;
   std::priority_queue<Event> m_events;
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -25,6 +25,9 @@
   CallerGone = 204,
   SubmissionRejected = 205,
   SubmissionFailed = 206,
+  JobForwarded = 207,
+  ForwardedJobAnswered = 208,
+  ForwardFailed = 209,
 
   AttemptOffered = 300,
   AttemptRefused = 301,
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -119,6 +119,16 @@
   ZoneDrains m_drains;
 };
 
+/** A sample of the entry's processor usage. */
+struct ProcessorSampled
+{
+  /** Used share of EntryPolicy::m_processorShare since the last sample, 0 to
+   * 1. */
+  double m_usedShare = 0;
+  /** How late the timer of the sample was. */
+  Duration m_lateness{};
+};
+
 using EntryEvent = std::variant<MessageReceived,
                                 SendFailed,
                                 LinkReset,
@@ -131,7 +141,8 @@
                                 CallerGone,
                                 PeersChanged,
                                 NoPriorSubmissions,
-                                ZoneDrainsChanged>;
+                                ZoneDrainsChanged,
+                                ProcessorSampled>;
 
 // ---- agent ----
 
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -97,6 +97,12 @@
    * never certain. Must exceed AgentPolicy::m_entryTimeout + m_runLease,
    * because the agent may first lose its connection and then be paused. */
   Duration m_runsEndAfter{};
+  /** Forward jobs to peers with free processor time, and accept jobs from
+   * them. Requires m_processorShare and m_agentTimeout, which is also the
+   * silence after which a peer with forwarded jobs is given up. */
+  bool m_forwardJobs = false;
+  /** Cores that the entry may use; zero if not known. */
+  double m_processorShare = 0;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -44,8 +44,8 @@
   std::uint32_t m_openAttempts = 0;
 };
 
-/** Counts of an entry core since its creation; m_open and m_waiting are current
- * values. */
+/** Counts of an entry core since its creation; m_open, m_waiting and those that
+ * say so are current values. */
 struct EntryCounters
 {
   std::uint64_t m_admitted = 0;
@@ -59,6 +59,19 @@
   /** Agents whose load was read to place tasks. */
   std::uint64_t m_agentsCompared = 0;
   std::uint64_t m_repliesDropped = 0;
+  /** Jobs passed to another entry. */
+  std::uint64_t m_forwarded = 0;
+  /** Jobs admitted for another entry. */
+  std::uint64_t m_forwardsAccepted = 0;
+  /** Forwarded jobs that the peer did not take. */
+  std::uint64_t m_forwardsTakenBack = 0;
+  std::uint64_t m_forwardsCancelled = 0;
+  /** Forwarded jobs whose callers were told that they may have run. */
+  std::uint64_t m_forwardsUnanswered = 0;
+  /** Share of the arriving jobs that is forwarded, a current value. */
+  std::uint64_t m_forwardPercent = 0;
+  /** Used share of the allowed processor time, a current value. */
+  std::uint64_t m_processorUsedPercent = 0;
   std::uint64_t m_open = 0;
   /** Requests and tasks in the queues of the entry. */
   std::uint64_t m_waiting = 0;
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -12,20 +12,20 @@
 constexpr std::array kVerbose = { EventCode::AttemptQueued };
 
 constexpr std::array kWarnings = {
-  EventCode::SettingsRejected,     EventCode::LogLimited,
-  EventCode::SubmissionRefused,    EventCode::CallerGone,
-  EventCode::SubmissionRejected,   EventCode::SubmissionFailed,
-  EventCode::AttemptRefused,       EventCode::AttemptLost,
-  EventCode::AttemptRetried,       EventCode::RunRejected,
-  EventCode::RunUnclear,           EventCode::AttemptFailed,
-  EventCode::AgentForgotten,       EventCode::EntryForgotten,
-  EventCode::EntrySilent,          EventCode::AgentSilent,
-  EventCode::EndpointLapsed,       EventCode::WorkerLapsed,
-  EventCode::WorkerQuarantined,    EventCode::RunsLapsed,
-  EventCode::ForeignRunStopped,    EventCode::KeyUncertain,
-  EventCode::ConfigPatchUncertain, EventCode::StoreUnavailable,
-  EventCode::ConfigUnreadable,     EventCode::MessageRejected,
-  EventCode::MessageDropped,
+  EventCode::SettingsRejected,   EventCode::LogLimited,
+  EventCode::SubmissionRefused,  EventCode::CallerGone,
+  EventCode::SubmissionRejected, EventCode::SubmissionFailed,
+  EventCode::ForwardFailed,      EventCode::AttemptRefused,
+  EventCode::AttemptLost,        EventCode::AttemptRetried,
+  EventCode::RunRejected,        EventCode::RunUnclear,
+  EventCode::AttemptFailed,      EventCode::AgentForgotten,
+  EventCode::EntryForgotten,     EventCode::EntrySilent,
+  EventCode::AgentSilent,        EventCode::EndpointLapsed,
+  EventCode::WorkerLapsed,       EventCode::WorkerQuarantined,
+  EventCode::RunsLapsed,         EventCode::ForeignRunStopped,
+  EventCode::KeyUncertain,       EventCode::ConfigPatchUncertain,
+  EventCode::StoreUnavailable,   EventCode::ConfigUnreadable,
+  EventCode::MessageRejected,    EventCode::MessageDropped,
 };
 
 template<std::size_t Size>
