Daemon: processor usage is sampled, and settings switch forwarding on

Cause: the core forwards jobs by samples of the processor usage, which nothing took. Change: an entry with policy.forward_jobs and processor_share reads getrusage every 200 ms and passes the used share and the lateness of the timer to its core. Metrics: used and forwarded share, jobs forwarded, accepted, taken back, cancelled, unanswered.

--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -88,6 +88,7 @@
     return error;
   }
   StartPeers();
+  StartSampling();
   AddRoutes();
   m_httpServer.StartServing();
   m_readinessServer.StartServing();
@@ -176,6 +177,21 @@
     urls, HttpUrl(), m_settings.m_entries, m_settings.m_storeLease);
 }
 
+void
+EntryRole::StartSampling()
+{
+  const core::EntryPolicy& policy = m_settings.m_entryPolicy;
+  if (!policy.m_forwardJobs || policy.m_processorShare <= 0) {
+    return;
+  }
+  m_sampler = std::make_shared<ProcessorSampler>(
+    m_storeLink.Timer(),
+    policy.m_processorShare,
+    ProcessorTime,
+    [this](core::ProcessorSampled aSample) { m_shards.At(0).Handle(aSample); });
+  m_sampler->Start();
+}
+
 void
 EntryRole::OnConfig(core::ConfigChanged aConfig)
 {
@@ -370,6 +386,9 @@
   m_callerServer.Stop();
   m_readinessServer.Stop();
   m_peers->Stop();
+  if (m_sampler) {
+    m_sampler->Stop();
+  }
   if (m_configService) {
     m_configService->Stop();
   }
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -7,6 +7,7 @@
 #include "daemon/internal/entrypeers.h"
 #include "daemon/internal/jobgateway.h"
 #include "daemon/internal/metriclist.h"
+#include "daemon/internal/processorsampler.h"
 #include "daemon/internal/routedhttpserver.h"
 #include "daemon/internal/shardset.h"
 #include "daemon/internal/storelink.h"
@@ -53,6 +54,7 @@
   void OnStoreAvailability(bool aAvailable, const std::string& aCause);
   void StartConfig();
   void StartPeers();
+  void StartSampling();
   void AddRoutes();
   void AddStatus(nlohmann::json& aStatus) const;
   /** @return the version of the configuration in force, 0 for none. */
@@ -84,6 +86,8 @@
   /** Set before the transports start, as received ConfigUpdate messages are
    * passed to it. */
   std::shared_ptr<store::IConfigService> m_configService;
+  /** Null if the entry does not forward jobs. */
+  std::shared_ptr<ProcessorSampler> m_sampler;
   EntryApi m_api;
   /** Null if only the native interface is served. */
   const IAdapter* const m_adapter;
--- a/packages/daemon/internal/metriclist.cpp
+++ b/packages/daemon/internal/metriclist.cpp
@@ -1,8 +1,8 @@
 #include "daemon/internal/metriclist.h"
 
-#include <prometheus/text_serializer.h>
+#include "daemon/internal/processorsampler.h"
 
-#include <sys/resource.h>
+#include <prometheus/text_serializer.h>
 
 #include <chrono>
 #include <iterator>
@@ -61,16 +61,15 @@
 void
 MetricList::AddProcess()
 {
-  rusage usage{};
-  if (::getrusage(RUSAGE_SELF, &usage) != 0) {
+  const std::optional<core::Duration> used = ProcessorTime();
+  if (!used) {
     return;
   }
-  const std::chrono::microseconds used =
-    std::chrono::seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-    std::chrono::microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+  const std::chrono::microseconds micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(*used);
   AddCounter("process_cpu_microseconds",
              "Processor time used by this process.",
-             static_cast<std::uint64_t>(used.count()));
+             static_cast<std::uint64_t>(micros.count()));
 }
 
 void
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -124,6 +124,13 @@
     sum.m_retries += counters.m_retries;
     sum.m_agentsCompared += counters.m_agentsCompared;
     sum.m_repliesDropped += counters.m_repliesDropped;
+    sum.m_forwarded += counters.m_forwarded;
+    sum.m_forwardsAccepted += counters.m_forwardsAccepted;
+    sum.m_forwardsTakenBack += counters.m_forwardsTakenBack;
+    sum.m_forwardsCancelled += counters.m_forwardsCancelled;
+    sum.m_forwardsUnanswered += counters.m_forwardsUnanswered;
+    sum.m_forwardPercent += counters.m_forwardPercent;
+    sum.m_processorUsedPercent += counters.m_processorUsedPercent;
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
   }
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -142,6 +142,15 @@
     },
     "nothing runs at an agent so long after the last message to it; "
     "longer than its entry silence and run lease together" },
+  SettingField{
+    "policy.forward_jobs",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return &aS.m_entryPolicy.m_forwardJobs;
+    },
+    "pass jobs to entries with free processor time, and take jobs from them; "
+    "requires `processor_share`, `policy.agent_silence_ms` and one shard" },
 };
 
 } // namespace
--- a/packages/daemon/settings/processfields.cpp
+++ b/packages/daemon/settings/processfields.cpp
@@ -183,6 +183,17 @@
     [](Settings& aS) -> FieldBinding { return Count(aS.m_shards, 1, 16); },
     "parts that decide side by side; services are spread over them, and each "
     "is an entry of its own to the agents" },
+  SettingField{
+    "processor_share",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return NumberBinding<double>{ &aS.m_entryPolicy.m_processorShare,
+                                    0,
+                                    1024 };
+    },
+    "cores that the process may use, such as 0.12; 0 if not known, which "
+    "turns forwarding off" },
   SettingField{
     "log.level",
     kBoth,
--- a/packages/daemon/settings/settingsreader.cpp
+++ b/packages/daemon/settings/settingsreader.cpp
@@ -270,6 +270,25 @@
       CheckAdvertised(m_settings.m_messages.m_address,
                       m_settings.m_advertise.m_messageUrl,
                       "advertise.message_url");
+      CheckForwarding();
+    }
+  }
+
+  void CheckForwarding()
+  {
+    const core::EntryPolicy& policy = m_settings.m_entryPolicy;
+    if (!policy.m_forwardJobs) {
+      return;
+    }
+    // Only the first shard exchanges messages with other entries.
+    if (m_settings.m_shards > 1) {
+      AddFault("policy.forward_jobs",
+               "requires `shards` 1, found " +
+                 std::to_string(m_settings.m_shards));
+    }
+    if (policy.m_agentTimeout == core::Duration::zero()) {
+      AddFault("policy.forward_jobs",
+               "requires `policy.agent_silence_ms` above 0, found 0");
     }
   }
 
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -102,6 +102,9 @@
            R"("policy": {"placement": "best"})",
            R"("policy": {"learn_speed": 1})",
            R"("log": {"level": "debug"})",
+           R"("processor_share": -0.1)",
+           R"("processor_share": 1025)",
+           R"("policy": {"forward_jobs": 1})",
            R"("limits": {"tasks_per_job": 0})" }) {
       CPPUNIT_ASSERT(EntryFaults(fields).find("expected") != std::string::npos);
     }
@@ -121,6 +124,15 @@
       EntryFaults(R"("store": {"urls": []})").starts_with("store.urls: "));
     CPPUNIT_ASSERT(Faults(R"({"role": "agent", "name": "a", "zone": "z"})")
                      .starts_with("entries: "));
+    // Only the first shard exchanges messages with other entries, and a silent
+    // entry has to be given up.
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(
+        "policy.forward_jobs: requires `shards` 1, found 2\n"
+        "policy.forward_jobs: requires `policy.agent_silence_ms` above 0, "
+        "found 0"),
+      EntryFaults(R"("shards": 2, "processor_share": 0.12,
+                     "policy": {"forward_jobs": true})"));
   }
 
   void DocumentedSettingsMatchCode()
