Schedules forward jobs, with kills, cuts, pauses and duplicates

Cause: forwarding adds messages that may be lost, doubled, delayed or delivered to the next incarnation of an entry. Change: in half of the plans jobs go to a queue, the first entry is busy and all entries exchange their load; the invariants are those of all schedules: no task starts twice, every caller gets exactly one answer by its deadline.

--- a/packages/core/tests/schedule_callers.cpp
+++ b/packages/core/tests/schedule_callers.cpp
@@ -138,6 +138,10 @@
   job.m_caller = submission.m_caller;
   job.m_service = "photo";
   job.m_team = "default";
+  if (m_plan.m_forwarding) {
+    job.m_queue = "jobs";
+    job.m_name = aWork;
+  }
   job.m_deadline = submission.m_deadline;
   const std::uint64_t tasks = 1 + m_cluster.Random().Below(kMostTasks);
   for (std::uint64_t i = 0; i < tasks; ++i) {
--- a/packages/core/tests/schedule_cluster.cpp
+++ b/packages/core/tests/schedule_cluster.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration kEndpointInterval = std::chrono::seconds(1);
 constexpr Duration kWorkerInterval = std::chrono::seconds(2);
+constexpr Duration kSampleInterval = std::chrono::milliseconds(200);
+constexpr Duration kForwardSilence = std::chrono::milliseconds(450);
+/** Jobs of a queue are never refused because of load. */
+constexpr Duration kQueueTarget = std::chrono::minutes(1);
 constexpr Duration kLateAnswerDelay = std::chrono::seconds(10);
 constexpr Duration kLargestClockOffset = std::chrono::hours(1);
 constexpr double kDeliverToNextIncarnationProbability = 0.5;
@@ -72,6 +76,9 @@
 {
   for (std::size_t i = 0; i < m_entries.size(); ++i) {
     BootEntry(i);
+    if (m_plan.m_forwarding) {
+      SampleProcessor(i);
+    }
   }
   for (std::size_t i = 0; i < m_agents.size(); ++i) {
     BootAgent(i);
@@ -115,6 +122,11 @@
   EntryPolicy policy;
   policy.m_keyRetention = kScheduleKeyRetention;
   policy.m_keyCandidates = 2;
+  if (m_plan.m_forwarding) {
+    policy.m_forwardJobs = true;
+    policy.m_processorShare = 1;
+    policy.m_agentTimeout = kForwardSilence;
+  }
   m_entryDraining[aEntry] = false;
   m_entries[aEntry]->Boot(id,
                           MakeEntry(id, 0, policy, m_random.Below(1ULL << 40U)),
@@ -200,6 +212,16 @@
   m_clock.After(kWorkerInterval, [this, aWorker] { AnnounceWorker(aWorker); });
 }
 
+void
+ScheduleCluster::SampleProcessor(std::size_t aEntry)
+{
+  if (!m_entries[aEntry]->Paused()) {
+    m_entries[aEntry]->HandleEvent(
+      ProcessorSampled{ aEntry == 0 ? 1.0 : 0.1, {} });
+  }
+  m_clock.After(kSampleInterval, [this, aEntry] { SampleProcessor(aEntry); });
+}
+
 void
 ScheduleCluster::ExecuteEntry(std::size_t aEntry, EntryCommands& aCommands)
 {
@@ -224,7 +246,9 @@
                 " " + std::to_string(aRecord.m_subject) + " " +
                 aRecord.m_detail.Text());
           CheckConfigVersion(self, aRecord);
-          if (aRecord.m_code == EventCode::SubmissionAdmitted) {
+          m_forwarded += aRecord.m_code == EventCode::JobForwarded ? 1 : 0;
+          if (aRecord.m_code == EventCode::SubmissionAdmitted ||
+              aRecord.m_code == EventCode::JobForwarded) {
             m_lastAdmitted = SubmissionId{ aRecord.m_subject };
           }
         } },
@@ -359,6 +383,10 @@
   changed.m_configuration.m_version = aVersion;
   changed.m_configuration.m_services["photo"] = {};
   changed.m_configuration.m_services["stock"] = {};
+  QueueConfig queue;
+  queue.m_service = "photo";
+  queue.m_targetDuration = kQueueTarget;
+  changed.m_configuration.m_queues["jobs"] = queue;
   changed.m_document = "version " + std::to_string(aVersion.m_value);
   return changed;
 }
--- a/packages/core/tests/schedule_cluster.h
+++ b/packages/core/tests/schedule_cluster.h
@@ -65,6 +65,7 @@
   ScheduleChecks& Checks() { return m_checks; }
   ScheduleNetwork& Network() { return m_network; }
   std::uint64_t Steps() const { return m_steps; }
+  std::uint64_t Forwarded() const { return m_forwarded; }
 
 private:
   void BootEntry(std::size_t aEntry);
@@ -73,6 +74,8 @@
   void ConnectEntry(std::size_t aEntry);
   void AnnounceEndpoint(std::size_t aAgent);
   void AnnounceWorker(std::size_t aWorker);
+  /** Samples the processor usage of an entry; the first entry is busy. */
+  void SampleProcessor(std::size_t aEntry);
 
   void ExecuteEntry(std::size_t aEntry, EntryCommands& aCommands);
   void ExecuteAgent(std::size_t aAgent, AgentCommands& aCommands);
@@ -111,6 +114,7 @@
   /** Id of the last submission; zero if it was not admitted. */
   SubmissionId m_lastAdmitted;
   std::uint64_t m_steps = 0;
+  std::uint64_t m_forwarded = 0;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/tests/schedule_plan.cpp
+++ b/packages/core/tests/schedule_plan.cpp
@@ -2,11 +2,14 @@
 
 #include "core/tests/schedule_random.h"
 
+#include <algorithm>
+
 namespace mulberrysail::core {
 
 namespace {
 
 constexpr Duration kDefaultWarmUp = std::chrono::seconds(1);
+constexpr Duration kForwardingWarmUp = std::chrono::seconds(3);
 
 /** @return zero in half of all plans, else a number of 1 to @p aMost. */
 std::uint32_t
@@ -57,9 +60,14 @@
   plan.m_runLossProbability = RandomProbability(random, 0.2);
   plan.m_refusalProbability = RandomProbability(random, 0.2);
   plan.m_failingWorker = random.Chance(0.2);
+  plan.m_forwarding = random.Chance(0.5);
   plan.m_warmUp = plan.m_callerKeys
                     ? kScheduleKeyRetention + std::chrono::seconds(1)
                     : kDefaultWarmUp;
+  if (plan.m_forwarding) {
+    // Entries accept no forwarded jobs in their first two seconds.
+    plan.m_warmUp = std::max(plan.m_warmUp, kForwardingWarmUp);
+  }
   return plan;
 }
 
--- a/packages/core/tests/schedule_plan.h
+++ b/packages/core/tests/schedule_plan.h
@@ -63,6 +63,9 @@
   double m_refusalProbability = 0;
   bool m_failingWorker = false;
 
+  /** Jobs are submitted to a queue, and busy entries forward them. */
+  bool m_forwarding = false;
+
   /** Time without faults at the start. With caller keys it exceeds their
    * retention, as entries need a known history of that length. */
   Duration m_warmUp{};
--- a/packages/core/tests/schedule_run.cpp
+++ b/packages/core/tests/schedule_run.cpp
@@ -73,7 +73,8 @@
            cluster.Checks().Violation(),
            cluster.Steps(),
            cluster.Checks().Answers(),
-           cluster.Checks().Complete() };
+           cluster.Checks().Complete(),
+           cluster.Forwarded() };
 }
 
 } // namespace mulberrysail::core
--- a/packages/core/tests/schedule_run.h
+++ b/packages/core/tests/schedule_run.h
@@ -17,6 +17,8 @@
   std::size_t m_answers = 0;
   /** Number of answers without an error. */
   std::size_t m_complete = 0;
+  /** Number of jobs that entries forwarded. */
+  std::uint64_t m_forwarded = 0;
 };
 
 /**
--- a/packages/core/tests/schedule_test.cpp
+++ b/packages/core/tests/schedule_test.cpp
@@ -43,6 +43,7 @@
     m_steps += aResult.m_steps;
     m_answers += aResult.m_answers;
     m_complete += aResult.m_complete;
+    m_forwarded += aResult.m_forwarded;
     if (!aResult.m_violation.empty()) {
       ++m_violations;
       std::cout << "\nseed " << aResult.m_seed << ": " << aResult.m_violation
@@ -54,6 +55,7 @@
   std::uint64_t m_steps = 0;
   std::size_t m_answers = 0;
   std::size_t m_complete = 0;
+  std::uint64_t m_forwarded = 0;
   std::uint64_t m_violations = 0;
 
 private:
@@ -113,11 +115,12 @@
     RunAllSchedules(totals);
     std::cout << kSchedules << " schedules from seed " << kSeedBase << ": "
               << totals.m_steps << " steps, " << totals.m_answers
-              << " answers, " << totals.m_complete << " of them complete"
-              << std::endl;
+              << " answers, " << totals.m_complete << " of them complete, "
+              << totals.m_forwarded << " jobs forwarded" << std::endl;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, totals.m_violations);
     // The invariants hold trivially if few submissions complete.
     CPPUNIT_ASSERT(totals.m_complete > totals.m_answers / 4);
+    CPPUNIT_ASSERT(totals.m_forwarded > kSchedules / 10);
   }
 
   void SameSeedGivesTheSameSchedule()
