Forwarding tests: unnamed jobs, and each guard against a late job alone

Cause: with the guard removed that keeps the ids of closed jobs, or the one against jobs that waited in a stopped process, all tests but one still passed, because names or the transit time caught the copies. Change: the copy of a job has no name, half of the schedules' jobs have none, and a test covers a stopped process with an unknown time of sending.

--- a/packages/core/tests/entry_forward_failure_test.cpp
+++ b/packages/core/tests/entry_forward_failure_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RestartedEntryAcceptsNoJobsAtFirst);
   CPPUNIT_TEST(LateJobOfAnEarlierIncarnationIsNotRun);
   CPPUNIT_TEST(JobThatIsLongInTransitIsNotRun);
+  CPPUNIT_TEST(JobThatWaitedInAStoppedProcessIsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,8 +211,9 @@
   {
     ForwardFixture entries(2);
     entries.MakeBusy(0);
+    entries.m_namesJobs = false;
     entries.SubmitForwarded(0);
-    const ForwardJob copy = CopyOf(entries);
+    const ForwardJob copy = entries.m_lastForward;
     entries.Handle(1, MessageReceived{ entries.m_nodes[0].m_id, copy });
     entries.Complete(entries.m_lastName);
     entries.Handle(1, MessageReceived{ entries.m_nodes[0].m_id, copy });
@@ -227,7 +229,7 @@
     entries.SetLink(0, 1, Link::Lost);
     entries.SubmitForwarded(0);
     entries.SetLink(0, 1, Link::Open);
-    const ForwardJob job = CopyOf(entries);
+    const ForwardJob job = entries.m_lastForward;
     entries.Handle(1,
                    MessageReceived{ entries.m_nodes[0].m_id,
                                     ForwardCancel{ { job.m_forward } } });
@@ -267,7 +269,7 @@
     entries.MakeBusy(0);
     entries.SetLink(0, 1, Link::Lost);
     entries.SubmitForwarded(0);
-    const ForwardJob job = CopyOf(entries);
+    const ForwardJob job = entries.m_lastForward;
     const ProcessId earlier = entries.m_nodes[0].m_id;
     entries.SetLink(0, 1, Link::Open);
     entries.Kill(0);
@@ -290,6 +292,22 @@
                          entries.OffersOf(entries.m_lastName));
   }
 
+  void JobThatWaitedInAStoppedProcessIsNotRun()
+  {
+    ForwardFixture entries(2);
+    entries.MakeBusy(0);
+    entries.SetLink(0, 1, Link::Lost);
+    entries.SubmitForwarded(0);
+    entries.Stop(1);
+    entries.Advance(milliseconds(500));
+    entries.Continue(1);
+    // The time of sending is unknown.
+    entries.Handle(
+      1, MessageReceived{ entries.m_nodes[0].m_id, entries.m_lastForward });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         entries.OffersOf(entries.m_lastName));
+  }
+
 private:
   static void AssertLost(const ForwardFixture& aFixture, CallerToken aCaller)
   {
@@ -299,23 +317,6 @@
     CPPUNIT_ASSERT(answers[0].m_execution == Execution::MayHaveRun);
     CPPUNIT_ASSERT(answers[0].m_retryAfter.has_value());
   }
-
-  /** @return a copy of the last job that entry 0 forwarded. */
-  static ForwardJob CopyOf(const ForwardFixture& aFixture)
-  {
-    ForwardJob job;
-    job.m_forward = { aFixture.m_nodes[0]
-                        .m_core->Find(aFixture.m_lastName)
-                        ->m_submission.m_value };
-    job.m_queue = "crop";
-    job.m_name = aFixture.m_lastName;
-    job.m_deadlineIn = seconds(5);
-    TaskSpec task;
-    task.m_need = { 1600, 64, 0 };
-    task.m_name = aFixture.m_lastName + ".0";
-    job.m_tasks.push_back(task);
-    return job;
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryForwardFailureTest);
--- a/packages/core/tests/forwardfixture.cpp
+++ b/packages/core/tests/forwardfixture.cpp
@@ -142,6 +142,9 @@
     }
     return;
   }
+  if (const ForwardJob* job = std::get_if<ForwardJob>(&aSend.m_message)) {
+    m_lastForward = *job;
+  }
   InFlight sent{
     aFrom, *to, aSend.m_to, { from.m_id, std::move(aSend.m_message), m_now }
   };
@@ -266,7 +269,7 @@
   job.m_caller = { ++m_lastCaller };
   job.m_queue = aQueue;
   job.m_team = "b";
-  job.m_name = aName;
+  job.m_name = m_namesJobs ? aName : std::string();
   job.m_deadline = std::chrono::seconds(5);
   TaskSpec task;
   task.m_need = kTaskNeed;
--- a/packages/core/tests/forwardfixture.h
+++ b/packages/core/tests/forwardfixture.h
@@ -88,6 +88,10 @@
 
   std::vector<Node> m_nodes;
   std::string m_lastName;
+  /** Whether submitted jobs have names; their tasks always do. */
+  bool m_namesJobs = true;
+  /** The last job that an entry forwarded, also if it did not arrive. */
+  ForwardJob m_lastForward;
   Instant m_now{ std::chrono::hours(1) };
 
 private:
--- a/packages/core/tests/schedule_callers.cpp
+++ b/packages/core/tests/schedule_callers.cpp
@@ -140,7 +140,8 @@
   job.m_team = "default";
   if (m_plan.m_forwarding) {
     job.m_queue = "jobs";
-    job.m_name = aWork;
+    // A job without a name is recognized by its id alone.
+    job.m_name = m_cluster.Random().Chance(0.5) ? aWork : std::string();
   }
   job.m_deadline = submission.m_deadline;
   const std::uint64_t tasks = 1 + m_cluster.Random().Below(kMostTasks);
