--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -6,8 +6,11 @@
 #include "core/internal/entry/claimcontroller.h"
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
+#include "core/internal/entry/forwardcontroller.h"
+#include "core/internal/entry/forwardreceiver.h"
 #include "core/internal/entry/membershipcontroller.h"
 #include "core/internal/entry/outcomecontroller.h"
+#include "core/internal/entry/peerloadcontroller.h"
 #include "core/internal/entry/zonedraincontroller.h"
 
 namespace mulberrysail::core {
@@ -48,6 +51,7 @@
   void On(EntryEventContext& aContext, PeersChanged aEvent);
   void On(EntryEventContext& aContext, const NoPriorSubmissions& aEvent);
   void On(EntryEventContext& aContext, const ZoneDrainsChanged& aEvent);
+  void On(EntryEventContext& aContext, const ProcessorSampled& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
@@ -59,6 +63,9 @@
   ConfigController m_configs;
   ZoneDrainController m_drains;
   MembershipController m_membership;
+  ForwardController m_forwards;
+  ForwardReceiver m_forwardReceiver;
+  PeerLoadController m_peerLoads;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -67,6 +67,16 @@
   std::vector<std::string> m_zones;
 };
 
+/** The answer to a forwarded job is due at the latest. */
+struct ForwardDeadlineTimer
+{
+  ForwardId m_forward;
+};
+
+/** Peers with open forwarded jobs may be due for a heartbeat, or silent. */
+struct ForwardTimer
+{};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -77,7 +87,9 @@
                            DispatchTimer,
                            HeartbeatTimer,
                            ConfigTransferTimer,
-                           DrainedZonesTimer>;
+                           DrainedZonesTimer,
+                           ForwardDeadlineTimer,
+                           ForwardTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
