Learn the speed of workers from tasks and prefer fast ones

Cause: workers differ in speed (run times times 0.6, 1.0 or 1.6), and 3% of the tasks run 7 times as long as declared. Placement of tasks ignored both: tasks went to slow workers while fast ones were free, and the wait ahead of a job was estimated from typical run times.

Runs that take more than 4 times as long as expected on their agent, runs on a worker that is warming up, and runs without the preferred label are not used. The speed is forgotten when the worker restarts or has another name or other labels. - The score of a task includes the slowdown (0.5 counts as much as the zone), and agents on which the task would miss its job's objective rank after the others with room. - RunTimeModel learns the ratio of the arithmetic to the geometric mean of actual over expected run times; the core time of waiting jobs uses it. - Event 315 agent-speed-learned, gauges agents_fast and agents_slow, counter long_runs, and task_slowdown in the agents' status.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -198,11 +198,14 @@
   }
   submission.m_deadline = aContext.m_now + deadline;
   const RunTimeModel& model = m_board.RunTimesOf(submission);
+  const double meanFactor =
+    m_board.m_policy.m_learnTaskSpeed ? model.MeanFactor() : 1;
   for (TaskSpec& task : aJob.m_tasks) {
     WorkItem item;
     item.m_need = task.m_need;
     item.m_declaredRun = task.m_declaredRun.value_or(config.m_expectedRun);
     item.m_expectedRun = model.Estimate(item.m_declaredRun);
+    item.m_meanRun = Scaled(item.m_expectedRun, meanFactor);
     item.m_payload = std::move(task.m_payload);
     item.m_name = std::move(task.m_name);
     item.m_requiredLabel = std::move(task.m_requiredLabel);
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -4,6 +4,7 @@
 #include "core/types/messages.h"
 #include "core/types/time.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -21,6 +22,14 @@
   Resources m_need;
 };
 
+/** How an agent's tasks run compared with the mean of all agents. */
+enum class SpeedClass : std::uint8_t
+{
+  Normal,
+  Fast,
+  Slow,
+};
+
 /** State that an entry keeps of one incarnation of an agent. */
 struct AgentRecord
 {
@@ -48,7 +57,12 @@
   std::uint64_t m_offersSent = 0;
   std::deque<UnreflectedOffer> m_unreflectedOffers;
   std::unordered_set<AttemptId> m_openAttempts;
+  /** Slowdown of the requests of its endpoint. */
   SlowdownModel m_slowdown;
+  /** Slowdown of the tasks of its workers; EntryBoard::m_taskSpeeds relates it
+   * to the mean of all agents. */
+  SlowdownModel m_taskSlowdown;
+  SpeedClass m_speedClass = SpeedClass::Normal;
   /** Whether the agent has to keep a copy of the configuration, and when the
    * last hello with the version was sent to it. */
   bool m_keepsConfig = false;
@@ -68,6 +82,16 @@
            !m_announced.m_workers.empty();
   }
 
+  /** @return whether @p aLabel is empty or a worker of the agent has it. */
+  bool HasLabelOrNone(std::string_view aLabel) const
+  {
+    return aLabel.empty() || std::any_of(m_announced.m_workers.begin(),
+                                         m_announced.m_workers.end(),
+                                         [&](const WorkerInfo& aWorker) {
+                                           return aWorker.HasLabel(aLabel);
+                                         });
+  }
+
   std::uint32_t EndpointSlots() const
   {
     return m_announced.m_endpoint ? m_announced.m_endpoint->m_slots : 0;
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -317,7 +317,7 @@
   }
   AgentRecord* agent = nullptr;
   if (submission.m_kind == WorkKind::Task) {
-    agent = m_placement.PickForTask(submission, item);
+    agent = m_placement.PickForTask(submission, item, aContext.m_now);
   } else if (restricted) {
     const std::vector<AgentRecord*> candidates =
       KeyCandidates(m_board, submission);
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -298,6 +298,8 @@
     status.m_load = agent.m_load;
     status.m_openAttempts =
       static_cast<std::uint32_t>(agent.m_openAttempts.size());
+    status.m_taskSlowdown =
+      m_board.m_taskSpeeds.SlowdownOf(agent.m_taskSlowdown);
     agents.push_back(std::move(status));
   }
   return agents;
@@ -317,6 +319,10 @@
   for (const auto& [name, service] : m_board.m_services) {
     counters.m_waiting += service.m_requestPool.m_queue.Size();
   }
+  for (const auto& [id, agent] : m_board.m_agents) {
+    counters.m_agentsFast += agent.m_speedClass == SpeedClass::Fast ? 1 : 0;
+    counters.m_agentsSlow += agent.m_speedClass == SpeedClass::Slow ? 1 : 0;
+  }
   return counters;
 }
 
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -7,6 +7,7 @@
 #include "core/internal/entry/retrybudget.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/submission.h"
+#include "core/internal/entry/taskspeeds.h"
 #include "core/internal/entry/timerqueue.h"
 #include "core/internal/entry/waitqueue.h"
 #include "core/types/commands.h"
@@ -194,6 +195,8 @@
   std::map<std::string, ServiceState, std::less<>> m_services;
   /** Workers form one pool for the jobs of all services. */
   WaitPool m_taskPool;
+  /** Includes all agents of m_agents. */
+  TaskSpeeds m_taskSpeeds;
   std::map<std::string, TeamState, std::less<>> m_teams;
   std::map<std::string, QueueState, std::less<>> m_queues;
   /** Open and finished jobs by the caller's name for them. */
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -22,7 +22,7 @@
 double
 CoreMicros(const WorkItem& aItem)
 {
-  return static_cast<double>(aItem.m_expectedRun.count()) *
+  return static_cast<double>(aItem.m_meanRun.count()) *
          aItem.m_need.m_milliCores / kMilliCores;
 }
 
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -6,7 +6,7 @@
 
 namespace mulberrysail::core {
 
-/** @return expected run time multiplied by cores, summed over all tasks of
+/** @return mean run time multiplied by cores, summed over all tasks of
  * @p aJob. */
 Duration
 CoreTimeOf(const Submission& aJob);
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -21,6 +21,23 @@
          aLeft.m_workers == aRight.m_workers;
 }
 
+/** @return whether the workers of @p aRight run tasks at the same speed as
+ * those of @p aLeft: a worker with another name or labels is another one, and a
+ * worker that begins to warm up has restarted. */
+bool
+SameSpeed(const Announce& aLeft, const Announce& aRight)
+{
+  return std::equal(aLeft.m_workers.begin(),
+                    aLeft.m_workers.end(),
+                    aRight.m_workers.begin(),
+                    aRight.m_workers.end(),
+                    [](const WorkerInfo& aBefore, const WorkerInfo& aNow) {
+                      return aBefore.m_name == aNow.m_name &&
+                             aBefore.m_labels == aNow.m_labels &&
+                             (aBefore.m_warmingUp || !aNow.m_warmingUp);
+                    });
+}
+
 /** @return one record for each service of the agent, as peers need it if the
  * agent departs. */
 std::vector<DepartedAgent>
@@ -89,6 +106,10 @@
     aContext.Record(
       EventCode::AgentLeaving, 0, DescribeProcess("agent", aFrom));
   }
+  if (!SameSpeed(agent.m_announced, aAnnounce)) {
+    agent.m_taskSlowdown = {};
+    agent.m_speedClass = SpeedClass::Normal;
+  }
   agent.m_lastReceivedAt = aContext.m_now;
   agent.m_reachable = true;
   agent.m_announced = std::move(aAnnounce);
@@ -414,7 +435,9 @@
   }
   m_board.m_taskAgents.clear();
   m_board.m_taskPool.m_parallelism = 0;
+  m_board.m_taskSpeeds.Clear();
   for (auto& [id, agent] : m_board.m_agents) {
+    m_board.m_taskSpeeds.Add(agent.m_taskSlowdown);
     const std::string name = ServiceOf(agent);
     if (!name.empty() && agent.ServesRequests(name)) {
       ServiceState& service = m_board.Service(name);
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/outcomecontroller.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace mulberrysail::core {
@@ -17,6 +18,40 @@
 /** The newest run has the weight 1 / kMeanRunWindow in the moving average. */
 constexpr int kMeanRunWindow = 32;
 
+/** An agent counts as slow from this slowdown on, and as fast from its inverse
+ * on. */
+constexpr double kSlowFrom = 1.2;
+/** A slow agent counts as normal again below this slowdown, so that an agent
+ * near the limit does not cause an event with each run. */
+constexpr double kNormalBelow = 1.1;
+
+SpeedClass
+ClassOf(double aSlowdown, SpeedClass aBefore)
+{
+  if (aSlowdown > (aBefore == SpeedClass::Slow ? kNormalBelow : kSlowFrom)) {
+    return SpeedClass::Slow;
+  }
+  if (aSlowdown <
+      1 / (aBefore == SpeedClass::Fast ? kNormalBelow : kSlowFrom)) {
+    return SpeedClass::Fast;
+  }
+  return SpeedClass::Normal;
+}
+
+std::string_view
+NameOf(SpeedClass aClass)
+{
+  switch (aClass) {
+    case SpeedClass::Normal:
+      return "normal";
+    case SpeedClass::Fast:
+      return "fast";
+    case SpeedClass::Slow:
+      return "slow";
+  }
+  return "";
+}
+
 /** @return whether @p aKind means that the agent accepts no more work. */
 bool
 StopsAcceptingWork(ErrorKind aKind)
@@ -162,24 +197,66 @@
     m_dispatch.EnqueueUnblocked(aContext, submission, item.m_step);
   }
 
-  ServiceState& service = m_board.Service(submission.m_service);
   const Duration ran = std::max(aReport.m_ranFor, Duration(1));
+  double slowdown = 1;
   if (submission.m_kind == WorkKind::Request) {
+    ServiceState& service = m_board.Service(submission.m_service);
     aAgent.m_slowdown.Learn(item.m_expectedRun, ran);
     service.m_meanRun += (ran - service.m_meanRun) / kMeanRunWindow;
+    slowdown = aAgent.m_slowdown.SlowdownFactor();
+  } else if (m_board.m_policy.m_learnTaskSpeed && !submission.m_queue.empty()) {
+    if (!aReport.m_warmingUp) {
+      LearnTaskSpeed(aContext, aAgent, submission, item);
+    }
+    slowdown = m_board.m_taskSpeeds.SlowdownOf(aAgent.m_taskSlowdown);
+  }
+  if (!aReport.m_warmingUp) {
+    m_board.RunTimesOf(submission)
+      .Learn(item.m_declaredRun,
+             Duration(static_cast<Duration::rep>(
+               static_cast<double>(ran.count()) / slowdown)));
   }
-  const double slowdown = submission.m_kind == WorkKind::Request
-                            ? aAgent.m_slowdown.SlowdownFactor()
-                            : 1;
-  m_board.RunTimesOf(submission)
-    .Learn(item.m_declaredRun,
-           Duration(static_cast<Duration::rep>(
-             static_cast<double>(ran.count()) / slowdown)));
   if (submission.m_done == submission.m_items.size()) {
     m_answers.Complete(aContext, submission);
   }
 }
 
+void
+OutcomeController::LearnTaskSpeed(EntryEventContext& aContext,
+                                  AgentRecord& aAgent,
+                                  const Submission& aJob,
+                                  const WorkItem& aItem)
+{
+  // A task runs much longer without its preferred label, on workers of any
+  // speed.
+  if (!aAgent.HasLabelOrNone(aItem.m_preferredLabel)) {
+    return;
+  }
+  // Errors of the first estimates, which are the declared run times, would
+  // count as the speed of the agents.
+  const RunTimeModel& model = m_board.RunTimesOf(aJob);
+  if (!model.IsLearned()) {
+    return;
+  }
+  const bool used = m_board.m_taskSpeeds.Learn(
+    aAgent.m_taskSlowdown, model.Estimate(aItem.m_declaredRun), aItem.m_ranFor);
+  if (!used) {
+    ++m_board.m_counters.m_longRuns;
+    return;
+  }
+  const double slowdown =
+    m_board.m_taskSpeeds.SlowdownOf(aAgent.m_taskSlowdown);
+  const SpeedClass speed = ClassOf(slowdown, aAgent.m_speedClass);
+  if (speed != aAgent.m_speedClass) {
+    aAgent.m_speedClass = speed;
+    aContext.Record(EventCode::AgentSpeedLearned,
+                    0,
+                    DescribeProcess("agent", aAgent.m_id)
+                      .Add("speed", NameOf(speed))
+                      .Add("slowdown", slowdown));
+  }
+}
+
 bool
 OutcomeController::RecordFailureAndCheckRetry(EntryEventContext& aContext,
                                               WorkRef aWork)
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -66,6 +66,11 @@
                    AgentRecord& aAgent,
                    WorkRef aWork,
                    AttemptReport& aReport);
+  /** Learns the speed of @p aAgent from a completed task of a queue. */
+  void LearnTaskSpeed(EntryEventContext& aContext,
+                      AgentRecord& aAgent,
+                      const Submission& aJob,
+                      const WorkItem& aItem);
   void OnOutcomeUnknown(EntryEventContext& aContext,
                         WorkRef aWork,
                         ErrorKind aKind);
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -7,6 +7,7 @@
 #include <boost/random/uniform_real_distribution.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace mulberrysail::core {
@@ -21,10 +22,22 @@
 /** Upper bound of the random time that is added to the score of a request, so
  * that equal scores do not always select the same agent. */
 constexpr double kMaxTieBreakMicros = 200;
-/** Added to the score of a task, whose free capacity counts at most 1. */
+// Parts of the score of a task. Each is greater than the sum of the possible
+// differences of those above it, except that the zone and the speed are weighed
+// against each other. The share of free capacity counts at most 1.
 constexpr double kOtherZoneScore = 1;
-constexpr double kOtherLabelScore = 2;
-constexpr double kNoFreeCapacityScore = 4;
+/** Per unit of slowdown, so that a difference of 0.5 counts as much as the
+ * zone. */
+constexpr double kSlowdownScore = 2;
+/** Slowdowns outside this range count as its ends. */
+constexpr double kMinScoredSlowdown = 0.5;
+constexpr double kMaxScoredSlowdown = 2.5;
+/** Slowdowns that differ less from 1 count as 1. They are within the error of
+ * learning, and equal workers must be compared by zone and free capacity. */
+constexpr double kSlowdownTolerance = 0.1;
+constexpr double kMissesObjectiveScore = 8;
+constexpr double kOtherLabelScore = 16;
+constexpr double kNoFreeCapacityScore = 32;
 constexpr double kNoCapacity = std::numeric_limits<double>::infinity();
 
 double
@@ -223,10 +236,37 @@
   return policy != nullptr && policy->m_zoneAffinity;
 }
 
+double
+Placement::SpeedScore(const AgentRecord& aAgent,
+                      const Submission& aJob,
+                      const WorkItem& aItem,
+                      Instant aNow) const
+{
+  if (!m_board.m_policy.m_learnTaskSpeed) {
+    return 0;
+  }
+  const double slowdown =
+    m_board.m_taskSpeeds.SlowdownOf(aAgent.m_taskSlowdown);
+  // A job without a queue has no objective.
+  const bool sameZone = aAgent.m_announced.m_zone == m_board.m_policy.m_zone;
+  const Duration run(
+    static_cast<Duration::rep>(Micros(aItem.m_expectedRun) * slowdown));
+  const Duration delays =
+    sameZone ? Duration::zero() : 2 * m_board.m_policy.m_zoneDelay;
+  const bool misses = !aJob.m_queue.empty() &&
+                      aNow + run + aItem.m_successorRun + delays > aJob.m_due;
+  const double scored =
+    std::abs(slowdown - 1) < kSlowdownTolerance
+      ? 1
+      : std::clamp(slowdown, kMinScoredSlowdown, kMaxScoredSlowdown);
+  return kSlowdownScore * (scored - 1) + (misses ? kMissesObjectiveScore : 0);
+}
+
 double
 Placement::TaskScore(const AgentRecord& aAgent,
                      const Submission& aJob,
-                     const WorkItem& aItem)
+                     const WorkItem& aItem,
+                     Instant aNow)
 {
   const bool refused = aAgent.m_id == aItem.m_lastAttemptedAgent &&
                        aAgent.m_loadReceivedAt <= aItem.m_lastAttemptEndedAt;
@@ -255,11 +295,12 @@
   }
   if (free.Fits(need)) {
     // Free capacity at an agent with the preferred label, where the task runs
-    // fastest, ranks before free capacity in the entry's zone, and that before
-    // free capacity at any other agent.
+    // fastest, ranks before free capacity at a fast agent or in the entry's
+    // zone, and that before free capacity at any other agent.
     const bool sameZone = aAgent.m_announced.m_zone == m_board.m_policy.m_zone;
     return (preferred ? 0 : kOtherLabelScore) +
-           (sameZone || !PrefersOwnZone() ? 0 : kOtherZoneScore) -
+           (sameZone || !PrefersOwnZone() ? 0 : kOtherZoneScore) +
+           SpeedScore(aAgent, aJob, aItem, aNow) -
            static_cast<double>(free.m_milliCores) / capacity;
   }
   waiting += std::max<std::int64_t>(-free.m_milliCores, 0) /
@@ -287,7 +328,9 @@
 }
 
 AgentRecord*
-Placement::PickForTask(const Submission& aJob, const WorkItem& aItem)
+Placement::PickForTask(const Submission& aJob,
+                       const WorkItem& aItem,
+                       Instant aNow)
 {
   const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
   const bool byLoad =
@@ -299,7 +342,7 @@
   AgentRecord* best = nullptr;
   double bestScore = kNoCapacity;
   for (AgentRecord* agent : sample) {
-    const double score = TaskScore(*agent, aJob, aItem);
+    const double score = TaskScore(*agent, aJob, aItem, aNow);
     if (score < bestScore) {
       best = agent;
       bestScore = score;
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -44,7 +44,9 @@
 
   /** @return the agent to offer a task to, or null if none has free
    * capacity. */
-  AgentRecord* PickForTask(const Submission& aJob, const WorkItem& aItem);
+  AgentRecord* PickForTask(const Submission& aJob,
+                           const WorkItem& aItem,
+                           Instant aNow);
 
   /** @return the most of each resource that any agent has free. A task that
    * does not fit can be placed only in the queue of an agent. */
@@ -91,7 +93,14 @@
    * cannot be offered the task. */
   double TaskScore(const AgentRecord& aAgent,
                    const Submission& aJob,
-                   const WorkItem& aItem);
+                   const WorkItem& aItem,
+                   Instant aNow);
+  /** @return the part of TaskScore that depends on the learned speed of
+   * @p aAgent; 0 if task speeds are not learned. */
+  double SpeedScore(const AgentRecord& aAgent,
+                    const Submission& aJob,
+                    const WorkItem& aItem,
+                    Instant aNow) const;
 
   EntryBoard& m_board;
 };
--- a/packages/core/internal/entry/runtimemodel.cpp
+++ b/packages/core/internal/entry/runtimemodel.cpp
@@ -16,6 +16,8 @@
 /** Number of samples at which the learned slowdown has half its full weight. */
 constexpr double kSlowdownPrior = 4;
 constexpr double kMaxSlowdown = 32;
+/** Bounds the effect of a few very long runs on the mean run time. */
+constexpr double kMaxMeanFactor = 4;
 constexpr Duration kShortestRun{ 100 };
 constexpr Duration kLongestRun = std::chrono::minutes(10);
 
@@ -30,7 +32,7 @@
 Duration
 RunTimeModel::Estimate(Duration aDeclared) const
 {
-  if (m_weight < kServiceMinimum) {
+  if (!IsLearned()) {
     return std::clamp(aDeclared, kShortestRun, kLongestRun);
   }
   const double slope =
@@ -40,9 +42,39 @@
   return std::clamp(run, kShortestRun, kLongestRun);
 }
 
+bool
+RunTimeModel::IsLearned() const
+{
+  return m_weight >= kServiceMinimum;
+}
+
+double
+RunTimeModel::MeanFactor() const
+{
+  if (m_ratioWeight < kServiceMinimum) {
+    return 1;
+  }
+  return std::clamp(
+    m_meanRatio / std::exp(m_meanLogRatio), 1.0, kMaxMeanFactor);
+}
+
+void
+RunTimeModel::LearnRatio(Duration aExpected, Duration aActual)
+{
+  const double logRatio = LogOf(aActual) - LogOf(aExpected);
+  m_ratioWeight = std::min(m_ratioWeight + 1, kServiceWindow);
+  m_meanRatio += (std::exp(logRatio) - m_meanRatio) / m_ratioWeight;
+  m_meanLogRatio += (logRatio - m_meanLogRatio) / m_ratioWeight;
+}
+
 void
 RunTimeModel::Learn(Duration aDeclared, Duration aActual)
 {
+  // Ratios to declared run times would widen the spread by the error of the
+  // declarations.
+  if (IsLearned()) {
+    LearnRatio(Estimate(aDeclared), aActual);
+  }
   const double x = LogOf(aDeclared);
   const double y = LogOf(aActual);
   m_weight = std::min(m_weight + 1, kServiceWindow);
@@ -57,9 +89,14 @@
 double
 SlowdownModel::SlowdownFactor() const
 {
-  const double confidence = m_weight / (m_weight + kSlowdownPrior);
   return std::clamp(
-    std::exp(confidence * m_meanLog), 1 / kMaxSlowdown, kMaxSlowdown);
+    std::exp(Confidence() * m_meanLog), 1 / kMaxSlowdown, kMaxSlowdown);
+}
+
+double
+SlowdownModel::Confidence() const
+{
+  return m_weight / (m_weight + kSlowdownPrior);
 }
 
 void
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -33,6 +33,10 @@
   Resources m_need;
   Duration m_declaredRun{};
   Duration m_expectedRun{};
+  /** Mean run time of tasks with the same expected run time, which is a typical
+   * one; the same value unless task speeds are learned. Not set for requests.
+   */
+  Duration m_meanRun{};
   std::string m_payload;
   WorkState m_state = WorkState::Waiting;
   /** Its order in the wait queue; empty until it is first enqueued. */
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -82,6 +82,10 @@
   EventRow{ EventCode::AttemptFailed,
             "attempt-failed",
             "an attempt ended before it was done" },
+  EventRow{
+    EventCode::AgentSpeedLearned,
+    "agent-speed-learned",
+    "an agent's tasks run faster or slower than the mean, or no longer" },
   EventRow{ EventCode::AgentJoined,
             "agent-joined",
             "an entry discovered an agent" },
--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -1,5 +1,6 @@
 #include "core/tests/fleetsimulation.h"
 
+#include <boost/random/bernoulli_distribution.hpp>
 #include <boost/random/discrete_distribution.hpp>
 
 #include <algorithm>
@@ -14,11 +15,9 @@
 constexpr Duration kDelayBetweenZones = std::chrono::microseconds(600);
 /** The processes learn of each other before the first job. */
 constexpr Duration kSettleTime = std::chrono::seconds(1);
-/** Jobs of the first seconds, in which entries learn run times, and of the last
- * ones, which may not have ended, are not counted. */
+/** Jobs of the first seconds, in which entries learn run times, and those whose
+ * deadline is after the end are not counted. */
 constexpr Duration kWarmUp = std::chrono::seconds(2);
-constexpr Duration kCoolDown = std::chrono::seconds(2);
-constexpr Duration kDeadline = std::chrono::seconds(2);
 
 } // namespace
 
@@ -122,6 +121,10 @@
     AgentHost& host = m_agents.emplace_back();
     host.m_id = { "agent" + std::to_string(i), { 1 } };
     host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
+    if (!m_plan.m_runTimeFactors.empty()) {
+      host.m_runTimeFactor = m_plan.m_runTimeFactors.at(
+        i / m_plan.m_zones % m_plan.m_runTimeFactors.size());
+    }
     AgentPolicy policy = m_plan.m_agentPolicy;
     policy.m_zone = host.m_zone;
     host.m_core = MakeAgent(host.m_id, policy, kSeed + i);
@@ -178,6 +181,7 @@
 FleetSimulation::Submit(std::size_t aKind)
 {
   m_jobs.push_back(DrawJob(m_random, aKind, m_now));
+  LengthenTasks(m_jobs.back());
   const std::uint64_t number = m_jobs.size();
   // A balancer that hashes callers gives entries uneven shares.
   std::vector<double> shares;
@@ -186,7 +190,7 @@
   }
   const std::size_t entry = boost::random::discrete_distribution<std::size_t>(
     shares.begin(), shares.end())(m_random);
-  SubmitJob submit = MakeSubmission(m_jobs.back(), number, kDeadline);
+  SubmitJob submit = MakeSubmission(m_jobs.back(), number, m_plan.m_deadline);
   WhenFree(m_entries.at(entry),
            m_plan.m_entryEventCost,
            [this, entry, submit = std::move(submit)] {
@@ -194,6 +198,18 @@
            });
 }
 
+void
+FleetSimulation::LengthenTasks(Job& aJob)
+{
+  if (m_plan.m_longTaskShare <= 0) {
+    return;
+  }
+  boost::random::bernoulli_distribution<double> isLong(m_plan.m_longTaskShare);
+  for (Duration& run : aJob.m_runs) {
+    run *= isLong(m_random) ? m_plan.m_longTaskFactor : 1;
+  }
+}
+
 void
 FleetSimulation::HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent)
 {
@@ -321,14 +337,16 @@
     std::max(m_result.m_peakUse,
              static_cast<double>(aAgent.m_usedMilliCores) /
                static_cast<double>(m_plan.m_agentMilliCores));
-  At(
-    m_now + m_jobs.at(index.m_job).m_runs.at(index.m_task),
-    [this, &aAgent, need, run = aStart.m_run] {
-      aAgent.m_usedMilliCores -= need;
-      WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
-        HandleAgentEvent(aAgent, RunFinished{ run, RunOutcome::Completed, {} });
-      });
+  const Duration runsFor(static_cast<Duration::rep>(
+    aAgent.m_runTimeFactor *
+    static_cast<double>(
+      m_jobs.at(index.m_job).m_runs.at(index.m_task).count())));
+  At(m_now + runsFor, [this, &aAgent, need, run = aStart.m_run] {
+    aAgent.m_usedMilliCores -= need;
+    WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
+      HandleAgentEvent(aAgent, RunFinished{ run, RunOutcome::Completed, {} });
     });
+  });
 }
 
 FleetResult
@@ -340,7 +358,7 @@
   std::size_t ofUse = 0;
   for (const Job& job : m_jobs) {
     const Duration after = job.m_arrivedAt - m_start;
-    if (after < kWarmUp || after > m_plan.m_simulatedTime - kCoolDown) {
+    if (after < kWarmUp || after > m_plan.m_simulatedTime - m_plan.m_deadline) {
       continue;
     }
     ++counted.at(job.m_kind);
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -26,6 +26,15 @@
   Duration m_burstFrom{};
   Duration m_burstUntil{};
   Duration m_simulatedTime = std::chrono::seconds(8);
+  /** Deadline of each job, from its submission. */
+  Duration m_deadline = std::chrono::seconds(2);
+  /** Factors of the run times of the agents' workers, assigned to the agents by
+   * turns; empty if all are 1. */
+  std::vector<double> m_runTimeFactors;
+  /** Share of the tasks that run m_longTaskFactor times as long as the others
+   * of their job. */
+  double m_longTaskShare = 0;
+  int m_longTaskFactor = 1;
   /** Processor time that an entry or agent needs for one message, timer or
    * submission; further ones wait meanwhile. */
   Duration m_entryEventCost = std::chrono::microseconds(100);
@@ -106,6 +115,7 @@
   {
     std::unique_ptr<IAgent> m_core;
     std::uint32_t m_usedMilliCores = 0;
+    double m_runTimeFactor = 1;
   };
 
   void At(Instant aWhen, std::function<void()> aAct);
@@ -117,6 +127,8 @@
   void ScheduleArrival(std::size_t aKind);
   double LoadNow() const;
   void Submit(std::size_t aKind);
+  /** Makes the drawn share of the tasks of @p aJob long. */
+  void LengthenTasks(Job& aJob);
   void HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent);
   void HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent);
   void SendFromEntry(EntryHost& aEntry, SendMessage aSend);
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -38,6 +38,7 @@
   RunRejected = 309,
   RunUnclear = 310,
   AttemptFailed = 311,
+  AgentSpeedLearned = 315,
 
   AgentJoined = 400,
   AgentLeaving = 401,
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -57,6 +57,9 @@
   std::string m_zone;
   PlacementPolicy m_placement = ReportedLoadPlacement{};
   JobOrderPolicy m_jobOrder = LeastSlackFirst{};
+  /** Learn the speed of each agent's workers from the tasks of queues, prefer
+   * fast ones, and estimate the core time of jobs by mean run times. */
+  bool m_learnTaskSpeed = false;
   /** The most offers that may wait at an agent beyond its free slots. */
   std::uint32_t m_agentQueueDepth = 4;
   /** Ageing: the queue orders work by expected run time minus this share of the
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -42,10 +42,13 @@
   LoadReport m_load;
   /** The entry's open attempts at this agent. */
   std::uint32_t m_openAttempts = 0;
+  /** Learned factor by which tasks last longer at this agent than at one of
+   * mean speed; 1 if nothing is learned. */
+  double m_taskSlowdown = 1;
 };
 
-/** Counts of an entry core since its creation; m_open and m_waiting are current
- * values. */
+/** Counts of an entry core since its creation; m_open, m_waiting, m_agentsFast
+ * and m_agentsSlow are current values. */
 struct EntryCounters
 {
   std::uint64_t m_admitted = 0;
@@ -59,6 +62,12 @@
   /** Agents whose load was read to place tasks. */
   std::uint64_t m_agentsCompared = 0;
   std::uint64_t m_repliesDropped = 0;
+  /** Runs that lasted too long to learn the speed of their agent from. */
+  std::uint64_t m_longRuns = 0;
+  /** Agents whose tasks are learned to run much faster or slower than the mean.
+   */
+  std::uint64_t m_agentsFast = 0;
+  std::uint64_t m_agentsSlow = 0;
   std::uint64_t m_open = 0;
   /** Requests and tasks in the queues of the entry. */
   std::uint64_t m_waiting = 0;
--- a/packages/daemon/internal/counterrows.cpp
+++ b/packages/daemon/internal/counterrows.cpp
@@ -37,6 +37,20 @@
   CounterRow<EntryCounters>{ "replies_dropped",
                              "Replies that matched no open attempt.",
                              &EntryCounters::m_repliesDropped },
+  CounterRow<EntryCounters>{
+    "long_runs",
+    "Runs that lasted too long to learn the speed of their agent from.",
+    &EntryCounters::m_longRuns },
+  CounterRow<EntryCounters>{ "agents_fast",
+                             "Agents whose tasks take less than 1 / 1.2 of the "
+                             "mean, as learned.",
+                             &EntryCounters::m_agentsFast,
+                             true },
+  CounterRow<EntryCounters>{ "agents_slow",
+                             "Agents whose tasks take more than 1.2 times the "
+                             "mean, as learned.",
+                             &EntryCounters::m_agentsSlow,
+                             true },
   CounterRow<EntryCounters>{ "open",
                              "Submissions that are not answered yet.",
                              &EntryCounters::m_open,
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -16,6 +17,15 @@
   return aShards == 1 ? aName : aName + "#" + std::to_string(aShard);
 }
 
+/** @return the slowdown that was learned with more confidence. Shards learn
+ * separately, and a slowdown is nearer to 1 the less is known of it. */
+double
+FartherFromOne(double aLeft, double aRight)
+{
+  return std::abs(std::log(aLeft)) < std::abs(std::log(aRight)) ? aRight
+                                                                : aLeft;
+}
+
 } // namespace
 
 ShardSet::ShardSet(const core::ProcessId& aSelf,
@@ -94,10 +104,13 @@
   for (const std::unique_ptr<EntryShard>& shard : m_shards) {
     for (core::AgentStatus& agent : shard->Agents()) {
       const std::uint32_t open = agent.m_openAttempts;
+      const double slowdown = agent.m_taskSlowdown;
       const auto [known, added] =
         agents.try_emplace(agent.m_agent, std::move(agent));
       if (!added) {
         known->second.m_openAttempts += open;
+        known->second.m_taskSlowdown =
+          FartherFromOne(known->second.m_taskSlowdown, slowdown);
       }
     }
   }
@@ -124,6 +137,10 @@
     sum.m_retries += counters.m_retries;
     sum.m_agentsCompared += counters.m_agentsCompared;
     sum.m_repliesDropped += counters.m_repliesDropped;
+    sum.m_longRuns += counters.m_longRuns;
+    // Each shard learns the speeds of the same agents.
+    sum.m_agentsFast = std::max(sum.m_agentsFast, counters.m_agentsFast);
+    sum.m_agentsSlow = std::max(sum.m_agentsSlow, counters.m_agentsSlow);
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
   }
--- a/packages/daemon/internal/statuscodec.cpp
+++ b/packages/daemon/internal/statuscodec.cpp
@@ -110,7 +110,8 @@
              aAgent.m_endpoint ? EndpointToJson(*aAgent.m_endpoint) : json() },
            { "workers", std::move(workers) },
            { "load", LoadToJson(aAgent.m_load) },
-           { "open_attempts", aAgent.m_openAttempts } };
+           { "open_attempts", aAgent.m_openAttempts },
+           { "task_slowdown", aAgent.m_taskSlowdown } };
 }
 
 json
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -31,6 +31,15 @@
       return &aS.m_placement.m_reportedLoad.m_learnSpeed;
     },
     "`reported-load`: scale run times by what was learned of each agent" },
+  SettingField{
+    "policy.learn_task_speed",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return &aS.m_entryPolicy.m_learnTaskSpeed;
+    },
+    "learn the speed of workers from the tasks of queues, prefer fast workers, "
+    "and estimate waits by mean run times" },
   SettingField{
     "policy.zone_affinity",
     kEntry,
