--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -182,7 +182,7 @@
   }
 
   if (!aReport.m_warmingUp) {
-    LearnRunTime(aAgent, submission, item);
+    LearnRunTime(aContext, aAgent, submission, item);
   }
   if (submission.m_done == submission.m_items.size()) {
     m_answers.Complete(aContext, submission);
@@ -190,7 +190,8 @@
 }
 
 void
-OutcomeController::LearnRunTime(AgentRecord& aAgent,
+OutcomeController::LearnRunTime(EntryEventContext& aContext,
+                                AgentRecord& aAgent,
                                 const Submission& aSubmission,
                                 const WorkItem& aItem)
 {
@@ -201,6 +202,10 @@
     aAgent.m_slowdown.Learn(aItem.m_expectedRun, ran);
     service.m_meanRun += (ran - service.m_meanRun) / kMeanRunWindow;
     slowdown = aAgent.m_slowdown.SlowdownFactor();
+  } else if (m_board.m_policy.m_learnTaskSpeed &&
+             !aSubmission.m_queue.empty()) {
+    LearnTaskSpeed(aContext, aAgent, aSubmission, aItem);
+    slowdown = m_board.m_taskSpeeds.SlowdownOf(aAgent.m_taskSlowdown);
   }
   m_board.RunTimesOf(aSubmission)
     .Learn(aItem.m_declaredRun,
@@ -208,6 +213,42 @@
              static_cast<double>(ran.count()) / slowdown)));
 }
 
+void
+OutcomeController::LearnTaskSpeed(EntryEventContext& aContext,
+                                  AgentRecord& aAgent,
+                                  const Submission& aJob,
+                                  const WorkItem& aItem)
+{
+  // A task runs much longer without its preferred label, on workers of any
+  // speed.
+  if (!aAgent.HasLabelOrNone(aItem.m_preferredLabel)) {
+    return;
+  }
+  // Errors of the first estimates, which are the declared run times, would
+  // count as the speed of the agents.
+  const RunTimeModel& model = m_board.RunTimesOf(aJob);
+  if (!model.IsLearned()) {
+    return;
+  }
+  const bool used = m_board.m_taskSpeeds.Learn(
+    aAgent.m_taskSlowdown, model.Estimate(aItem.m_declaredRun), aItem.m_ranFor);
+  if (!used) {
+    ++m_board.m_counters.m_longRuns;
+    return;
+  }
+  const double slowdown =
+    m_board.m_taskSpeeds.SlowdownOf(aAgent.m_taskSlowdown);
+  const SpeedClass speed = ClassifySpeed(slowdown, aAgent.m_speedClass);
+  if (speed != aAgent.m_speedClass) {
+    aAgent.m_speedClass = speed;
+    aContext.Record(EventCode::AgentSpeedLearned,
+                    0,
+                    DescribeProcess("agent", aAgent.m_id)
+                      .Add("speed", SpeedClassName(speed))
+                      .Add("slowdown", slowdown));
+  }
+}
+
 bool
 OutcomeController::RecordFailureAndCheckRetry(EntryEventContext& aContext,
                                               WorkRef aWork)
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -65,7 +65,8 @@
                           const Submission& aSubmission,
                           const WorkItem& aItem,
                           ErrorKind aKind);
-  void LearnRunTime(AgentRecord& aAgent,
+  void LearnRunTime(EntryEventContext& aContext,
+                    AgentRecord& aAgent,
                     const Submission& aSubmission,
                     const WorkItem& aItem);
   /** Counts an attempt that ran and failed.
@@ -81,6 +82,11 @@
                    AgentRecord& aAgent,
                    WorkRef aWork,
                    AttemptReport& aReport);
+  /** Learns the speed of @p aAgent from a completed task of a queue. */
+  void LearnTaskSpeed(EntryEventContext& aContext,
+                      AgentRecord& aAgent,
+                      const Submission& aJob,
+                      const WorkItem& aItem);
   void OnOutcomeUnknown(EntryEventContext& aContext,
                         WorkRef aWork,
                         ErrorKind aKind);
