Simulated fleets with uneven arrivals, thin entries and workers of different speed

Cause: the simulated fleet had entries with equal processor time, workers of one speed and a constant arrival rate, so it did not show the refusals that uneven arrivals and bursts cause. Change: FleetPlan has weights of the entries in the arrivals, event costs by entry, run time factors by agent, an arrival rate that swings, the needs of tasks, and a window in which offers and their refusals for lack of capacity are counted. FleetResult has the share in time by entry. The default plan draws the same load as before.

--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -1,8 +1,11 @@
 #include "core/tests/fleetsimulation.h"
 
 #include <boost/random/discrete_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 namespace mulberrysail::core {
@@ -19,6 +22,8 @@
 constexpr Duration kWarmUp = std::chrono::seconds(2);
 constexpr Duration kCoolDown = std::chrono::seconds(2);
 constexpr Duration kDeadline = std::chrono::seconds(2);
+constexpr double kFourZoneJobsPerSecond = 845;
+constexpr double kMsPerSecond = 1000;
 
 } // namespace
 
@@ -37,6 +42,35 @@
   return plan;
 }
 
+FleetPlan
+FourZonePlan(double aUse)
+{
+  FleetPlan plan = DefaultFleetPlan();
+  plan.m_entries = 8;
+  plan.m_agents = 50;
+  plan.m_zones = 4;
+  plan.m_agentMilliCores = 64000;
+  double jobs = 0;
+  double running = 0;
+  for (const JobKind& kind : kJobKinds) {
+    jobs += kind.m_perSecond;
+    running += kind.m_perSecond * kind.m_tasks * kind.m_runMs / kMsPerSecond;
+  }
+  plan.m_load = kFourZoneJobsPerSecond / jobs;
+  const double milliCores =
+    static_cast<double>(plan.m_agents) * plan.m_agentMilliCores;
+  plan.m_taskMilliCores =
+    static_cast<std::uint32_t>(aUse * milliCores / (running * plan.m_load));
+  return plan;
+}
+
+double
+FleetResult::AcceptedInWindow() const
+{
+  return 1 - static_cast<double>(m_queueFullInWindow) /
+               static_cast<double>(std::max<std::size_t>(m_offersInWindow, 1));
+}
+
 std::string
 FleetResult::Text() const
 {
@@ -47,6 +81,13 @@
     text += std::string(" ") + kJobKinds.at(kind).m_queue + "=" +
             std::to_string(m_inTimeByKind.at(kind));
   }
+  for (std::size_t entry = 0; entry < m_inTimeByEntry.size(); ++entry) {
+    text += " entry" + std::to_string(entry) + "=" +
+            std::to_string(m_inTimeByEntry[entry]) + "/" +
+            std::to_string(m_jobsByEntry[entry]);
+  }
+  text += " accepted_in_window=" + std::to_string(AcceptedInWindow()) + "/" +
+          std::to_string(m_offersInWindow);
   for (const auto& [type, count] : m_messagesByType) {
     text += " " + type + "=" + std::to_string(count);
   }
@@ -111,6 +152,9 @@
     EntryPolicy policy = m_plan.m_entryPolicy;
     policy.m_zone = host.m_zone;
     host.m_core = MakeEntry(host.m_id, 0, policy, kSeed + i);
+    const std::vector<Duration>& costs = m_plan.m_entryEventCosts;
+    host.m_eventCost =
+      costs.empty() ? m_plan.m_entryEventCost : costs[i % costs.size()];
     m_entryByName[host.m_id.m_name] = i;
   }
 }
@@ -125,6 +169,8 @@
     AgentPolicy policy = m_plan.m_agentPolicy;
     policy.m_zone = host.m_zone;
     host.m_core = MakeAgent(host.m_id, policy, kSeed + i);
+    const std::vector<double>& factors = m_plan.m_runFactors;
+    host.m_runFactor = factors.empty() ? 1 : factors[i % factors.size()];
     m_agentByName[host.m_id.m_name] = i;
   }
 }
@@ -161,7 +207,18 @@
 {
   const Duration time = m_now - m_start;
   const bool burst = time >= m_plan.m_burstFrom && time < m_plan.m_burstUntil;
-  return m_plan.m_load * (burst ? m_plan.m_burstFactor : 1);
+  const double phase = static_cast<double>(time.count()) /
+                       static_cast<double>(m_plan.m_swingPeriod.count());
+  const double swing =
+    1 + m_plan.m_swing * std::sin(2 * std::numbers::pi * phase);
+  return m_plan.m_load * swing * (burst ? m_plan.m_burstFactor : 1);
+}
+
+bool
+FleetSimulation::InWindow() const
+{
+  const Duration time = m_now - m_start;
+  return time >= m_plan.m_windowFrom && time < m_plan.m_windowUntil;
 }
 
 void
@@ -174,24 +231,45 @@
   });
 }
 
-void
-FleetSimulation::Submit(std::size_t aKind)
+std::size_t
+FleetSimulation::DrawEntry()
 {
-  m_jobs.push_back(DrawJob(m_random, aKind, m_now));
-  const std::uint64_t number = m_jobs.size();
   // A balancer that hashes callers gives entries uneven shares.
-  std::vector<double> shares;
-  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+  std::vector<double> shares = m_plan.m_arrivalShares;
+  for (std::size_t i = shares.size(); i < m_entries.size(); ++i) {
     shares.push_back(1 + static_cast<double>(i % 3) / 2);
   }
-  const std::size_t entry = boost::random::discrete_distribution<std::size_t>(
+  return boost::random::discrete_distribution<std::size_t>(
     shares.begin(), shares.end())(m_random);
+}
+
+std::uint32_t
+FleetSimulation::DrawNeed()
+{
+  if (m_plan.m_needSpread <= 0) {
+    return m_plan.m_taskMilliCores;
+  }
+  const double factor = boost::random::uniform_real_distribution<double>(
+    1 - m_plan.m_needSpread, 1 + m_plan.m_needSpread)(m_random);
+  return static_cast<std::uint32_t>(factor * m_plan.m_taskMilliCores);
+}
+
+void
+FleetSimulation::Submit(std::size_t aKind)
+{
+  m_jobs.push_back(DrawJob(m_random, aKind, m_now));
+  const std::uint64_t number = m_jobs.size();
+  const std::size_t entry = DrawEntry();
+  m_entryOfJob.push_back(entry);
   SubmitJob submit = MakeSubmission(m_jobs.back(), number, kDeadline);
-  WhenFree(m_entries.at(entry),
-           m_plan.m_entryEventCost,
-           [this, entry, submit = std::move(submit)] {
-             HandleEntryEvent(m_entries.at(entry), submit);
-           });
+  const std::uint32_t need = DrawNeed();
+  for (TaskSpec& task : submit.m_tasks) {
+    task.m_need.m_milliCores = need;
+  }
+  EntryHost& host = m_entries.at(entry);
+  WhenFree(host, host.m_eventCost, [this, &host, submit = std::move(submit)] {
+    HandleEntryEvent(host, submit);
+  });
 }
 
 void
@@ -262,6 +340,7 @@
                                        : std::string(MessageTypeName(aSent))];
   if (const OfferBatch* batch = std::get_if<OfferBatch>(&aSent)) {
     m_result.m_offers += batch->m_offers.size();
+    m_result.m_offersInWindow += InWindow() ? batch->m_offers.size() : 0;
     if (aFrom.m_zone != aTo.m_zone) {
       m_result.m_offersToOtherZones += batch->m_offers.size();
     }
@@ -273,6 +352,14 @@
                     [](const AttemptReport& aReport) {
                       return aReport.m_fate == AttemptFate::Refused;
                     }));
+    m_result.m_queueFullInWindow +=
+      !InWindow() ? 0
+                  : static_cast<std::size_t>(std::count_if(
+                      reports->m_reports.begin(),
+                      reports->m_reports.end(),
+                      [](const AttemptReport& aReport) {
+                        return aReport.m_kind == ErrorKind::QueueFull;
+                      }));
   }
 }
 
@@ -304,7 +391,7 @@
   CountMessage(aAgent, to, aSend.m_message);
   At(m_now + DelayBetween(aAgent, to),
      [this, &to, from = aAgent.m_id, message = std::move(aSend.m_message)] {
-       WhenFree(to, m_plan.m_entryEventCost, [this, &to, from, message] {
+       WhenFree(to, to.m_eventCost, [this, &to, from, message] {
          HandleEntryEvent(to, MessageReceived{ from, message });
        });
      });
@@ -321,14 +408,15 @@
     std::max(m_result.m_peakUse,
              static_cast<double>(aAgent.m_usedMilliCores) /
                static_cast<double>(m_plan.m_agentMilliCores));
-  At(
-    m_now + m_jobs.at(index.m_job).m_runs.at(index.m_task),
-    [this, &aAgent, need, run = aStart.m_run] {
-      aAgent.m_usedMilliCores -= need;
-      WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
-        HandleAgentEvent(aAgent, RunFinished{ run, RunOutcome::Completed, {} });
-      });
+  const Duration nominal = m_jobs.at(index.m_job).m_runs.at(index.m_task);
+  const Duration run(static_cast<Duration::rep>(
+    static_cast<double>(nominal.count()) * aAgent.m_runFactor));
+  At(m_now + run, [this, &aAgent, need, run = aStart.m_run] {
+    aAgent.m_usedMilliCores -= need;
+    WhenFree(aAgent, m_plan.m_agentEventCost, [this, &aAgent, run] {
+      HandleAgentEvent(aAgent, RunFinished{ run, RunOutcome::Completed, {} });
     });
+  });
 }
 
 FleetResult
@@ -338,7 +426,10 @@
   std::array<std::size_t, kJobKinds.size()> counted{};
   std::array<std::size_t, kJobKinds.size()> inTime{};
   std::size_t ofUse = 0;
-  for (const Job& job : m_jobs) {
+  result.m_jobsByEntry.resize(m_entries.size());
+  std::vector<std::size_t> inTimeByEntry(m_entries.size());
+  for (std::size_t i = 0; i < m_jobs.size(); ++i) {
+    const Job& job = m_jobs[i];
     const Duration after = job.m_arrivedAt - m_start;
     if (after < kWarmUp || after > m_plan.m_simulatedTime - kCoolDown) {
       continue;
@@ -346,6 +437,8 @@
     ++counted.at(job.m_kind);
     ++result.m_jobs;
     inTime.at(job.m_kind) += job.InTime() ? 1 : 0;
+    ++result.m_jobsByEntry.at(m_entryOfJob.at(i));
+    inTimeByEntry.at(m_entryOfJob.at(i)) += job.InTime() ? 1 : 0;
     ofUse += job.OfUse() ? 1 : 0;
   }
   std::size_t allInTime = 0;
@@ -355,6 +448,11 @@
       static_cast<double>(inTime.at(kind)) /
       static_cast<double>(std::max<std::size_t>(counted.at(kind), 1));
   }
+  for (std::size_t i = 0; i < m_entries.size(); ++i) {
+    result.m_inTimeByEntry.push_back(
+      static_cast<double>(inTimeByEntry[i]) /
+      static_cast<double>(std::max<std::size_t>(result.m_jobsByEntry[i], 1)));
+  }
   const double jobs =
     static_cast<double>(std::max<std::size_t>(result.m_jobs, 1));
   result.m_inTime = static_cast<double>(allInTime) / jobs;
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -30,6 +30,22 @@
    * submission; further ones wait meanwhile. */
   Duration m_entryEventCost = std::chrono::microseconds(100);
   Duration m_agentEventCost = std::chrono::microseconds(100);
+  /** Event costs by entry, in turn; empty if all have m_entryEventCost. */
+  std::vector<Duration> m_entryEventCosts;
+  /** Weights of the entries in the arrivals; empty for 1, 1.5 and 2 in turn. */
+  std::vector<double> m_arrivalShares;
+  /** The arrival rate varies by this share, as a sine with m_swingPeriod. */
+  double m_swing = 0;
+  Duration m_swingPeriod = std::chrono::seconds(13);
+  /** Factors on the run times by agent, in turn; empty for 1. */
+  std::vector<double> m_runFactors;
+  /** Cores that a task needs, in thousandths; the needs of a job's tasks are
+   * off by at most the share m_needSpread. */
+  std::uint32_t m_taskMilliCores = kTaskMilliCores;
+  double m_needSpread = 0;
+  /** The offers between these times are also counted on their own. */
+  Duration m_windowFrom{};
+  Duration m_windowUntil{};
   EntryPolicy m_entryPolicy;
   AgentPolicy m_agentPolicy;
 };
@@ -39,6 +55,15 @@
 FleetPlan
 DefaultFleetPlan();
 
+/**
+ * @param aUse the share of all cores that the load takes on workers with run
+ * factor 1.
+ * @return a plan with 8 entries, 50 agents of 64 cores in 4 zones and 845 jobs
+ * a second.
+ */
+FleetPlan
+FourZonePlan(double aUse);
+
 /** What the callers got and what the processes sent. */
 struct FleetResult
 {
@@ -47,6 +72,13 @@
   double m_ofUse = 0;
   /** Share in time by kind of job. */
   std::array<double, kJobKinds.size()> m_inTimeByKind{};
+  /** Jobs that were counted and their share in time, by entry. */
+  std::vector<std::size_t> m_jobsByEntry;
+  std::vector<double> m_inTimeByEntry;
+  /** Offers in the window of the plan, and reports in it that an agent had no
+   * capacity for an offer. */
+  std::size_t m_offersInWindow = 0;
+  std::size_t m_queueFullInWindow = 0;
   std::size_t m_starts = 0;
   std::size_t m_offers = 0;
   std::size_t m_refusedOffers = 0;
@@ -60,6 +92,10 @@
    * capacity. */
   double m_peakUse = 0;
 
+  /** @return the share of the offers in the window that were not refused for
+   * lack of capacity. */
+  double AcceptedInWindow() const;
+
   /** @return the result in one line, for assertion messages. */
   std::string Text() const;
 };
@@ -100,12 +136,14 @@
   struct EntryHost : Host
   {
     std::unique_ptr<IEntry> m_core;
+    Duration m_eventCost{};
   };
 
   struct AgentHost : Host
   {
     std::unique_ptr<IAgent> m_core;
     std::uint32_t m_usedMilliCores = 0;
+    double m_runFactor = 1;
   };
 
   void At(Instant aWhen, std::function<void()> aAct);
@@ -117,6 +155,9 @@
   void ScheduleArrival(std::size_t aKind);
   double LoadNow() const;
   void Submit(std::size_t aKind);
+  std::size_t DrawEntry();
+  std::uint32_t DrawNeed();
+  bool InWindow() const;
   void HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent);
   void HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent);
   void SendFromEntry(EntryHost& aEntry, SendMessage aSend);
@@ -135,6 +176,8 @@
   std::map<std::string, std::size_t> m_entryByName;
   std::map<std::string, std::size_t> m_agentByName;
   std::vector<Job> m_jobs;
+  /** The entry of each job. */
+  std::vector<std::size_t> m_entryOfJob;
   FleetResult m_result;
   std::uint64_t m_nextOrder = 0;
   std::priority_queue<Event> m_events;
