--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -1,8 +1,10 @@
 #include "core/internal/agent/admission.h"
 
 #include "core/ientry.h"
+#include "core/internal/agent/capacitygrants.h"
 #include "core/internal/agent/membership.h"
 #include "core/internal/agent/outcomes.h"
+#include "core/internal/agent/reporter.h"
 #include "core/internal/agent/starter.h"
 #include "core/internal/agent/workerusage.h"
 
@@ -17,12 +19,11 @@
 constexpr std::uint32_t kMeanNeedWindow = 16;
 
 void
-UpdateMeanNeed(WorkerSection& aWorkers, std::uint32_t aMilliCores)
+UpdateMean(std::uint32_t& aMean, std::uint32_t aValue)
 {
-  std::uint32_t& mean = aWorkers.m_meanNeedMilliCores;
-  mean = mean == 0
-           ? aMilliCores
-           : (mean * (kMeanNeedWindow - 1) + aMilliCores) / kMeanNeedWindow;
+  aMean = aMean == 0
+            ? aValue
+            : (aMean * (kMeanNeedWindow - 1) + aValue) / kMeanNeedWindow;
 }
 
 } // namespace
@@ -47,9 +48,16 @@
     entry.m_subscribedUntil[ShardOf(aBatch.m_offers.front().m_attempt)] =
       m_board.m_now + aBatch.m_subscribeFor;
   }
+  const std::optional<std::uint8_t> shard =
+    aBatch.m_offers.empty()
+      ? std::nullopt
+      : std::optional(ShardOf(aBatch.m_offers.front().m_attempt));
   for (Offer& offer : aBatch.m_offers) {
     ProcessOffer(aEntry, std::move(offer));
   }
+  if (shard) {
+    CapacityGrants(m_board).RecordDemand(entry, *shard, aBatch.m_demand);
+  }
 }
 
 void
@@ -62,9 +70,11 @@
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
   ++m_board.m_counters.m_offersReceived;
   if (aOffer.m_kind == WorkKind::Task) {
-    UpdateMeanNeed(m_board.m_workers, aOffer.m_need.m_milliCores);
+    UpdateMean(m_board.m_workers.m_meanNeedMilliCores,
+               aOffer.m_need.m_milliCores);
+    UpdateMean(m_board.m_workers.m_meanNeedMemoryMb, aOffer.m_need.m_memoryMb);
   }
-  const ErrorKind kind = CheckOffer(aOffer);
+  const ErrorKind kind = CheckOffer(entry, aOffer);
   if (kind == ErrorKind::QueueFull) {
     entry.m_earliestRefused =
       std::min(entry.m_earliestRefused.value_or(aOffer.m_dispatchTime),
@@ -75,6 +85,7 @@
     return;
   }
   ++entry.m_openAttempts;
+  CapacityGrants(m_board).CountAccepted(entry, aOffer);
   Attempt& attempt = m_board.m_attempts.m_open[key];
   attempt.m_key = key;
   attempt.m_offer = std::move(aOffer);
@@ -116,7 +127,7 @@
 }
 
 ErrorKind
-Admission::CheckOffer(const Offer& aOffer) const
+Admission::CheckOffer(const EntryRecord& aEntry, const Offer& aOffer) const
 {
   if (m_board.m_draining) {
     return ErrorKind::Draining;
@@ -131,7 +142,7 @@
     return ErrorKind::Superseded;
   }
   return aOffer.m_kind == WorkKind::Request ? CheckRequest(aOffer)
-                                            : CheckTask(aOffer);
+                                            : CheckTask(aEntry, aOffer);
 }
 
 ErrorKind
@@ -149,7 +160,7 @@
 }
 
 ErrorKind
-Admission::CheckTask(const Offer& aOffer) const
+Admission::CheckTask(const EntryRecord& aEntry, const Offer& aOffer) const
 {
   if (!HasWorkerFor(m_board, aOffer, {})) {
     const bool anyLive =
@@ -172,12 +183,12 @@
   }
   const bool accepted =
     m_board.m_tasks.m_size < m_board.m_policy.m_maxQueuedTasks ||
-    CanStartAtOnce(aOffer);
+    CanStartAtOnce(aEntry, aOffer);
   return accepted ? ErrorKind::None : ErrorKind::QueueFull;
 }
 
 bool
-Admission::CanStartAtOnce(const Offer& aOffer) const
+Admission::CanStartAtOnce(const EntryRecord& aEntry, const Offer& aOffer) const
 {
   // No attempt of a batch is started before all its offers are processed, so
   // the task must fit together with the tasks that are already queued.
@@ -187,16 +198,19 @@
       AddResources(needed, attempt->m_offer.m_need);
     }
   }
-  return std::any_of(
-    m_board.m_workers.m_workers.begin(),
-    m_board.m_workers.m_workers.end(),
-    [&](const std::pair<const std::string, Worker>& aWorker) {
-      return CanRun(aWorker.second.m_info,
-                    aOffer.m_service,
-                    aOffer.m_requiredLabel,
-                    aOffer.m_need) &&
-             FreeCapacity(m_board, aWorker.second).Fits(needed);
-    });
+  const Resources free =
+    FreeCapacityFor(m_board, aEntry, CurrentLoad(m_board).m_freeCapacity);
+  return free.Fits(needed) &&
+         std::any_of(
+           m_board.m_workers.m_workers.begin(),
+           m_board.m_workers.m_workers.end(),
+           [&](const std::pair<const std::string, Worker>& aWorker) {
+             return CanRun(aWorker.second.m_info,
+                           aOffer.m_service,
+                           aOffer.m_requiredLabel,
+                           aOffer.m_need) &&
+                    FreeCapacity(m_board, aWorker.second).Fits(needed);
+           });
 }
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/admission.h
+++ b/packages/core/internal/agent/admission.h
@@ -24,12 +24,12 @@
    * @return whether @p aOffer needs no further processing. */
   bool HandleDuplicate(const AttemptKey& aKey, const Offer& aOffer);
   /** @return the reason to refuse @p aOffer; ErrorKind::None to accept it. */
-  ErrorKind CheckOffer(const Offer& aOffer) const;
+  ErrorKind CheckOffer(const EntryRecord& aEntry, const Offer& aOffer) const;
   ErrorKind CheckRequest(const Offer& aOffer) const;
-  ErrorKind CheckTask(const Offer& aOffer) const;
+  ErrorKind CheckTask(const EntryRecord& aEntry, const Offer& aOffer) const;
   /** @return whether a worker has free capacity for the task in addition to
-   * all queued tasks. */
-  bool CanStartAtOnce(const Offer& aOffer) const;
+   * all queued tasks, without the capacity granted to other entries. */
+  bool CanStartAtOnce(const EntryRecord& aEntry, const Offer& aOffer) const;
 
   AgentBoard& m_board;
 };
--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -2,6 +2,7 @@
 
 #include "core/internal/agent/admission.h"
 #include "core/internal/agent/breakers.h"
+#include "core/internal/agent/capacitygrants.h"
 #include "core/internal/agent/leasedruns.h"
 #include "core/internal/agent/membership.h"
 #include "core/internal/agent/outcomes.h"
@@ -150,6 +151,7 @@
   Instant& subscribedUntil = entry.m_subscribedUntil[aHello.m_shard];
   subscribedUntil =
     std::max(subscribedUntil, m_board.m_now + aHello.m_subscribeFor);
+  CapacityGrants(m_board).RecordDemand(entry, aHello.m_shard, aHello.m_demand);
   HandleConfigVersion(aEntry, aHello);
 }
 
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -21,6 +21,22 @@
   AttemptId m_refused;
 };
 
+/** The last statement of a shard of an entry about its waiting work. */
+struct StatedDemand
+{
+  Demand m_demand;
+  Instant m_receivedAt;
+};
+
+/** Free capacity that is held for one entry. */
+struct CapacityGrant
+{
+  Resources m_capacity;
+  Instant m_until;
+
+  bool IsOpen() const { return m_capacity.m_milliCores > 0; }
+};
+
 /** State of one incarnation of an entry. */
 struct EntryRecord
 {
@@ -46,6 +62,14 @@
   /** The earliest Offer::m_dispatchTime of the entry's tasks that were refused
    * for lack of capacity since the entry was last notified of free capacity. */
   std::optional<Instant> m_earliestRefused;
+  /** By shard. */
+  std::map<std::uint8_t, StatedDemand> m_demands;
+  CapacityGrant m_grant;
+  /** Whether the entry has not been notified of its grant. */
+  bool m_grantReportDue = false;
+  /** Set when a grant expires unused; the entry gets no other one before it
+   * states its demand again, because it may be gone or paused. */
+  bool m_grantUnused = false;
   bool m_announceDue = false;
   /** Set when a send to the entry failed; cleared by a message from the entry,
    * an opened link or the next heartbeat. */
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -105,6 +105,8 @@
     if (earlierIncarnation) {
       record.m_listed = false;
       record.m_linked = false;
+      record.m_grant = {};
+      record.m_demands.clear();
       EndAttemptsOf(index);
     }
   }
@@ -141,6 +143,10 @@
   // stay open.
   for (auto& [index, record] : m_board.m_entries.m_records) {
     record.m_linked = record.m_linked && record.m_listed;
+    if (!record.m_listed) {
+      record.m_grant = {};
+      record.m_demands.clear();
+    }
   }
 }
 
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/agent/reporter.h"
 
+#include "core/internal/agent/capacitygrants.h"
 #include "core/internal/agent/membership.h"
 #include "core/internal/agent/starter.h"
 #include "core/internal/agent/workerusage.h"
@@ -24,7 +25,26 @@
   return aLoad.m_freeSlots + aLoad.m_freeCapacity.m_milliCores / need;
 }
 
-/** @return when the subscriber may be notified of free capacity again. */
+/** @return whether @p aLoad contains free capacity that the entry may use and
+ * was not notified of. */
+bool
+UnreportedCapacity(const AgentBoard& aBoard,
+                   const EntryRecord& aEntry,
+                   LoadReport aLoad)
+{
+  if (aBoard.m_policy.m_capacityGrant > Duration::zero()) {
+    Resources& free = aLoad.m_freeCapacity;
+    free = FreeCapacityFor(aBoard, aEntry, free);
+    // Grants leave remainders that are too small for a task.
+    if (free.m_milliCores < SmallestUsableMilliCores(aBoard)) {
+      free = {};
+    }
+  }
+  return CapacityAppeared(aEntry.m_lastLoad, aLoad);
+}
+
+} // namespace
+
 Instant
 NextCapacityReport(const AgentBoard& aBoard, const EntryRecord& aEntry)
 {
@@ -33,8 +53,6 @@
          aBoard.m_policy.m_reportInterval;
 }
 
-} // namespace
-
 bool
 CapacityAppeared(const LoadReport& aOld, const LoadReport& aNew)
 {
@@ -90,19 +108,25 @@
         std::min(due, entry.m_lastSent + aBoard.m_policy.m_heartbeatInterval);
     }
     if (!entry.m_unreachable && entry.IsSubscribed(aBoard.m_now) &&
-        CapacityAppeared(entry.m_lastLoad, load)) {
+        UnreportedCapacity(aBoard, entry, load)) {
       due = std::min(due, NextCapacityReport(aBoard, entry));
     }
   }
-  return due;
+  return std::min(due, NextGrantEnd(aBoard));
 }
 
 void
 Reporter::Flush()
 {
+  CapacityGrants(m_board).Update();
   for (auto& [index, entry] : m_board.m_entries.m_records) {
     FlushTo(entry);
   }
+  for (auto& [index, entry] : m_board.m_entries.m_records) {
+    if (entry.m_grantReportDue && !entry.m_unreachable) {
+      SendReports(entry);
+    }
+  }
   ReportCapacity();
 }
 
@@ -172,7 +196,7 @@
 Reporter::LacksCapacityReport(const EntryRecord& aEntry) const
 {
   return !aEntry.m_unreachable && aEntry.IsSubscribed(m_board.m_now) &&
-         CapacityAppeared(aEntry.m_lastLoad, CurrentLoad(m_board));
+         UnreportedCapacity(m_board, aEntry, CurrentLoad(m_board));
 }
 
 void
@@ -209,6 +233,9 @@
   LoadReport load = CurrentLoad(m_board);
   load.m_sequence = ++m_board.m_loadSequence;
   load.m_lastOfferSequence = aEntry.m_lastOfferSequence;
+  load.m_freeCapacity = FreeCapacityFor(m_board, aEntry, load.m_freeCapacity);
+  load.m_demandOfOthers = DemandOfOthers(m_board, aEntry);
+  aEntry.m_grantReportDue = false;
   aEntry.m_lastLoad = load;
   return load;
 }
@@ -224,6 +251,7 @@
   entry.m_unreachable = true;
   entry.m_linked = false;
   entry.m_announceDue = true;
+  entry.m_grant = {};
   if (ReportBatch* batch = std::get_if<ReportBatch>(&aMessage)) {
     entry.m_reports.insert(entry.m_reports.begin(),
                            std::make_move_iterator(batch->m_reports.begin()),
--- a/packages/core/internal/agent/reporter.h
+++ b/packages/core/internal/agent/reporter.h
@@ -44,6 +44,10 @@
 Instant
 NextSendDue(const AgentBoard& aBoard);
 
+/** @return when the subscriber may be notified of free capacity again. */
+Instant
+NextCapacityReport(const AgentBoard& aBoard, const EntryRecord& aEntry);
+
 /** @return the current load without the fields that differ by entry. */
 LoadReport
 CurrentLoad(const AgentBoard& aBoard);
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -94,6 +94,8 @@
   std::uint64_t m_nextTicket = 1;
   /** Moving average of the cores that offered tasks need, in thousandths. */
   std::uint32_t m_meanNeedMilliCores = 0;
+  /** Moving average of the memory that offered tasks need. */
+  std::uint32_t m_meanNeedMemoryMb = 0;
 };
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -227,6 +227,12 @@
                                   const Submission& aJob)
 {
   const JobLoad load = LoadAhead(m_board, aContext.m_now, aJob);
+  if (load.m_others && load.m_others->m_age) {
+    m_board.m_counters.m_othersDemandAgeMs = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        *load.m_others->m_age)
+        .count());
+  }
   if (load.m_wait <= load.m_maxWait) {
     return std::nullopt;
   }
--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -226,7 +226,7 @@
     WorkItem& item = aSubmission.m_items[i];
     if (item.m_state == WorkState::Waiting) {
       queue.Erase({ *item.m_order, { aSubmission.m_id, i } },
-                  item.m_expectedRun);
+                  WaitingWorkOf(aSubmission, item));
     }
     if (item.m_state == WorkState::Offered) {
       RevokeBatch& batch = revokes[item.m_agent];
--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/entry/configcontroller.h"
 
+#include "core/internal/entry/demandview.h"
 #include "core/internal/rendezvous.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
@@ -72,6 +73,8 @@
   hello.m_config = m_board.m_config.m_version;
   hello.m_draining = m_board.m_draining;
   hello.m_keepConfig = aAgent.m_keepsConfig;
+  hello.m_shard = m_board.m_shard;
+  hello.m_demand = DemandView(m_board).StatementTo(aAgent);
   return hello;
 }
 
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/dispatchcontroller.h"
 
 #include "core/iagent.h"
+#include "core/internal/entry/demandview.h"
 #include "core/internal/entry/jobpolicy.h"
 #include "core/internal/entry/jobsteps.h"
 #include "core/internal/rendezvous.h"
@@ -119,7 +120,8 @@
   item.m_state = WorkState::Waiting;
   item.m_order = aOrder;
   const WorkRef work{ aSubmission.m_id, aIndex };
-  m_board.QueueOf(aSubmission).Insert({ aOrder, work }, item.m_expectedRun);
+  m_board.QueueOf(aSubmission)
+    .Insert({ aOrder, work }, WaitingWorkOf(aSubmission, item));
   const Duration urgent =
     aSubmission.m_queue.empty() ? kUrgentMargin : Duration::zero();
   m_board.m_timers.Add(std::max(item.m_startBy - urgent, aContext.m_now),
@@ -245,6 +247,7 @@
   hello.m_shard = m_board.m_shard;
   for (const AgentRecord* agent :
        m_placement.SampleNearest(aAgents, kMaxSubscriptions)) {
+    hello.m_demand = DemandView(m_board).StatementTo(*agent);
     aContext.Send(agent->m_id, hello);
   }
 }
@@ -270,7 +273,7 @@
   std::optional<FreeCapacity> largest;
   WaitQueue::Keys::const_iterator next = aQueue.Ordered().begin();
   while (next != aQueue.Ordered().end() && skipped < kMaxSkippedItems) {
-    const WaitKey key = *next;
+    const WaitKey key = next->first;
     const Submission& submission = *m_board.Find(key.m_work.m_submission);
     const bool restricted = IsRestrictedToCandidates(submission);
     const WorkItem& item = *m_board.Find(key.m_work);
@@ -278,7 +281,7 @@
     const bool mustFit = submission.m_kind == WorkKind::Task &&
                          m_board.m_policy.m_agentQueueDepth == 0;
     if (mustFit && !largest) {
-      largest = m_placement.LargestFreeCapacity();
+      largest = m_placement.LargestFreeCapacity(aContext.m_now);
     }
     const bool canBePlaced = !mustFit || largest->Fits(item.m_need);
     if (canBePlaced && TryPlace(aContext, key) != PlacementResult::NoCapacity) {
@@ -311,13 +314,13 @@
     if (m_board.Service(submission.m_service).m_agents.empty()) {
       return PlacementResult::NoCapacity;
     }
-    queue.Erase(aKey, item.m_expectedRun);
+    queue.Erase(aKey, WaitingWorkOf(submission, item));
     StartProbe(aContext, submission, index, probe->m_probes);
     return PlacementResult::Probing;
   }
   AgentRecord* agent = nullptr;
   if (submission.m_kind == WorkKind::Task) {
-    agent = m_placement.PickForTask(submission, item);
+    agent = m_placement.PickForTask(aContext.m_now, submission, item);
   } else if (restricted) {
     const std::vector<AgentRecord*> candidates =
       KeyCandidates(m_board, submission);
@@ -328,7 +331,7 @@
   if (agent == nullptr) {
     return PlacementResult::NoCapacity;
   }
-  queue.Erase(aKey, item.m_expectedRun);
+  queue.Erase(aKey, WaitingWorkOf(submission, item));
   AddOffer(aContext, submission, index, *agent);
   return PlacementResult::Offered;
 }
@@ -423,6 +426,10 @@
     IsAnyWaiting() ? m_board.m_policy.m_subscribeFor : Duration::zero();
   for (auto& [agent, batch] : m_pendingOffers) {
     batch.m_subscribeFor = subscribeFor;
+    const auto record = m_board.m_agents.find(agent);
+    if (record != m_board.m_agents.end()) {
+      batch.m_demand = DemandView(m_board).StatementTo(record->second);
+    }
     aContext.Send(agent, std::move(batch));
   }
   m_pendingOffers.clear();
@@ -468,9 +475,10 @@
     return;
   }
   WaitQueue& queue = m_board.QueueOf(*submission);
-  queue.Erase({ *item.m_order, aWork }, item.m_expectedRun);
+  const WaitingWork work = WaitingWorkOf(*submission, item);
+  queue.Erase({ *item.m_order, aWork }, work);
   item.m_order = kUrgentOrder + item.m_startBy.time_since_epoch().count();
-  queue.Insert({ *item.m_order, aWork }, item.m_expectedRun);
+  queue.Insert({ *item.m_order, aWork }, work);
   m_board.m_timers.Add(item.m_startBy, StartByTimer{ aWork });
   Dispatch(aContext, queue);
 }
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -83,14 +83,8 @@
 LoadAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob)
 {
   JobLoad load;
-  const std::int64_t order = JobOrder(aBoard, aJob);
-  double ahead = 0;
-  for (const WaitKey& key : aBoard.m_taskPool.m_queue.Ordered()) {
-    if (key.m_order > order) {
-      break;
-    }
-    ahead += CoreMicros(*aBoard.Find(key.m_work));
-  }
+  load.m_coreTimeAhead =
+    aBoard.m_taskPool.m_queue.CoreTimeUpTo(JobOrder(aBoard, aJob));
   // Work that waits at agents was offered by all entries and competes for the
   // whole capacity, so it is not scaled by the number of entries.
   double offered = 0;
@@ -101,10 +95,15 @@
       std::max(load.m_oldestReport, aNow - agent->m_loadReceivedAt);
   }
   const double cores = std::max(aBoard.m_taskPool.m_parallelism, 1.0);
-  load.m_coreTimeAhead = FromMicros(ahead);
   load.m_coreTimeAtAgents = FromMicros(offered);
   load.m_cores = cores;
-  load.m_wait = FromMicros((ahead * aBoard.EntryCount() + offered) / cores);
+  const double ahead = static_cast<double>(load.m_coreTimeAhead.count());
+  double waiting = ahead * aBoard.EntryCount();
+  if (aBoard.m_policy.m_sharedDemand) {
+    load.m_others = DemandView(aBoard).OthersUpTo(aNow, aJob.m_priority);
+    waiting = ahead + static_cast<double>(load.m_others->m_coreTime.count());
+  }
+  load.m_wait = FromMicros((waiting + offered) / cores);
   const Duration slack =
     std::max(aJob.m_due - aNow - LongestChainOf(aJob), Duration::zero());
   load.m_maxWait =
@@ -115,11 +114,19 @@
 std::string
 DescribeLoad(const JobLoad& aLoad)
 {
-  return EventDetail()
-    .Add("wait_ms", aLoad.m_wait)
+  EventDetail detail;
+  detail.Add("wait_ms", aLoad.m_wait)
     .Add("most_ms", aLoad.m_maxWait)
-    .Add("ahead_core_ms", aLoad.m_coreTimeAhead)
-    .Add("at_agents_core_ms", aLoad.m_coreTimeAtAgents)
+    .Add("ahead_core_ms", aLoad.m_coreTimeAhead);
+  if (aLoad.m_others) {
+    detail.Add("others_core_ms", aLoad.m_others->m_coreTime);
+    if (aLoad.m_others->m_age) {
+      detail.Add("others_age_ms", *aLoad.m_others->m_age);
+    } else {
+      detail.Add("others_age_ms", "none");
+    }
+  }
+  return detail.Add("at_agents_core_ms", aLoad.m_coreTimeAtAgents)
     .Add("cores", aLoad.m_cores)
     .Add("free_millicores", aLoad.m_freeMilliCores)
     .Add("oldest_report_ms", aLoad.m_oldestReport)
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/entry/demandview.h"
 #include "core/internal/entry/entryboard.h"
 
 #include <optional>
@@ -38,6 +39,10 @@
   Duration m_maxWait{};
   /** Core time that waits at this entry and is dispatched before the job. */
   Duration m_coreTimeAhead{};
+  /** Core time that waits at other entries with the job's priority or a more
+   * urgent one, and the age of the newest figure of it; empty without
+   * EntryPolicy::m_sharedDemand. */
+  std::optional<OthersWork> m_others;
   /** Core time that waits at agents. */
   Duration m_coreTimeAtAgents{};
   /** Cores of all workers that receive work. */
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/membershipcontroller.h"
 
+#include "core/internal/entry/demandview.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -211,8 +213,12 @@
   EntryHello hello;
   hello.m_config = m_board.m_config.m_version;
   hello.m_draining = m_board.m_draining;
-  aContext.Send(aPeer, hello);
+  hello.m_shard = m_board.m_shard;
   const auto found = m_board.m_agents.find(aPeer);
+  if (found != m_board.m_agents.end()) {
+    hello.m_demand = DemandView(m_board).StatementTo(found->second);
+  }
+  aContext.Send(aPeer, hello);
   if (found != m_board.m_agents.end()) {
     found->second.m_configHelloAt = {};
     m_outcomes.ReconcileOpenAttempts(aContext, found->second);
@@ -241,6 +247,7 @@
   EntryHello hello;
   hello.m_config = m_board.m_config.m_version;
   hello.m_draining = m_board.m_draining;
+  hello.m_shard = m_board.m_shard;
   for (auto& [id, agent] : m_board.m_agents) {
     if (agent.m_openAttempts.empty()) {
       continue;
@@ -254,6 +261,7 @@
       const bool due = aContext.m_now - agent.m_lastReceivedAt >= interval ||
                        aContext.m_now - agent.m_lastSentAt >= interval;
       if (due) {
+        hello.m_demand = DemandView(m_board).StatementTo(agent);
         aContext.Send(id, hello);
         agent.m_lastSentAt = aContext.m_now;
         agent.m_heartbeatPendingSince =
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -25,6 +25,13 @@
 constexpr double kOtherZoneScore = 1;
 constexpr double kOtherLabelScore = 2;
 constexpr double kNoFreeCapacityScore = 4;
+/** Free capacity for which other entries waited is assumed to be in use this
+ * long after its report. Half of the offers that were made on such reports were
+ * refused. */
+constexpr Duration kMaxContestedAge = std::chrono::milliseconds(10);
+/** Age at which the report no longer says that others wait, because agents
+ * decay the statements of waiting work to zero within this time. */
+constexpr Duration kContestedUntil = std::chrono::seconds(1);
 constexpr double kNoCapacity = std::numeric_limits<double>::infinity();
 
 double
@@ -33,9 +40,23 @@
   return static_cast<double>(aDuration.count());
 }
 
+std::int64_t
+FreeSlots(std::uint32_t aFree, std::int64_t aTaken)
+{
+  return static_cast<std::int64_t>(aFree) - aTaken;
+}
+
+} // namespace
+
 FreeCapacity
-PredictFreeCapacity(const AgentRecord& aAgent)
+Placement::PredictFreeCapacity(Instant aNow, const AgentRecord& aAgent) const
 {
+  const Duration age = aNow - aAgent.m_loadReceivedAt;
+  if (m_board.m_policy.m_sharedDemand &&
+      !aAgent.m_load.m_demandOfOthers.empty() && age > kMaxContestedAge &&
+      age <= kContestedUntil) {
+    return {};
+  }
   const Resources& reported = aAgent.m_load.m_freeCapacity;
   FreeCapacity free{ reported.m_milliCores,
                      reported.m_memoryMb,
@@ -50,14 +71,6 @@
   return free;
 }
 
-std::int64_t
-FreeSlots(std::uint32_t aFree, std::int64_t aTaken)
-{
-  return static_cast<std::int64_t>(aFree) - aTaken;
-}
-
-} // namespace
-
 std::vector<AgentRecord*>
 Placement::Sample(const std::vector<AgentRecord*>& aAgents, std::size_t aCount)
 {
@@ -224,7 +237,8 @@
 }
 
 double
-Placement::TaskScore(const AgentRecord& aAgent,
+Placement::TaskScore(Instant aNow,
+                     const AgentRecord& aAgent,
                      const Submission& aJob,
                      const WorkItem& aItem)
 {
@@ -234,7 +248,7 @@
       HasReachedStepLimit(aJob, aItem, aAgent.m_id)) {
     return kNoCapacity;
   }
-  const FreeCapacity free = PredictFreeCapacity(aAgent);
+  const FreeCapacity free = PredictFreeCapacity(aNow, aAgent);
   std::int64_t waiting = aAgent.m_load.m_queuedTasks;
   double queuedWorkMicros = Micros(aAgent.m_load.m_queuedTaskWork);
   const Resources& need = aItem.m_need;
@@ -272,12 +286,12 @@
 }
 
 FreeCapacity
-Placement::LargestFreeCapacity()
+Placement::LargestFreeCapacity(Instant aNow)
 {
   m_board.m_counters.m_agentsCompared += m_board.m_taskAgents.size();
   FreeCapacity largest;
   for (const AgentRecord* const agent : m_board.m_taskAgents) {
-    const FreeCapacity free = PredictFreeCapacity(*agent);
+    const FreeCapacity free = PredictFreeCapacity(aNow, *agent);
     largest.m_milliCores = std::max(largest.m_milliCores, free.m_milliCores);
     largest.m_memoryMb = std::max(largest.m_memoryMb, free.m_memoryMb);
     largest.m_accelerators =
@@ -287,7 +301,9 @@
 }
 
 AgentRecord*
-Placement::PickForTask(const Submission& aJob, const WorkItem& aItem)
+Placement::PickForTask(Instant aNow,
+                       const Submission& aJob,
+                       const WorkItem& aItem)
 {
   const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
   const bool byLoad =
@@ -299,7 +315,7 @@
   AgentRecord* best = nullptr;
   double bestScore = kNoCapacity;
   for (AgentRecord* agent : sample) {
-    const double score = TaskScore(*agent, aJob, aItem);
+    const double score = TaskScore(aNow, *agent, aJob, aItem);
     if (score < bestScore) {
       best = agent;
       bestScore = score;
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -44,11 +44,13 @@
 
   /** @return the agent to offer a task to, or null if none has free
    * capacity. */
-  AgentRecord* PickForTask(const Submission& aJob, const WorkItem& aItem);
+  AgentRecord* PickForTask(Instant aNow,
+                           const Submission& aJob,
+                           const WorkItem& aItem);
 
   /** @return the most of each resource that any agent has free. A task that
    * does not fit can be placed only in the queue of an agent. */
-  FreeCapacity LargestFreeCapacity();
+  FreeCapacity LargestFreeCapacity(Instant aNow);
 
   /** @return at most @p aCount random reachable agents of @p aAgents, those of
    * the entry's zone first; may contain duplicates as Sample. */
@@ -71,6 +73,12 @@
   /** @return whether agents in the entry's zone are preferred. */
   bool PrefersOwnZone() const;
 
+  /** @return the free capacity of @p aAgent as last reported, less the offers
+   * made since. It is zero if other entries waited at the agent and have
+   * probably used it since. */
+  FreeCapacity PredictFreeCapacity(Instant aNow,
+                                   const AgentRecord& aAgent) const;
+
   /** Load of an agent as last reported, plus the offers that this entry has
    * made since. */
   struct PredictedLoad
@@ -89,7 +97,8 @@
                       const WorkItem& aItem);
   /** @return a score without unit, lower is better; infinity if the agent
    * cannot be offered the task. */
-  double TaskScore(const AgentRecord& aAgent,
+  double TaskScore(Instant aNow,
+                   const AgentRecord& aAgent,
                    const Submission& aJob,
                    const WorkItem& aItem);
 
--- a/packages/core/internal/entry/waitqueue.cpp
+++ b/packages/core/internal/entry/waitqueue.cpp
@@ -5,6 +5,35 @@
 
 namespace mulberrysail::core {
 
+namespace {
+
+constexpr std::int64_t kMilli = 1000;
+/** Orders of queues' jobs are in microseconds: one range covers 16 ms, so the
+ * jobs of a few seconds fall into a few hundred ranges. */
+constexpr unsigned kRangeShift = 14;
+
+std::int64_t
+RangeOf(std::int64_t aOrder)
+{
+  return aOrder >> kRangeShift;
+}
+
+} // namespace
+
+Duration
+WaitingWork::CoreTime() const
+{
+  return m_expectedRun * static_cast<std::int64_t>(m_milliCores) / kMilli;
+}
+
+WaitingWork
+WaitingWorkOf(const Submission& aSubmission, const WorkItem& aItem)
+{
+  return { aItem.m_expectedRun,
+           aItem.m_need.m_milliCores,
+           aSubmission.m_priority };
+}
+
 std::size_t
 WaitQueue::RunTimeClassOf(Duration aRun)
 {
@@ -13,22 +42,52 @@
   return std::min<std::size_t>(std::bit_width(micros), kClasses - 1);
 }
 
+template<typename K>
+void
+WaitQueue::AddTo(std::map<K, Sum>& aSums, K aKey, Duration aCoreTime)
+{
+  Sum& sum = aSums[aKey];
+  ++sum.m_items;
+  sum.m_coreTime += aCoreTime;
+}
+
+template<typename K>
 void
-WaitQueue::Insert(WaitKey aKey, Duration aExpectedRun)
+WaitQueue::SubtractFrom(std::map<K, Sum>& aSums, K aKey, Duration aCoreTime)
 {
-  if (m_keys.insert(aKey).second) {
-    m_work += aExpectedRun;
-    m_workByClass.at(RunTimeClassOf(aExpectedRun)) += aExpectedRun;
+  const auto place = aSums.find(aKey);
+  place->second.m_coreTime -= aCoreTime;
+  if (--place->second.m_items == 0) {
+    aSums.erase(place);
   }
 }
 
 void
-WaitQueue::Erase(WaitKey aKey, Duration aExpectedRun)
+WaitQueue::Insert(WaitKey aKey, const WaitingWork& aWork)
 {
-  if (m_keys.erase(aKey) > 0) {
-    m_work -= aExpectedRun;
-    m_workByClass.at(RunTimeClassOf(aExpectedRun)) -= aExpectedRun;
+  const Duration coreTime = aWork.CoreTime();
+  if (!m_keys.emplace(aKey, coreTime).second) {
+    return;
   }
+  m_work += aWork.m_expectedRun;
+  m_milliCores += aWork.m_milliCores;
+  m_workByClass.at(RunTimeClassOf(aWork.m_expectedRun)) += aWork.m_expectedRun;
+  AddTo(m_sumsByRange, RangeOf(aKey.m_order), coreTime);
+  AddTo(m_sumsByPriority, aWork.m_priority, coreTime);
+}
+
+void
+WaitQueue::Erase(WaitKey aKey, const WaitingWork& aWork)
+{
+  if (m_keys.erase(aKey) == 0) {
+    return;
+  }
+  const Duration coreTime = aWork.CoreTime();
+  m_work -= aWork.m_expectedRun;
+  m_milliCores -= aWork.m_milliCores;
+  m_workByClass.at(RunTimeClassOf(aWork.m_expectedRun)) -= aWork.m_expectedRun;
+  SubtractFrom(m_sumsByRange, RangeOf(aKey.m_order), coreTime);
+  SubtractFrom(m_sumsByPriority, aWork.m_priority, coreTime);
 }
 
 Duration
@@ -42,4 +101,35 @@
   return work;
 }
 
+Duration
+WaitQueue::CoreTimeUpTo(std::int64_t aOrder) const
+{
+  Duration sum{};
+  const std::int64_t lastRange = RangeOf(aOrder);
+  for (const auto& [range, part] : m_sumsByRange) {
+    if (range >= lastRange) {
+      break;
+    }
+    sum += part.m_coreTime;
+  }
+  const WaitKey first{ lastRange * (std::int64_t{ 1 } << kRangeShift), {} };
+  for (auto place = m_keys.lower_bound(first);
+       place != m_keys.end() && place->first.m_order <= aOrder;
+       ++place) {
+    sum += place->second;
+  }
+  return sum;
+}
+
+std::vector<PriorityWork>
+WaitQueue::CoreTimeByPriority() const
+{
+  std::vector<PriorityWork> work;
+  work.reserve(m_sumsByPriority.size());
+  for (const auto& [priority, sum] : m_sumsByPriority) {
+    work.push_back({ priority, sum.m_coreTime });
+  }
+  return work;
+}
+
 } // namespace mulberrysail::core
--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::uint64_t kSeed = 11;
 constexpr Duration kDelayInZone = std::chrono::microseconds(100);
 constexpr Duration kDelayBetweenZones = std::chrono::microseconds(600);
 /** The processes learn of each other before the first job. */
@@ -100,7 +99,7 @@
 
 FleetSimulation::FleetSimulation(FleetPlan aPlan)
   : m_plan(std::move(aPlan))
-  , m_random(kSeed)
+  , m_random(m_plan.m_seed)
   , m_now(std::chrono::hours(1))
   , m_start(m_now + kSettleTime)
 {
@@ -151,7 +150,7 @@
     host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
     EntryPolicy policy = m_plan.m_entryPolicy;
     policy.m_zone = host.m_zone;
-    host.m_core = MakeEntry(host.m_id, 0, policy, kSeed + i);
+    host.m_core = MakeEntry(host.m_id, 0, policy, m_plan.m_seed + i);
     const std::vector<Duration>& costs = m_plan.m_entryEventCosts;
     host.m_eventCost =
       costs.empty() ? m_plan.m_entryEventCost : costs[i % costs.size()];
@@ -168,7 +167,7 @@
     host.m_zone = "zone" + std::to_string(i % m_plan.m_zones);
     AgentPolicy policy = m_plan.m_agentPolicy;
     policy.m_zone = host.m_zone;
-    host.m_core = MakeAgent(host.m_id, policy, kSeed + i);
+    host.m_core = MakeAgent(host.m_id, policy, m_plan.m_seed + i);
     const std::vector<double>& factors = m_plan.m_runFactors;
     host.m_runFactor = factors.empty() ? 1 : factors[i % factors.size()];
     m_agentByName[host.m_id.m_name] = i;
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -15,6 +15,7 @@
 /** The processes of a simulated fleet and the load on it. */
 struct FleetPlan
 {
+  std::uint64_t m_seed = 11;
   std::size_t m_entries = 12;
   std::size_t m_agents = 66;
   std::size_t m_zones = 3;
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -97,6 +97,10 @@
    * never certain. Must exceed AgentPolicy::m_entryTimeout + m_runLease,
    * because the agent may first lose its connection and then be paused. */
   Duration m_runsEndAfter{};
+  /** Estimate the wait of a queue's job from the core time that waits at all
+   * entries, as agents report it, instead of from the entry's own times the
+   * number of entries. */
+  bool m_sharedDemand = false;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
@@ -121,6 +125,9 @@
   Duration m_workerLease = std::chrono::seconds(6);
   /** The shortest interval between two load reports to one entry. */
   Duration m_reportInterval = std::chrono::milliseconds(10);
+  /** How long freed capacity is held for the entry that it was granted to;
+   * zero for no grants. */
+  Duration m_capacityGrant{};
   /** How long the agent keeps final reports of attempts, to answer a later
    * Reconcile. */
   Duration m_reportRetention = std::chrono::seconds(30);
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -59,6 +59,9 @@
   /** Agents whose load was read to place tasks. */
   std::uint64_t m_agentsCompared = 0;
   std::uint64_t m_repliesDropped = 0;
+  /** Age in milliseconds of the newest figure of other entries' waiting work
+   * when the last job of a queue arrived. */
+  std::uint64_t m_othersDemandAgeMs = 0;
   std::uint64_t m_open = 0;
   /** Requests and tasks in the queues of the entry. */
   std::uint64_t m_waiting = 0;
@@ -76,6 +79,12 @@
   std::uint64_t m_lost = 0;
   std::uint64_t m_revoked = 0;
   std::uint64_t m_reportsSent = 0;
+  /** Grants of free capacity to entries, and those of them that ended with
+   * unused capacity because their time had passed. */
+  std::uint64_t m_grantsMade = 0;
+  std::uint64_t m_grantsExpired = 0;
+  /** Offers that were accepted within a grant. */
+  std::uint64_t m_offersWithinGrant = 0;
   std::uint64_t m_queued = 0;
   std::uint64_t m_running = 0;
 };
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -124,6 +124,8 @@
     sum.m_retries += counters.m_retries;
     sum.m_agentsCompared += counters.m_agentsCompared;
     sum.m_repliesDropped += counters.m_repliesDropped;
+    sum.m_othersDemandAgeMs =
+      std::max(sum.m_othersDemandAgeMs, counters.m_othersDemandAgeMs);
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
   }
--- a/packages/daemon/settings/agentpolicyfields.cpp
+++ b/packages/daemon/settings/agentpolicyfields.cpp
@@ -87,6 +87,14 @@
                   return Millis(aS.m_agentPolicy.m_reportInterval, 0, 600000);
                 },
                 "least time between two load reports to one entry" },
+  SettingField{ "policy.capacity_grant_ms",
+                kAgent,
+                false,
+                [](Settings& aS) -> FieldBinding {
+                  return Millis(aS.m_agentPolicy.m_capacityGrant, 0, 1000);
+                },
+                "how long freed capacity is held for the entry that was told "
+                "of it; 0 for not at all" },
   SettingField{ "policy.answer_memory_ms",
                 kAgent,
                 false,
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -109,6 +109,15 @@
       return Millis(aS.m_entryPolicy.m_reconcileAfter, 1, 600000);
     },
     "silence after an attempt should have ended until the agent is asked" },
+  SettingField{
+    "policy.shared_demand",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return &aS.m_entryPolicy.m_sharedDemand;
+    },
+    "refuse a queue's job by the work that waits at all entries, as agents "
+    "report it, instead of the own work times the number of entries" },
   SettingField{ "policy.status_memory_ms",
                 kEntry,
                 false,
