--- a/packages/core/internal/entry/configcontroller.cpp
+++ b/packages/core/internal/entry/configcontroller.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/entry/configcontroller.h"
 
+#include "core/internal/entry/demandview.h"
 #include "core/internal/rendezvous.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
@@ -70,6 +71,8 @@
 {
   EntryHello hello = m_board.MakeHello();
   hello.m_keepConfig = aAgent.m_keepsConfig;
+  hello.m_shard = m_board.m_shard;
+  hello.m_demand = DemandView(m_board).StatementTo(aAgent);
   return hello;
 }
 
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -74,6 +74,7 @@
   EntryHello hello;
   hello.m_config = m_config.m_version;
   hello.m_draining = m_draining;
+  hello.m_shard = m_shard;
   hello.m_drains = m_drains;
   return hello;
 }
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/membershipcontroller.h"
 
+#include "core/internal/entry/demandview.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -246,8 +248,12 @@
     aContext.Send(aPeer, MakePeerHello(aContext));
     return;
   }
-  aContext.Send(aPeer, m_board.MakeHello());
+  EntryHello hello = m_board.MakeHello();
   const auto found = m_board.m_agents.find(aPeer);
+  if (found != m_board.m_agents.end()) {
+    hello.m_demand = DemandView(m_board).StatementTo(found->second);
+  }
+  aContext.Send(aPeer, hello);
   if (found != m_board.m_agents.end()) {
     found->second.m_configHelloAt = {};
     m_outcomes.ReconcileOpenAttempts(aContext, found->second);
@@ -273,7 +279,7 @@
   bool anyOpen = false;
   bool changed = false;
   bool retried = false;
-  const EntryHello hello = m_board.MakeHello();
+  EntryHello hello = m_board.MakeHello();
   for (auto& [id, agent] : m_board.m_agents) {
     if (agent.m_openAttempts.empty()) {
       continue;
@@ -287,6 +293,7 @@
       const bool due = aContext.m_now - agent.m_lastReceivedAt >= interval ||
                        aContext.m_now - agent.m_lastSentAt >= interval;
       if (due) {
+        hello.m_demand = DemandView(m_board).StatementTo(agent);
         aContext.Send(id, hello);
         agent.m_lastSentAt = aContext.m_now;
         agent.m_heartbeatPendingSince =
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -41,6 +41,13 @@
  * to be free. */
 constexpr double kWarmingUpScore = 64;
 constexpr double kNoFreeCapacityScore = 128;
+/** Free capacity for which other entries waited is assumed to be in use this
+ * long after its report. Half of the offers that were made on such reports were
+ * refused. */
+constexpr Duration kMaxContestedAge = std::chrono::milliseconds(10);
+/** Age at which the report no longer says that others wait, because agents
+ * decay the statements of waiting work to zero within this time. */
+constexpr Duration kContestedUntil = std::chrono::seconds(1);
 constexpr double kNoCapacity = std::numeric_limits<double>::infinity();
 
 double
@@ -49,23 +56,6 @@
   return static_cast<double>(aDuration.count());
 }
 
-FreeCapacity
-PredictFreeCapacity(const AgentRecord& aAgent)
-{
-  const Resources& reported = aAgent.m_load.m_freeCapacity;
-  FreeCapacity free{ reported.m_milliCores,
-                     reported.m_memoryMb,
-                     reported.m_accelerators };
-  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
-    if (offer.m_kind == WorkKind::Task) {
-      free.m_milliCores -= offer.m_need.m_milliCores;
-      free.m_memoryMb -= offer.m_need.m_memoryMb;
-      free.m_accelerators -= offer.m_need.m_accelerators;
-    }
-  }
-  return free;
-}
-
 bool
 IsAnyWarmingUp(const AgentRecord& aAgent)
 {
@@ -83,6 +73,29 @@
 
 } // namespace
 
+FreeCapacity
+Placement::PredictFreeCapacity(Instant aNow, const AgentRecord& aAgent) const
+{
+  const Duration age = aNow - aAgent.m_loadReceivedAt;
+  if (m_board.m_policy.m_sharedDemand &&
+      !aAgent.m_load.m_demandOfOthers.empty() && age > kMaxContestedAge &&
+      age <= kContestedUntil) {
+    return {};
+  }
+  const Resources& reported = aAgent.m_load.m_freeCapacity;
+  FreeCapacity free{ reported.m_milliCores,
+                     reported.m_memoryMb,
+                     reported.m_accelerators };
+  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
+    if (offer.m_kind == WorkKind::Task) {
+      free.m_milliCores -= offer.m_need.m_milliCores;
+      free.m_memoryMb -= offer.m_need.m_memoryMb;
+      free.m_accelerators -= offer.m_need.m_accelerators;
+    }
+  }
+  return free;
+}
+
 std::vector<AgentRecord*>
 Placement::Sample(const std::vector<AgentRecord*>& aAgents, std::size_t aCount)
 {
@@ -250,10 +263,10 @@
 }
 
 double
-Placement::SpeedScore(const AgentRecord& aAgent,
+Placement::SpeedScore(Instant aNow,
+                      const AgentRecord& aAgent,
                       const Submission& aJob,
-                      const WorkItem& aItem,
-                      Instant aNow) const
+                      const WorkItem& aItem) const
 {
   if (!m_board.m_policy.m_learnTaskSpeed) {
     return 0;
@@ -276,10 +289,10 @@
 }
 
 double
-Placement::TaskScore(const AgentRecord& aAgent,
+Placement::TaskScore(Instant aNow,
+                     const AgentRecord& aAgent,
                      const Submission& aJob,
-                     const WorkItem& aItem,
-                     Instant aNow)
+                     const WorkItem& aItem)
 {
   const bool refused = aAgent.m_id == aItem.m_lastAttemptedAgent &&
                        aAgent.m_loadReceivedAt <= aItem.m_lastAttemptEndedAt;
@@ -287,7 +300,7 @@
       HasReachedStepLimit(aJob, aItem, aAgent.m_id)) {
     return kNoCapacity;
   }
-  const FreeCapacity free = PredictFreeCapacity(aAgent);
+  const FreeCapacity free = PredictFreeCapacity(aNow, aAgent);
   std::int64_t waiting = aAgent.m_load.m_queuedTasks;
   double queuedWorkMicros = Micros(aAgent.m_load.m_queuedTaskWork);
   const Resources& need = aItem.m_need;
@@ -316,7 +329,7 @@
     return (warmingUp ? kWarmingUpScore : 0) +
            (preferred ? 0 : kOtherLabelScore) +
            (sameZone || !PrefersOwnZone() ? 0 : kOtherZoneScore) +
-           SpeedScore(aAgent, aJob, aItem, aNow) -
+           SpeedScore(aNow, aAgent, aJob, aItem) -
            static_cast<double>(free.m_milliCores) / capacity;
   }
   waiting += std::max<std::int64_t>(-free.m_milliCores, 0) /
@@ -329,12 +342,12 @@
 }
 
 FreeCapacity
-Placement::LargestFreeCapacity()
+Placement::LargestFreeCapacity(Instant aNow)
 {
   m_board.m_counters.m_agentsCompared += m_board.m_taskAgents.size();
   FreeCapacity largest;
   for (const AgentRecord* const agent : m_board.m_taskAgents) {
-    const FreeCapacity free = PredictFreeCapacity(*agent);
+    const FreeCapacity free = PredictFreeCapacity(aNow, *agent);
     largest.m_milliCores = std::max(largest.m_milliCores, free.m_milliCores);
     largest.m_memoryMb = std::max(largest.m_memoryMb, free.m_memoryMb);
     largest.m_accelerators =
@@ -344,9 +357,9 @@
 }
 
 AgentRecord*
-Placement::PickForTask(const Submission& aJob,
-                       const WorkItem& aItem,
-                       Instant aNow)
+Placement::PickForTask(Instant aNow,
+                       const Submission& aJob,
+                       const WorkItem& aItem)
 {
   const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
   const bool byLoad =
@@ -354,27 +367,27 @@
   const std::size_t considered = byLoad ? kMaxCandidates : 1;
   const std::vector<AgentRecord*> sample =
     all.size() > considered ? Sample(all, considered) : all;
-  const ScoredAgent best = BestForTask(aJob, aItem, sample, aNow);
+  const ScoredAgent best = BestForTask(aNow, aJob, aItem, sample);
   // The agents outside the sample may have capacity on workers that aren't
   // warming up.
   const bool mustCompareAll =
     byLoad && sample.size() < all.size() && best.m_agent != nullptr &&
     best.m_score > kWarmingUpScore / 2 && best.m_score < kNoFreeCapacityScore &&
     IsAnyWarmingUp(*best.m_agent);
-  return mustCompareAll ? BestForTask(aJob, aItem, all, aNow).m_agent
+  return mustCompareAll ? BestForTask(aNow, aJob, aItem, all).m_agent
                         : best.m_agent;
 }
 
 Placement::ScoredAgent
-Placement::BestForTask(const Submission& aJob,
+Placement::BestForTask(Instant aNow,
+                       const Submission& aJob,
                        const WorkItem& aItem,
-                       const std::vector<AgentRecord*>& aAgents,
-                       Instant aNow)
+                       const std::vector<AgentRecord*>& aAgents)
 {
   m_board.m_counters.m_agentsCompared += aAgents.size();
   ScoredAgent best{ nullptr, kNoCapacity };
   for (AgentRecord* agent : aAgents) {
-    const double score = TaskScore(*agent, aJob, aItem, aNow);
+    const double score = TaskScore(aNow, *agent, aJob, aItem);
     if (score < best.m_score) {
       best = { agent, score };
     }
--- a/packages/core/tests/fleetsimulation.h
+++ b/packages/core/tests/fleetsimulation.h
@@ -28,6 +28,7 @@
 /** The processes of a simulated fleet and the load on it. */
 struct FleetPlan
 {
+  std::uint64_t m_seed = 11;
   std::size_t m_entries = 12;
   std::size_t m_agents = 66;
   std::size_t m_zones = 3;
@@ -52,10 +53,22 @@
    * submission; further ones wait meanwhile. */
   Duration m_entryEventCost = std::chrono::microseconds(100);
   Duration m_agentEventCost = std::chrono::microseconds(100);
-  /** Cores of each entry, which divide m_entryEventCost; empty for one each. */
+  /** Cores of each entry, which divide its event cost; empty for one each. */
   std::vector<double> m_entryCores;
-  /** Relative shares of the arrivals at each entry; empty for 1 to 2. */
-  std::vector<double> m_entryArrivals;
+  /** Event costs by entry, in turn; empty if all have m_entryEventCost. */
+  std::vector<Duration> m_entryEventCosts;
+  /** Weights of the entries in the arrivals; empty for 1, 1.5 and 2 in turn. */
+  std::vector<double> m_arrivalShares;
+  /** The arrival rate varies by this share, as a sine with m_swingPeriod. */
+  double m_swing = 0;
+  Duration m_swingPeriod = std::chrono::seconds(13);
+  /** Cores that a task needs, in thousandths; the needs of a job's tasks are
+   * off by at most the share m_needSpread. */
+  std::uint32_t m_taskMilliCores = kTaskMilliCores;
+  double m_needSpread = 0;
+  /** The offers between these times are also counted on their own. */
+  Duration m_windowFrom{};
+  Duration m_windowUntil{};
   EntryPolicy m_entryPolicy;
   AgentPolicy m_agentPolicy;
   FleetDrain m_drain;
@@ -70,6 +83,15 @@
 FleetPlan
 DefaultFleetPlan();
 
+/**
+ * @param aUse the share of all cores that the load takes on workers with run
+ * factor 1.
+ * @return a plan with 8 entries, 50 agents of 64 cores in 4 zones and 845 jobs
+ * a second.
+ */
+FleetPlan
+FourZonePlan(double aUse);
+
 /** What the callers got and what the processes sent. */
 struct FleetResult
 {
@@ -78,8 +100,13 @@
   double m_ofUse = 0;
   /** Share in time by kind of job. */
   std::array<double, kJobKinds.size()> m_inTimeByKind{};
-  /** Share in time by the entry at which the jobs arrived. */
+  /** Jobs that were counted and their share in time, by entry. */
+  std::vector<std::size_t> m_jobsByEntry;
   std::vector<double> m_inTimeByEntry;
+  /** Offers in the window of the plan, and reports in it that an agent had no
+   * capacity for an offer. */
+  std::size_t m_offersInWindow = 0;
+  std::size_t m_queueFullInWindow = 0;
   std::uint64_t m_forwarded = 0;
   std::size_t m_starts = 0;
   std::size_t m_offers = 0;
@@ -99,6 +126,10 @@
   std::size_t m_startsWhileDrained = 0;
   std::size_t m_startsAfterDrain = 0;
 
+  /** @return the share of the offers in the window that were not refused for
+   * lack of capacity. */
+  double AcceptedInWindow() const;
+
   /** @return the result in one line, for assertion messages. */
   std::string Text() const;
 };
@@ -144,6 +175,7 @@
     Duration m_work{};
     /** The part of m_work that was done before the last sample. */
     Duration m_sampledWork{};
+    Duration m_eventCost{};
   };
 
   struct AgentHost : Host
@@ -175,6 +207,9 @@
   void Submit(std::size_t aKind);
   /** Makes the drawn share of the tasks of @p aJob long. */
   void LengthenTasks(Job& aJob);
+  std::size_t DrawEntry();
+  std::uint32_t DrawNeed();
+  bool InWindow() const;
   void HandleEntryEvent(EntryHost& aEntry, EntryEvent aEvent);
   void HandleAgentEvent(AgentHost& aAgent, AgentEvent aEvent);
   void SendFromEntry(EntryHost& aEntry, SendMessage aSend);
--- a/packages/core/tests/forward_load_test.cpp
+++ b/packages/core/tests/forward_load_test.cpp
@@ -51,7 +51,7 @@
     plan.m_load = 4;
     plan.m_simulatedTime = seconds(14);
     plan.m_entryCores = { 0.12, 0.5, 0.5 };
-    plan.m_entryArrivals = { 0.29, 0.355, 0.355 };
+    plan.m_arrivalShares = { 0.29, 0.355, 0.355 };
     plan.m_entryEventCost = microseconds(180);
     plan.m_entryPolicy.m_forwardJobs = aForward;
     return plan;
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -106,6 +106,10 @@
   bool m_forwardJobs = false;
   /** Cores that the entry may use; zero if not known. */
   double m_processorShare = 0;
+  /** Estimate the wait of a queue's job from the core time that waits at all
+   * entries, as agents report it, instead of from the entry's own times the
+   * number of entries. */
+  bool m_sharedDemand = false;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
@@ -130,6 +134,9 @@
   Duration m_workerLease = std::chrono::seconds(6);
   /** The shortest interval between two load reports to one entry. */
   Duration m_reportInterval = std::chrono::milliseconds(10);
+  /** How long freed capacity is held for the entry that it was granted to;
+   * zero for no grants. */
+  Duration m_capacityGrant{};
   /** How long the agent keeps final reports of attempts, to answer a later
    * Reconcile. */
   Duration m_reportRetention = std::chrono::seconds(30);
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -161,6 +161,8 @@
     // Each shard learns the speeds of the same agents.
     sum.m_agentsFast = std::max(sum.m_agentsFast, counters.m_agentsFast);
     sum.m_agentsSlow = std::max(sum.m_agentsSlow, counters.m_agentsSlow);
+    sum.m_othersDemandAgeMs =
+      std::max(sum.m_othersDemandAgeMs, counters.m_othersDemandAgeMs);
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
   }
