Drain fixture: a returned id that can be moved

Cause: clang-tidy rejects a constant local variable that is returned. Change: the variable isn't constant.

--- a/packages/core/tests/drainfixture.h
+++ b/packages/core/tests/drainfixture.h
@@ -23,7 +23,7 @@
                          const ZoneDrains& aDrains = {},
                          bool aWarmingUp = false)
   {
-    const ProcessId id{ aName, { 1 } };
+    ProcessId id{ aName, { 1 } };
     Announce announce;
     announce.m_zone = aZone;
     announce.m_leaseFor = std::chrono::hours(1);
