--- a/packages/core/tests/forwardfixture.cpp
+++ b/packages/core/tests/forwardfixture.cpp
@@ -26,7 +26,7 @@
   return policy;
 }
 
-ForwardFixture::ForwardFixture(std::size_t aEntries, EntryPolicy aPolicy)
+ForwardFixture::ForwardFixture(std::size_t aEntries, const EntryPolicy& aPolicy)
   : m_nodes(aEntries)
 {
   for (std::size_t i = 0; i < aEntries; ++i) {
--- a/packages/core/tests/forwardfixture.h
+++ b/packages/core/tests/forwardfixture.h
@@ -50,7 +50,8 @@
   };
 
   /** Starts entries that forward jobs and know each other's load. */
-  explicit ForwardFixture(std::size_t aEntries, EntryPolicy aPolicy = Policy());
+  explicit ForwardFixture(std::size_t aEntries,
+                          const EntryPolicy& aPolicy = Policy());
 
   static EntryPolicy Policy();
 
