--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -282,7 +282,7 @@
     const bool mustFit = submission.m_kind == WorkKind::Task &&
                          m_board.m_policy.m_agentQueueDepth == 0;
     if (mustFit && !largest) {
-      largest = m_placement.LargestFreeCapacity(aContext.m_now);
+      largest = m_placement.LargestFreeCapacity();
     }
     const bool canBePlaced = !mustFit || largest->Fits(item.m_need);
     if (canBePlaced && TryPlace(aContext, key) != PlacementResult::NoCapacity) {
@@ -321,7 +321,7 @@
   }
   AgentRecord* agent = nullptr;
   if (submission.m_kind == WorkKind::Task) {
-    agent = m_placement.PickForTask(aContext.m_now, submission, item);
+    agent = m_placement.PickForTask(submission, item, aContext.m_now);
   } else if (restricted) {
     const std::vector<AgentRecord*> candidates =
       KeyCandidates(m_board, submission);
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -41,13 +41,6 @@
  * to be free. */
 constexpr double kWarmingUpScore = 64;
 constexpr double kNoFreeCapacityScore = 128;
-/** Free capacity for which other entries waited is assumed to be in use this
- * long after its report. Half of the offers that were made on such reports were
- * refused. */
-constexpr Duration kMaxContestedAge = std::chrono::milliseconds(10);
-/** Age at which the report no longer says that others wait, because agents
- * decay the statements of waiting work to zero within this time. */
-constexpr Duration kContestedUntil = std::chrono::seconds(1);
 constexpr double kNoCapacity = std::numeric_limits<double>::infinity();
 
 double
@@ -56,6 +49,23 @@
   return static_cast<double>(aDuration.count());
 }
 
+FreeCapacity
+PredictFreeCapacity(const AgentRecord& aAgent)
+{
+  const Resources& reported = aAgent.m_load.m_freeCapacity;
+  FreeCapacity free{ reported.m_milliCores,
+                     reported.m_memoryMb,
+                     reported.m_accelerators };
+  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
+    if (offer.m_kind == WorkKind::Task) {
+      free.m_milliCores -= offer.m_need.m_milliCores;
+      free.m_memoryMb -= offer.m_need.m_memoryMb;
+      free.m_accelerators -= offer.m_need.m_accelerators;
+    }
+  }
+  return free;
+}
+
 bool
 IsAnyWarmingUp(const AgentRecord& aAgent)
 {
@@ -73,29 +83,6 @@
 
 } // namespace
 
-FreeCapacity
-Placement::PredictFreeCapacity(Instant aNow, const AgentRecord& aAgent) const
-{
-  const Duration age = aNow - aAgent.m_loadReceivedAt;
-  if (m_board.m_policy.m_sharedDemand &&
-      !aAgent.m_load.m_demandOfOthers.empty() && age > kMaxContestedAge &&
-      age <= kContestedUntil) {
-    return {};
-  }
-  const Resources& reported = aAgent.m_load.m_freeCapacity;
-  FreeCapacity free{ reported.m_milliCores,
-                     reported.m_memoryMb,
-                     reported.m_accelerators };
-  for (const UnreflectedOffer& offer : aAgent.m_unreflectedOffers) {
-    if (offer.m_kind == WorkKind::Task) {
-      free.m_milliCores -= offer.m_need.m_milliCores;
-      free.m_memoryMb -= offer.m_need.m_memoryMb;
-      free.m_accelerators -= offer.m_need.m_accelerators;
-    }
-  }
-  return free;
-}
-
 std::vector<AgentRecord*>
 Placement::Sample(const std::vector<AgentRecord*>& aAgents, std::size_t aCount)
 {
@@ -263,10 +250,10 @@
 }
 
 double
-Placement::SpeedScore(Instant aNow,
-                      const AgentRecord& aAgent,
+Placement::SpeedScore(const AgentRecord& aAgent,
                       const Submission& aJob,
-                      const WorkItem& aItem) const
+                      const WorkItem& aItem,
+                      Instant aNow) const
 {
   if (!m_board.m_policy.m_learnTaskSpeed) {
     return 0;
@@ -289,10 +276,10 @@
 }
 
 double
-Placement::TaskScore(Instant aNow,
-                     const AgentRecord& aAgent,
+Placement::TaskScore(const AgentRecord& aAgent,
                      const Submission& aJob,
-                     const WorkItem& aItem)
+                     const WorkItem& aItem,
+                     Instant aNow)
 {
   const bool refused = aAgent.m_id == aItem.m_lastAttemptedAgent &&
                        aAgent.m_loadReceivedAt <= aItem.m_lastAttemptEndedAt;
@@ -300,7 +287,7 @@
       HasReachedStepLimit(aJob, aItem, aAgent.m_id)) {
     return kNoCapacity;
   }
-  const FreeCapacity free = PredictFreeCapacity(aNow, aAgent);
+  const FreeCapacity free = PredictFreeCapacity(aAgent);
   std::int64_t waiting = aAgent.m_load.m_queuedTasks;
   double queuedWorkMicros = Micros(aAgent.m_load.m_queuedTaskWork);
   const Resources& need = aItem.m_need;
@@ -329,7 +316,7 @@
     return (warmingUp ? kWarmingUpScore : 0) +
            (preferred ? 0 : kOtherLabelScore) +
            (sameZone || !PrefersOwnZone() ? 0 : kOtherZoneScore) +
-           SpeedScore(aNow, aAgent, aJob, aItem) -
+           SpeedScore(aAgent, aJob, aItem, aNow) -
            static_cast<double>(free.m_milliCores) / capacity;
   }
   waiting += std::max<std::int64_t>(-free.m_milliCores, 0) /
@@ -342,12 +329,12 @@
 }
 
 FreeCapacity
-Placement::LargestFreeCapacity(Instant aNow)
+Placement::LargestFreeCapacity()
 {
   m_board.m_counters.m_agentsCompared += m_board.m_taskAgents.size();
   FreeCapacity largest;
   for (const AgentRecord* const agent : m_board.m_taskAgents) {
-    const FreeCapacity free = PredictFreeCapacity(aNow, *agent);
+    const FreeCapacity free = PredictFreeCapacity(*agent);
     largest.m_milliCores = std::max(largest.m_milliCores, free.m_milliCores);
     largest.m_memoryMb = std::max(largest.m_memoryMb, free.m_memoryMb);
     largest.m_accelerators =
@@ -357,9 +344,9 @@
 }
 
 AgentRecord*
-Placement::PickForTask(Instant aNow,
-                       const Submission& aJob,
-                       const WorkItem& aItem)
+Placement::PickForTask(const Submission& aJob,
+                       const WorkItem& aItem,
+                       Instant aNow)
 {
   const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
   const bool byLoad =
@@ -367,27 +354,27 @@
   const std::size_t considered = byLoad ? kMaxCandidates : 1;
   const std::vector<AgentRecord*> sample =
     all.size() > considered ? Sample(all, considered) : all;
-  const ScoredAgent best = BestForTask(aNow, aJob, aItem, sample);
+  const ScoredAgent best = BestForTask(aJob, aItem, sample, aNow);
   // The agents outside the sample may have capacity on workers that aren't
   // warming up.
   const bool mustCompareAll =
     byLoad && sample.size() < all.size() && best.m_agent != nullptr &&
     best.m_score > kWarmingUpScore / 2 && best.m_score < kNoFreeCapacityScore &&
     IsAnyWarmingUp(*best.m_agent);
-  return mustCompareAll ? BestForTask(aNow, aJob, aItem, all).m_agent
+  return mustCompareAll ? BestForTask(aJob, aItem, all, aNow).m_agent
                         : best.m_agent;
 }
 
 Placement::ScoredAgent
-Placement::BestForTask(Instant aNow,
-                       const Submission& aJob,
+Placement::BestForTask(const Submission& aJob,
                        const WorkItem& aItem,
-                       const std::vector<AgentRecord*>& aAgents)
+                       const std::vector<AgentRecord*>& aAgents,
+                       Instant aNow)
 {
   m_board.m_counters.m_agentsCompared += aAgents.size();
   ScoredAgent best{ nullptr, kNoCapacity };
   for (AgentRecord* agent : aAgents) {
-    const double score = TaskScore(aNow, *agent, aJob, aItem);
+    const double score = TaskScore(*agent, aJob, aItem, aNow);
     if (score < best.m_score) {
       best = { agent, score };
     }
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -44,13 +44,13 @@
 
   /** @return the agent to offer a task to, or null if none has free
    * capacity. */
-  AgentRecord* PickForTask(Instant aNow,
-                           const Submission& aJob,
-                           const WorkItem& aItem);
+  AgentRecord* PickForTask(const Submission& aJob,
+                           const WorkItem& aItem,
+                           Instant aNow);
 
   /** @return the most of each resource that any agent has free. A task that
    * does not fit can be placed only in the queue of an agent. */
-  FreeCapacity LargestFreeCapacity(Instant aNow);
+  FreeCapacity LargestFreeCapacity();
 
   /** @return at most @p aCount random reachable agents of @p aAgents, those of
    * the entry's zone first; may contain duplicates as Sample. */
@@ -73,12 +73,6 @@
   /** @return whether agents in the entry's zone are preferred. */
   bool PrefersOwnZone() const;
 
-  /** @return the free capacity of @p aAgent as last reported, less the offers
-   * made since. It is zero if other entries waited at the agent and have
-   * probably used it since. */
-  FreeCapacity PredictFreeCapacity(Instant aNow,
-                                   const AgentRecord& aAgent) const;
-
   /** Load of an agent as last reported, plus the offers that this entry has
    * made since. */
   struct PredictedLoad
@@ -96,10 +90,10 @@
 
   /** @return the agent with the lowest TaskScore(); null if none can be offered
    * the task. */
-  ScoredAgent BestForTask(Instant aNow,
-                          const Submission& aJob,
+  ScoredAgent BestForTask(const Submission& aJob,
                           const WorkItem& aItem,
-                          const std::vector<AgentRecord*>& aAgents);
+                          const std::vector<AgentRecord*>& aAgents,
+                          Instant aNow);
 
   static PredictedLoad Predict(const AgentRecord& aAgent, WorkKind aKind);
   bool HasCapacity(const AgentRecord& aAgent) const;
@@ -110,16 +104,16 @@
                       const WorkItem& aItem);
   /** @return a score without unit, lower is better; infinity if the agent
    * cannot be offered the task. */
-  double TaskScore(Instant aNow,
-                   const AgentRecord& aAgent,
+  double TaskScore(const AgentRecord& aAgent,
                    const Submission& aJob,
-                   const WorkItem& aItem);
+                   const WorkItem& aItem,
+                   Instant aNow);
   /** @return the part of TaskScore that depends on the learned speed of
    * @p aAgent; 0 if task speeds are not learned. */
-  double SpeedScore(Instant aNow,
-                    const AgentRecord& aAgent,
+  double SpeedScore(const AgentRecord& aAgent,
                     const Submission& aJob,
-                    const WorkItem& aItem) const;
+                    const WorkItem& aItem,
+                    Instant aNow) const;
 
   EntryBoard& m_board;
 };
--- a/packages/core/tests/agent_grant_test.cpp
+++ b/packages/core/tests/agent_grant_test.cpp
@@ -177,6 +177,8 @@
   {
     WaitingEntries waiting;
     waiting.FreeCapacity();
+    CPPUNIT_ASSERT(waiting.OfferTask(waiting.m_late, 9) ==
+                   ErrorKind::QueueFull);
     EntryHello none;
     none.m_demand = Demand{};
     waiting.m_fixture.Receive(waiting.m_early, none);
@@ -187,6 +189,8 @@
   {
     WaitingEntries waiting;
     waiting.FreeCapacity();
+    CPPUNIT_ASSERT(waiting.OfferTask(waiting.m_late, 9) ==
+                   ErrorKind::QueueFull);
     waiting.m_fixture.HandleEvent(SendFailed{ waiting.m_early, ReportBatch{} });
     CPPUNIT_ASSERT(waiting.OfferTask(waiting.m_late, 2) == ErrorKind::None);
   }
@@ -195,6 +199,8 @@
   {
     WaitingEntries waiting;
     waiting.FreeCapacity();
+    CPPUNIT_ASSERT(waiting.OfferTask(waiting.m_late, 9) ==
+                   ErrorKind::QueueFull);
     waiting.m_fixture.Receive({ "early", Incarnation{ 2 } }, EntryHello{});
     CPPUNIT_ASSERT(waiting.OfferTask(waiting.m_late, 2) == ErrorKind::None);
   }
--- a/packages/core/tests/schedule_cluster.cpp
+++ b/packages/core/tests/schedule_cluster.cpp
@@ -24,6 +24,8 @@
  * again without progress. */
 constexpr std::uint64_t kMaxSteps = 300000;
 constexpr std::uint64_t kLowMemoryBytes = 6000;
+/** Of every second incarnation; the others make no grants. */
+constexpr Duration kScheduleGrant = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -129,6 +131,7 @@
     policy.m_processorShare = 1;
     policy.m_agentTimeout = kForwardSilence;
   }
+  policy.m_sharedDemand = id.m_incarnation.m_value % 2 == 0;
   m_entryDraining[aEntry] = false;
   m_entries[aEntry]->Boot(id,
                           MakeEntry(id, 0, policy, m_random.Below(1ULL << 40U)),
@@ -153,6 +156,9 @@
   policy.m_zone = ScheduleDrains::ZoneOf(aAgent);
   policy.m_keyRetention = kScheduleKeyRetention;
   policy.m_maxQueuedRequests = 4;
+  if (id.m_incarnation.m_value % 2 == 0) {
+    policy.m_capacityGrant = kScheduleGrant;
+  }
   if (m_plan.m_lowMemory) {
     policy.m_maxRetainedBytes = kLowMemoryBytes;
   }
