Test of equal workers at the tolerance of learned speeds

Cause: with slowdowns 2.5% apart the test of equally slow workers passed without the tolerance of placement. Change: the workers differ by up to 10%, and the one with one task less free must not be preferred for its speed.

--- a/packages/core/tests/entry_speed_test.cpp
+++ b/packages/core/tests/entry_speed_test.cpp
@@ -16,6 +16,10 @@
 constexpr Resources kNothing{};
 /** Room for one task. */
 constexpr Resources kOneTask = kTaskNeed;
+constexpr Resources kAllButOneTask{ kWorkerCapacity.m_milliCores -
+                                      kTaskNeed.m_milliCores,
+                                    kWorkerCapacity.m_memoryMb,
+                                    0 };
 /** Run time of a task on a worker of mean speed; declared as such. */
 constexpr Duration kRun = milliseconds(100);
 /** Runs of each agent after which its speed is known. */
@@ -304,11 +308,11 @@
   void EquallySlowWorkersArePlacedByZoneAndCapacity()
   {
     SpeedFixture fixture;
-    const ProcessId far = fixture.Add("a", 1.95, kOtherZone);
+    const ProcessId far = fixture.Add("a", 1.85, kOtherZone);
     const ProcessId near = fixture.Add("b", 2.0);
-    const ProcessId nearToo = fixture.Add("c", 2.05);
+    const ProcessId nearToo = fixture.Add("c", 2.2);
     fixture.Teach();
-    fixture.SetFree(near, kOneTask);
+    fixture.SetFree(near, kAllButOneTask);
     CPPUNIT_ASSERT(fixture.AgentOfNextTask() == nearToo);
     fixture.SetFree(near, kWorkerCapacity);
     fixture.SetFree(nearToo, kOneTask);
