--- a/packages/core/tests/entry_speed_test.cpp
+++ b/packages/core/tests/entry_speed_test.cpp
@@ -49,7 +49,7 @@
                 const std::string& aZone = kOwnZone,
                 std::vector<std::string> aLabels = {})
   {
-    const ProcessId id{ aName, { 1 } };
+    ProcessId id{ aName, { 1 } };
     WorkerInfo worker;
     worker.m_name = aName + "-w";
     worker.m_capacity = kWorkerCapacity;
