--- a/packages/core/internal/entry/waitqueue.cpp
+++ b/packages/core/internal/entry/waitqueue.cpp
@@ -23,7 +23,7 @@
 Duration
 WaitingWork::CoreTime() const
 {
-  return m_expectedRun * static_cast<std::int64_t>(m_milliCores) / kMilli;
+  return m_meanRun * static_cast<std::int64_t>(m_milliCores) / kMilli;
 }
 
 WaitingWork
@@ -31,7 +31,8 @@
 {
   return { aItem.m_expectedRun,
            aItem.m_need.m_milliCores,
-           aSubmission.m_priority };
+           aSubmission.m_priority,
+           aItem.m_meanRun };
 }
 
 std::size_t
--- a/packages/core/internal/entry/waitqueue.h
+++ b/packages/core/internal/entry/waitqueue.h
@@ -25,8 +25,10 @@
   Duration m_expectedRun{};
   std::uint32_t m_milliCores = 0;
   std::uint32_t m_priority = 0;
+  /** WorkItem::m_meanRun. */
+  Duration m_meanRun{};
 
-  /** @return expected run time multiplied by cores. */
+  /** @return mean run time multiplied by cores. */
   Duration CoreTime() const;
 };
 
--- a/packages/core/tests/entry_demand_test.cpp
+++ b/packages/core/tests/entry_demand_test.cpp
@@ -172,7 +172,7 @@
     constexpr std::int64_t kStep = 5000;
     constexpr std::int64_t kItems = 40;
     WaitQueue queue;
-    const WaitingWork work{ milliseconds(10), 2000, 1 };
+    const WaitingWork work{ milliseconds(10), 2000, 1, milliseconds(10) };
     for (std::int64_t i = -kItems; i < kItems; ++i) {
       queue.Insert({ i * kStep, {} }, work);
     }
