Record the loss of a worker with the age and queue of each of its runs

An agent now records worker-crashed with task, queue and age of each run at the worker's last answer, counts agent_worker_crashes, and worker-announced states the worker's incarnation, so that a restart is seen. Offers carry the queue of their job.

--- a/packages/core/internal/agent/board.h
+++ b/packages/core/internal/agent/board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/agent/crashsection.h"
 #include "core/internal/agent/endpointsection.h"
 #include "core/internal/agent/entrysection.h"
 #include "core/internal/agent/keysection.h"
@@ -70,6 +71,7 @@
   KeySection m_keys;
   LearningSection m_learning;
   ConfigSection m_config;
+  CrashSection m_crashes;
   /** The newest list of drained zones that an entry has sent. */
   ZoneDrains m_drains;
   AgentCounters m_counters;
--- /dev/null
+++ b/packages/core/internal/agent/crashlog.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/internal/agent/board.h"
+
+#include <span>
+#include <string_view>
+
+namespace mulberrysail::core::agent {
+
+/** Records which runs were lost together with their worker. */
+class CrashLog
+{
+public:
+  explicit CrashLog(AgentBoard& aBoard)
+    : m_board(aBoard)
+  {
+  }
+
+  /**
+   * Records the loss of all runs of @p aWorker.
+   * @param aRuns the runs that are lost; nothing is recorded if there are none.
+   * @param aCause how the loss was detected, for the log.
+   */
+  void Record(const Worker& aWorker,
+              std::span<Attempt* const> aRuns,
+              std::string_view aCause);
+
+private:
+  void Evict();
+
+  AgentBoard& m_board;
+};
+
+} // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/agent/leasedruns.h"
 
 #include "core/internal/agent/breakers.h"
+#include "core/internal/agent/crashlog.h"
 #include "core/internal/agent/runs.h"
 
 #include <algorithm>
@@ -117,6 +118,10 @@
   }
   Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
   Worker& worker = m_board.m_workers.m_workers.at(attempt.m_worker);
+  if (aAnswer.m_result != StartResult::NoAnswer &&
+      aAnswer.m_result != StartResult::OtherIncarnation) {
+    worker.m_leasedRuns->m_lastAnswerAt = m_board.m_now;
+  }
   switch (aAnswer.m_result) {
     case StartResult::Started:
       attempt.m_acceptedAt = attempt.m_acceptedAt.value_or(m_board.m_now);
@@ -194,13 +199,14 @@
     case ObserveResult::Observed:
       if (!ofTrackedIncarnation) {
         // The answer is from another incarnation than the tracked one.
-        FinishAsInterrupted(worker);
+        FinishAsCrashed(worker, "another incarnation answered");
         const Instant sentAt = state.m_observationSentAt;
         state = LeasedRunState{};
         state.m_incarnation = aObserved.m_incarnation;
         state.m_announcedIncarnation = aObserved.m_incarnation;
         state.m_observationSentAt = sentAt;
       }
+      state.m_lastAnswerAt = m_board.m_now;
       SetResponsive(worker, true);
       ProcessEndedRuns(worker, aObserved);
       ProcessActiveRuns(worker, aObserved);
@@ -303,9 +309,14 @@
 }
 
 void
-LeasedRuns::FinishAsInterrupted(Worker& aWorker)
+LeasedRuns::FinishAsCrashed(Worker& aWorker, std::string_view aCause)
 {
-  for (Attempt* attempt : RunsOn(aWorker)) {
+  const std::vector<Attempt*> runs = RunsOn(aWorker);
+  // A worker that leaves ends the runs that are left; they aren't the cause.
+  if (!aWorker.m_leaving) {
+    CrashLog(m_board).Record(aWorker, runs, aCause);
+  }
+  for (const Attempt* const attempt : runs) {
     Finish(attempt->m_run, RunOutcome::Interrupted);
   }
 }
@@ -320,7 +331,7 @@
            .Add("worker", aWorker.m_info.m_name)
            .Add("life", aWorker.m_leasedRuns->m_incarnation)
            .Add("runs", aWorker.m_runningTasks));
-  FinishAsInterrupted(aWorker);
+  FinishAsCrashed(aWorker, "the incarnation has ended");
   const std::string announcedIncarnation =
     aWorker.m_leasedRuns->m_announcedIncarnation;
   const bool hasNewIncarnation =
@@ -358,7 +369,7 @@
              .Add("worker", aWorker.m_info.m_name)
              .Add("runs", aWorker.m_runningTasks)
              .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
-    FinishAsInterrupted(aWorker);
+    FinishAsCrashed(aWorker, "the run leases have expired");
   }
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (ShouldStop(m_board, *attempt) && !attempt->m_stopConfirmedAt) {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -3,6 +3,8 @@
 #include "core/internal/agent/board.h"
 #include "core/types/events.h"
 
+#include <string_view>
+
 namespace mulberrysail::core::agent {
 
 /**
@@ -56,9 +58,10 @@
   void SetResponsive(Worker& aWorker, bool aResponsive);
   void ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved);
   void ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved);
-  /** Ends all attempts running on the worker with RunOutcome::Interrupted,
-   * because another incarnation answered or all run leases have expired. */
-  void FinishAsInterrupted(Worker& aWorker);
+  /** Ends all attempts running on the worker with RunOutcome::Interrupted, and
+   * records them as lost in a crash unless the worker is leaving.
+   * @param aCause how the loss was detected, for the log. */
+  void FinishAsCrashed(Worker& aWorker, std::string_view aCause);
   /** Ends the runs of the tracked incarnation, then tracks the announced
    * incarnation if it differs; otherwise marks the worker as leaving. */
   void EndIncarnation(Worker& aWorker);
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -210,6 +210,7 @@
              .Add("service", worker.m_info.m_service)
              .Add("millicores", worker.m_info.m_capacity.m_milliCores)
              .Add("memory_mb", worker.m_info.m_capacity.m_memoryMb)
+             .Add("life", aAnnounced.m_incarnation)
              .Add("runs", worker.m_runningTasks)
              .Add("warm_up_ms", aAnnounced.m_warmUpRemaining));
     ScheduleAnnounceToAll(m_board);
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -52,6 +52,8 @@
   /** Ticket of the unanswered observation; 0 if there is none. */
   std::uint64_t m_observationId = 0;
   Instant m_observationSentAt;
+  /** When the worker last answered a start, a stop or an observation. */
+  Instant m_lastAnswerAt;
   /** Whether the last observation was answered. */
   bool m_responsive = false;
   /** Earliest time of the next observation after an unanswered one. */
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -390,6 +390,7 @@
   offer.m_name = item.m_name;
   offer.m_startNumber = item.m_offers;
   offer.m_requiredLabel = item.m_requiredLabel;
+  offer.m_queue = aSubmission.m_queue;
   offer.m_dispatchTime =
     LatestStartByPriority(m_board, aSubmission) + aAgent.m_clockOffset;
   OfferedItems& offered = m_offeredItems[aSubmission.m_id];
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -1,4 +1,4 @@
-#include "core/tests/agentfixture.h"
+#include "core/tests/leasefixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,98 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Resources kWorkerCapacity{ 4000, 4096, 0 };
-constexpr Resources kTaskNeed{ 1600, 64, 0 };
-const std::string kWorkerName = "w1";
-const std::string kIncarnation = "life-1";
-
-AgentPolicy
-LeasePolicy()
-{
-  AgentPolicy policy;
-  policy.m_reserveDeclared = true;
-  policy.m_runLease = milliseconds(500);
-  policy.m_observeWait = milliseconds(150);
-  policy.m_entryTimeout = milliseconds(600);
-  return policy;
-}
-
-/** An agent with one worker that executes its runs under leases. */
-class LeaseFixture : public AgentFixture
-{
-public:
-  LeaseFixture()
-    : AgentFixture(LeasePolicy())
-  {
-    AnnounceLeasedWorker(kIncarnation);
-  }
-
-  void AnnounceLeasedWorker(const std::string& aIncarnation,
-                            bool aLeaving = false)
-  {
-    WorkerAnnounced announced;
-    announced.m_info.m_name = kWorkerName;
-    announced.m_info.m_capacity = kWorkerCapacity;
-    announced.m_info.m_service = "photo";
-    announced.m_url = "http://w1";
-    announced.m_leaving = aLeaving;
-    announced.m_hasRunLeases = true;
-    announced.m_incarnation = aIncarnation;
-    HandleEvent(announced);
-  }
-
-  std::vector<ObserveRuns> Observations() const
-  {
-    std::vector<ObserveRuns> observations;
-    for (const AgentCommand& command : m_commands) {
-      if (const ObserveRuns* observation = std::get_if<ObserveRuns>(&command)) {
-        observations.push_back(*observation);
-      }
-    }
-    return observations;
-  }
-
-  /** Answers the latest observation. */
-  void AnswerObservation(std::vector<RunName> aRunning,
-                         std::vector<EndedRun> aEnded = {},
-                         ObserveResult aResult = ObserveResult::Observed)
-  {
-    const ObserveRuns last = Observations().back();
-    // The answer arrives after the observation was requested.
-    Advance(milliseconds(1));
-    HandleEvent(RunsObserved{ kWorkerName,
-                              last.m_target.m_incarnation,
-                              last.m_observationId,
-                              aResult,
-                              std::move(aRunning),
-                              std::move(aEnded) });
-  }
-
-  Offer NamedOffer(std::uint64_t aAttempt, const std::string& aName) const
-  {
-    Offer offer = TaskOffer(aAttempt, aAttempt, kTaskNeed);
-    offer.m_name = aName;
-    offer.m_dispatchTime = offer.m_startBy;
-    return offer;
-  }
-
-  /**
-   * Offers a task and confirms its start. If nothing has started yet, first
-   * answers the observation with no runs.
-   * @return the run of the task.
-   */
-  RunId RunTask(std::uint64_t aAttempt, const std::string& aName)
-  {
-    if (Starts().empty()) {
-      AnswerObservation({});
-    }
-    SendOffers({ NamedOffer(aAttempt, aName) });
-    const RunId run = Starts().back().m_run;
-    HandleEvent(StartAnswered{ run, StartResult::Started, {} });
-    return run;
-  }
-};
-
 /** Start, observation, renewal and end of runs under leases. */
 class AgentLeaseTest : public CppUnit::TestFixture
 {
@@ -138,7 +46,7 @@
     fixture.AnswerObservation({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
     CPPUNIT_ASSERT(fixture.Starts()[0].m_lease == milliseconds(500));
-    CPPUNIT_ASSERT_EQUAL(kIncarnation,
+    CPPUNIT_ASSERT_EQUAL(kFirstIncarnation,
                          fixture.Starts()[0].m_target.m_incarnation);
   }
 
@@ -323,7 +231,7 @@
                          fixture.Observations().back().m_target.m_incarnation);
     fixture.AnswerObservation({}, {}, ObserveResult::OtherIncarnation);
     CPPUNIT_ASSERT(!fixture.ReportOn(1));
-    CPPUNIT_ASSERT_EQUAL(kIncarnation,
+    CPPUNIT_ASSERT_EQUAL(kFirstIncarnation,
                          fixture.Observations().back().m_target.m_incarnation);
   }
 
@@ -397,7 +305,7 @@
   {
     LeaseFixture fixture;
     fixture.RunTask(1, "a");
-    fixture.AnnounceLeasedWorker(kIncarnation, true);
+    fixture.AnnounceLeasedWorker(kFirstIncarnation, true);
     fixture.SendOffers({ fixture.NamedOffer(2, "b") });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
     CPPUNIT_ASSERT(fixture.ReportOn(2)->m_fate == AttemptFate::Refused);
--- /dev/null
+++ b/packages/core/tests/leasefixture.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/tests/agentfixture.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mulberrysail::core {
+
+inline constexpr Resources kLeasedCapacity{ 4000, 4096, 0 };
+inline constexpr Resources kLeasedTaskNeed{ 1600, 64, 0 };
+inline const std::string kLeasedWorker = "w1";
+inline const std::string kFirstIncarnation = "life-1";
+
+/** @return the policy of an agent whose worker executes runs under leases. */
+inline AgentPolicy
+LeasePolicy()
+{
+  AgentPolicy policy;
+  policy.m_reserveDeclared = true;
+  policy.m_runLease = std::chrono::milliseconds(500);
+  policy.m_observeWait = std::chrono::milliseconds(150);
+  policy.m_entryTimeout = std::chrono::milliseconds(600);
+  return policy;
+}
+
+/** An agent with one worker that executes its runs under leases. */
+class LeaseFixture : public AgentFixture
+{
+public:
+  LeaseFixture()
+    : AgentFixture(LeasePolicy())
+  {
+    AnnounceLeasedWorker(kFirstIncarnation);
+  }
+
+  void AnnounceLeasedWorker(const std::string& aIncarnation,
+                            bool aLeaving = false,
+                            Resources aCapacity = kLeasedCapacity)
+  {
+    WorkerAnnounced announced;
+    announced.m_info.m_name = kLeasedWorker;
+    announced.m_info.m_capacity = aCapacity;
+    announced.m_info.m_service = "photo";
+    announced.m_url = "http://w1";
+    announced.m_leaving = aLeaving;
+    announced.m_hasRunLeases = true;
+    announced.m_incarnation = aIncarnation;
+    HandleEvent(announced);
+  }
+
+  std::vector<ObserveRuns> Observations() const
+  {
+    std::vector<ObserveRuns> observations;
+    for (const AgentCommand& command : m_commands) {
+      if (const ObserveRuns* observation = std::get_if<ObserveRuns>(&command)) {
+        observations.push_back(*observation);
+      }
+    }
+    return observations;
+  }
+
+  /** Answers the latest observation. */
+  void AnswerObservation(std::vector<RunName> aRunning,
+                         std::vector<EndedRun> aEnded = {},
+                         ObserveResult aResult = ObserveResult::Observed)
+  {
+    const ObserveRuns last = Observations().back();
+    // The answer arrives after the observation was requested.
+    Advance(std::chrono::milliseconds(1));
+    HandleEvent(RunsObserved{ kLeasedWorker,
+                              last.m_target.m_incarnation,
+                              last.m_observationId,
+                              aResult,
+                              std::move(aRunning),
+                              std::move(aEnded) });
+  }
+
+  Offer NamedOffer(std::uint64_t aAttempt, const std::string& aName) const
+  {
+    Offer offer = TaskOffer(aAttempt, aAttempt, kLeasedTaskNeed);
+    offer.m_name = aName;
+    offer.m_dispatchTime = offer.m_startBy;
+    return offer;
+  }
+
+  /**
+   * Offers a task and confirms its start. If nothing has started yet, first
+   * answers the observation with no runs.
+   * @return the run of the task.
+   */
+  RunId RunTask(std::uint64_t aAttempt, const std::string& aName)
+  {
+    if (Starts().empty()) {
+      AnswerObservation({});
+    }
+    SendOffers({ NamedOffer(aAttempt, aName) });
+    const RunId run = Starts().back().m_run;
+    HandleEvent(StartAnswered{ run, StartResult::Started, {} });
+    return run;
+  }
+};
+
+} // namespace mulberrysail::core
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -63,6 +63,7 @@
   ForeignRunStopped = 425,
   ZoneDrainStarted = 426,
   ZoneDrainEnded = 427,
+  WorkerCrashed = 428,
 
   KeyFenced = 500,
   KeyHeld = 501,
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -80,6 +80,8 @@
   /** On the agent's clock. The agent starts waiting tasks of jobs from queues
    * in ascending order of this time. */
   Instant m_dispatchTime;
+  /** The queue of the task's job; empty if there is none. */
+  std::string m_queue = {};
 };
 
 /** Core time of waiting tasks of one priority. */
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -104,6 +104,8 @@
   std::uint64_t m_lost = 0;
   std::uint64_t m_revoked = 0;
   std::uint64_t m_reportsSent = 0;
+  /** Losses of all runs of a worker at the same time. */
+  std::uint64_t m_workerCrashes = 0;
   /** Grants of free capacity to entries, and those of them that ended with
    * unused capacity because their time had passed. */
   std::uint64_t m_grantsMade = 0;
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -309,6 +309,7 @@
   offer.m_startNumber = std::max<std::uint32_t>(aFrom.start(), 1);
   offer.m_requiredLabel = std::move(*aFrom.mutable_required_label());
   offer.m_dispatchTime = InstantFrom(aFrom.turn());
+  offer.m_queue = std::move(*aFrom.mutable_queue());
   return offer;
 }
 
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -64,6 +64,7 @@
     aTo.set_start(aFrom.m_startNumber);
     aTo.set_required_label(aFrom.m_requiredLabel);
     aTo.set_turn(ToWire(aFrom.m_dispatchTime));
+    aTo.set_queue(aFrom.m_queue);
   }
 }
 
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -63,7 +63,8 @@
            "5c0e.0.1.17",
            2,
            "kind-a",
-           core::Instant(core::Duration(77)) };
+           core::Instant(core::Duration(77)),
+           "checks" };
 }
 
 core::Announce
@@ -117,7 +118,8 @@
                   aOffer.m_name,
                   aOffer.m_startNumber,
                   aOffer.m_requiredLabel,
-                  aOffer.m_dispatchTime);
+                  aOffer.m_dispatchTime,
+                  aOffer.m_queue);
 }
 
 auto
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -12,22 +12,22 @@
 constexpr std::array kVerbose = { EventCode::AttemptQueued };
 
 constexpr std::array kWarnings = {
-  EventCode::SettingsRejected,    EventCode::LogLimited,
-  EventCode::SubmissionRefused,   EventCode::CallerGone,
-  EventCode::SubmissionRejected,  EventCode::SubmissionFailed,
-  EventCode::ForwardFailed,       EventCode::AttemptRefused,
-  EventCode::AttemptLost,         EventCode::AttemptRetried,
-  EventCode::RunRejected,         EventCode::RunUnclear,
-  EventCode::AttemptFailed,       EventCode::AgentForgotten,
-  EventCode::EntryForgotten,      EventCode::EntrySilent,
-  EventCode::AgentSilent,         EventCode::EndpointLapsed,
-  EventCode::WorkerLapsed,        EventCode::WorkerQuarantined,
-  EventCode::RunsLapsed,          EventCode::ForeignRunStopped,
-  EventCode::KeyUncertain,        EventCode::ConfigPatchUncertain,
-  EventCode::StoreUnavailable,    EventCode::ConfigUnreadable,
-  EventCode::MessageRejected,     EventCode::MessageDropped,
-  EventCode::DrainedZoneUnknown,  EventCode::ZoneDrainRejected,
-  EventCode::ZoneDrainUnreadable,
+  EventCode::SettingsRejected,     EventCode::LogLimited,
+  EventCode::SubmissionRefused,    EventCode::CallerGone,
+  EventCode::SubmissionRejected,   EventCode::SubmissionFailed,
+  EventCode::ForwardFailed,        EventCode::AttemptRefused,
+  EventCode::AttemptLost,          EventCode::AttemptRetried,
+  EventCode::RunRejected,          EventCode::RunUnclear,
+  EventCode::AttemptFailed,        EventCode::AgentForgotten,
+  EventCode::EntryForgotten,       EventCode::EntrySilent,
+  EventCode::AgentSilent,          EventCode::EndpointLapsed,
+  EventCode::WorkerLapsed,         EventCode::WorkerQuarantined,
+  EventCode::RunsLapsed,           EventCode::ForeignRunStopped,
+  EventCode::WorkerCrashed,        EventCode::KeyUncertain,
+  EventCode::ConfigPatchUncertain, EventCode::StoreUnavailable,
+  EventCode::ConfigUnreadable,     EventCode::MessageRejected,
+  EventCode::MessageDropped,       EventCode::DrainedZoneUnknown,
+  EventCode::ZoneDrainRejected,    EventCode::ZoneDrainUnreadable,
 };
 
 template<std::size_t Size>
