Tests that fail: one task or request is started without end by crashes

Callers of all kinds lose their workers to one task. With a deadline of 60 s an entry starts a task, and a repeatable request, 7 times for 6 lost runs; with real processes one entry starts a task 17 times until its limit of retries, and the entry that gets the job next begins at zero.

The runner's stand-in takes crash_ms.

--- a/standins/common/payload.cpp
+++ b/standins/common/payload.cpp
@@ -30,6 +30,10 @@
   }
   payload.m_run = std::chrono::milliseconds(object.value("run_ms", 0));
   payload.m_fail = object.value("fail", false);
+  if (object.contains("crash_ms")) {
+    payload.m_crashAfter =
+      std::chrono::milliseconds(object["crash_ms"].get<int>());
+  }
   payload.m_id = MarkOf(object);
   if (object.contains("actual_cores")) {
     payload.m_actualCores = object["actual_cores"].get<double>();
--- a/standins/common/payload.h
+++ b/standins/common/payload.h
@@ -13,6 +13,8 @@
 {
   std::chrono::milliseconds m_run{ 0 };
   bool m_fail = false;
+  /** The process that runs it crashes after this time; never if absent. */
+  std::optional<std::chrono::milliseconds> m_crashAfter;
   /** Its "id" or else its "echo"; text as it is, other values as JSON. */
   std::string m_id;
   /** What it takes of a worker, if that differs from what was declared. */
