Give up a task or request after three lost runs

Cause: only runs that ended as failed counted; a lost run was placed again until the deadline, whatever way it was lost (a worker's crash, a silent or removed agent). Now each item counts its lost runs, and is given up at policy.max_lost_runs (3; settings check 1 to 5): the caller is answered at once with crashes-workers (on the platform state failed, with the reason), work-given-up names the agents, entry_given_up counts.

The new error kind has the last number, so that numbers of other kinds stay; the codec's test of unknown kinds follows the last one.

--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -156,7 +156,7 @@
           " failed: " + aReport.m_output);
       return;
     case AttemptFate::Lost:
-      OnOutcomeUnknown(aContext, work, ErrorKind::RunLost);
+      OnOutcomeUnknown(aContext, aAgent, work, ErrorKind::RunLost);
       return;
     case AttemptFate::Queued:
     case AttemptFate::Running:
@@ -269,7 +269,11 @@
 {
   Submission& submission = *m_board.Find(aWork.m_submission);
   WorkItem& item = *m_board.Find(aWork);
-  item.m_mayHaveRun = true;
+  RecordLostRun(item, aAgent);
+  if (HasLostTooManyRuns(item)) {
+    GiveUp(aContext, aWork);
+    return;
+  }
   const bool retry = submission.m_maxAttempts > 1 &&
                      aContext.m_now + item.m_expectedRun + item.m_successorRun <
                        submission.m_deadline;
@@ -286,6 +290,44 @@
                  "task " + std::to_string(aWork.m_index) + " was interrupted");
 }
 
+void
+OutcomeController::RecordLostRun(WorkItem& aItem, const AgentRecord& aAgent)
+{
+  aItem.m_mayHaveRun = true;
+  aItem.m_lostAt.push_back(aAgent.m_id.m_name);
+}
+
+bool
+OutcomeController::HasLostTooManyRuns(const WorkItem& aItem) const
+{
+  return aItem.m_lostAt.size() >= m_board.m_policy.m_maxLostRuns;
+}
+
+void
+OutcomeController::GiveUp(EntryEventContext& aContext, WorkRef aWork)
+{
+  Submission& submission = *m_board.Find(aWork.m_submission);
+  WorkItem& item = *m_board.Find(aWork);
+  item.m_state = WorkState::Done;
+  std::string agents;
+  for (const std::string& agent : item.m_lostAt) {
+    agents += (agents.empty() ? "" : ", ") + agent;
+  }
+  ++m_board.m_counters.m_givenUp;
+  aContext.Record(EventCode::WorkGivenUp,
+                  submission,
+                  item,
+                  EventDetail()
+                    .Add("queue", submission.m_queue)
+                    .Add("lost_runs", item.m_lostAt.size())
+                    .Add("agents", agents));
+  m_answers.Fail(aContext,
+                 submission,
+                 ErrorKind::CrashesWorkers,
+                 std::to_string(item.m_lostAt.size()) + " runs were lost, at " +
+                   agents);
+}
+
 void
 OutcomeController::OnAgentUnresponsive(EntryEventContext& aContext,
                                        AgentRecord& aAgent)
@@ -419,12 +461,17 @@
 
 void
 OutcomeController::OnOutcomeUnknown(EntryEventContext& aContext,
+                                    const AgentRecord& aAgent,
                                     WorkRef aWork,
                                     ErrorKind aKind)
 {
   Submission& submission = *m_board.Find(aWork.m_submission);
   WorkItem& item = submission.m_items.at(aWork.m_index);
-  item.m_mayHaveRun = true;
+  RecordLostRun(item, aAgent);
+  if (submission.m_repeatable && HasLostTooManyRuns(item)) {
+    GiveUp(aContext, aWork);
+    return;
+  }
   const bool retry = submission.m_repeatable &&
                      submission.m_kind == WorkKind::Request &&
                      m_board.m_retryBudget.TryConsume();
@@ -508,7 +555,7 @@
     }
     WorkRef work;
     if (CloseAttempt(aAgent, attempt, work) != nullptr) {
-      OnOutcomeUnknown(aContext, work, ErrorKind::AgentLost);
+      OnOutcomeUnknown(aContext, aAgent, work, ErrorKind::AgentLost);
     }
   }
 }
@@ -523,7 +570,7 @@
   for (const AttemptId attempt : open) {
     WorkRef work;
     if (CloseAttempt(aAgent, attempt, work) != nullptr) {
-      OnOutcomeUnknown(aContext, work, ErrorKind::AgentLost);
+      OnOutcomeUnknown(aContext, aAgent, work, ErrorKind::AgentLost);
     }
   }
 }
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -87,7 +87,12 @@
                       AgentRecord& aAgent,
                       const Submission& aJob,
                       const WorkItem& aItem);
+  static void RecordLostRun(WorkItem& aItem, const AgentRecord& aAgent);
+  bool HasLostTooManyRuns(const WorkItem& aItem) const;
+  /** Fails the submission of an item whose runs were lost too often. */
+  void GiveUp(EntryEventContext& aContext, WorkRef aWork);
   void OnOutcomeUnknown(EntryEventContext& aContext,
+                        const AgentRecord& aAgent,
                         WorkRef aWork,
                         ErrorKind aKind);
   /** Closes an attempt that is open at @p aAgent.
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -76,6 +76,8 @@
   std::uint32_t m_offers = 0;
   /** Attempts that ran and failed. */
   std::uint32_t m_failures = 0;
+  /** The agents of the runs that were lost. */
+  std::vector<std::string> m_lostAt;
   std::string m_output;
   /** Run time from start to finish, as the agent measured it. */
   Duration m_ranFor{};
--- a/packages/core/internal/errorkind.cpp
+++ b/packages/core/internal/errorkind.cpp
@@ -212,6 +212,12 @@
             Execution::MayHaveRun,
             Retry::Never,
             "a fault of the dispatcher itself" },
+  ErrorRow{ ErrorKind::CrashesWorkers,
+            "crashes-workers",
+            502,
+            Execution::MayHaveRun,
+            Retry::AfterChange,
+            "its runs were lost with their workers too often" },
 };
 
 constexpr bool
@@ -222,7 +228,7 @@
       return false;
     }
   }
-  return kRows.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1;
+  return kRows.size() == static_cast<std::size_t>(kLastErrorKind) + 1;
 }
 
 static_assert(RowsFollowKinds(),
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -91,6 +91,9 @@
   EventRow{ EventCode::AttemptFailed,
             "attempt-failed",
             "an attempt ended before it was done" },
+  EventRow{ EventCode::WorkGivenUp,
+            "work-given-up",
+            "a request or task is not started again, as its runs were lost" },
   EventRow{
     EventCode::AgentSpeedLearned,
     "agent-speed-learned",
--- a/packages/core/types/errorkind.h
+++ b/packages/core/types/errorkind.h
@@ -45,8 +45,13 @@
   PatchUncertain,
   InvalidSettings,
   Internal,
+  CrashesWorkers,
 };
 
+/** The last enumerator. New kinds follow it, as the numbers are sent to
+ * processes of other versions. */
+constexpr ErrorKind kLastErrorKind = ErrorKind::CrashesWorkers;
+
 /** Whether the work of a submission ran, as far as is known. */
 enum class Execution : std::uint8_t
 {
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -41,6 +41,7 @@
   RunRejected = 309,
   RunUnclear = 310,
   AttemptFailed = 311,
+  WorkGivenUp = 312,
   AgentSpeedLearned = 315,
 
   AgentJoined = 400,
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -110,6 +110,9 @@
    * entries, as agents report it, instead of from the entry's own times the
    * number of entries. */
   bool m_sharedDemand = false;
+  /** A request or task is given up after this many lost runs, since it may be
+   * what crashes the workers. */
+  std::uint32_t m_maxLostRuns = 3;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -62,6 +62,8 @@
   /** Agents whose load was read to place tasks. */
   std::uint64_t m_agentsCompared = 0;
   std::uint64_t m_repliesDropped = 0;
+  /** Requests and jobs given up because runs were lost too often. */
+  std::uint64_t m_givenUp = 0;
   /** Jobs passed to another entry. */
   std::uint64_t m_forwarded = 0;
   /** Jobs admitted for another entry. */
--- a/packages/daemon/internal/counterrows.cpp
+++ b/packages/daemon/internal/counterrows.cpp
@@ -37,6 +37,10 @@
   CounterRow<EntryCounters>{ "replies_dropped",
                              "Replies that matched no open attempt.",
                              &EntryCounters::m_repliesDropped },
+  CounterRow<EntryCounters>{
+    "given_up",
+    "Submissions given up because runs were lost with workers too often.",
+    &EntryCounters::m_givenUp },
   CounterRow<EntryCounters>{ "forwarded",
                              "Jobs passed to another entry.",
                              &EntryCounters::m_forwarded },
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -150,6 +150,7 @@
     sum.m_retries += counters.m_retries;
     sum.m_agentsCompared += counters.m_agentsCompared;
     sum.m_repliesDropped += counters.m_repliesDropped;
+    sum.m_givenUp += counters.m_givenUp;
     sum.m_forwarded += counters.m_forwarded;
     sum.m_forwardsAccepted += counters.m_forwardsAccepted;
     sum.m_forwardsTakenBack += counters.m_forwardsTakenBack;
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -8,6 +8,9 @@
 
 using std::chrono::microseconds;
 
+/** With more, a task could be started three times after its third crash. */
+constexpr std::uint32_t kMostLostRuns = 5;
+
 const std::array kFields = {
   SettingField{ "policy.placement",
                 kEntry,
@@ -169,6 +172,15 @@
     },
     "pass jobs to entries with free processor time, and take jobs from them; "
     "requires `processor_share`, `policy.agent_silence_ms` and one shard" },
+  SettingField{
+    "policy.max_lost_runs",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return Count(aS.m_entryPolicy.m_maxLostRuns, 1, kMostLostRuns);
+    },
+    "a request or task is given up after so many runs that were lost with "
+    "their worker" },
 };
 
 } // namespace
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -57,7 +57,7 @@
 
   core::ErrorKind ReadKind(std::uint32_t aFrom)
   {
-    return CheckedEnum(aFrom, core::ErrorKind::Internal);
+    return CheckedEnum(aFrom, core::kLastErrorKind);
   }
 
   core::Offer ReadOffer(wire::Offer& aFrom);
--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -178,8 +178,7 @@
     CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
     report.set_fate(wire::ATTEMPT_FATE_LOST);
     CPPUNIT_ASSERT(Decode(envelope.SerializeAsString()));
-    report.set_error_kind(
-      static_cast<std::uint32_t>(core::ErrorKind::Internal) + 1);
+    report.set_error_kind(static_cast<std::uint32_t>(core::kLastErrorKind) + 1);
     CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
     wire::Offer& offer = *envelope.mutable_offer_batch()->add_offers();
     offer.set_kind(static_cast<wire::WorkKind>(-1));
