Agents announce crashes to all entries, which count them together

What callers saw: after the loss of an entry, a task that had crashed workers began at zero at the next one. Cause: the count of lost runs was known to one entry only. An agent now announces each crash with its runs to all entries, before it reports the runs; an entry that starts, or whose link was opened again, gets the crashes of the last two minutes (16 an agent at most). An entry counts lost runs by the task's name over all entries (CrashLedger), and answers a job with a given-up task at once, also one that waits.

--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -226,6 +226,7 @@
   EntryRecord& entry = m_board.m_entries.m_records.at(index);
   entry.m_linked = true;
   entry.m_announceDue = true;
+  entry.m_lastCrashSent = 0;
 }
 
 void
--- a/packages/core/internal/agent/crashlog.cpp
+++ b/packages/core/internal/agent/crashlog.cpp
@@ -8,9 +8,10 @@
 
 /** How long a crash is kept. Callers submit a job again within seconds. */
 constexpr Duration kRetention = std::chrono::minutes(2);
-constexpr std::size_t kMaxCrashes = 64;
+/** Limits the size of an announcement to an entry that has just started. */
+constexpr std::size_t kMaxCrashes = 16;
 /** Most runs of one crash that are recorded; the youngest are. */
-constexpr std::size_t kMaxRuns = 64;
+constexpr std::size_t kMaxRuns = 32;
 
 LostRun
 Describe(const Attempt& aAttempt, Instant aLastAnswerAt)
@@ -71,6 +72,21 @@
                         .Add("task_queue_age", DescribeRuns(crash.m_runs)));
   m_board.m_crashes.m_crashes.push_back({ std::move(crash), m_board.m_now });
   Evict();
+  ScheduleAnnounceToAll(m_board);
+}
+
+std::vector<WorkerCrash>
+CrashLog::TakeUnsent(EntryRecord& aEntry) const
+{
+  std::vector<WorkerCrash> unsent;
+  for (const RecordedCrash& recorded : m_board.m_crashes.m_crashes) {
+    if (recorded.m_crash.m_number > aEntry.m_lastCrashSent) {
+      unsent.push_back(recorded.m_crash);
+      unsent.back().m_detectedAgo = m_board.m_now - recorded.m_detectedAt;
+    }
+  }
+  aEntry.m_lastCrashSent = m_board.m_crashes.m_lastNumber;
+  return unsent;
 }
 
 void
--- a/packages/core/internal/agent/crashlog.h
+++ b/packages/core/internal/agent/crashlog.h
@@ -4,6 +4,7 @@
 
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace mulberrysail::core::agent {
 
@@ -25,6 +26,10 @@
               std::span<Attempt* const> aRuns,
               std::string_view aCause);
 
+  /** @return the crashes that were not sent to @p aEntry yet, which count as
+   * sent from now on. */
+  std::vector<WorkerCrash> TakeUnsent(EntryRecord& aEntry) const;
+
 private:
   void Evict();
 
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -71,6 +71,8 @@
    * states its demand again, because it may be gone or paused. */
   bool m_grantUnused = false;
   bool m_announceDue = false;
+  /** WorkerCrash::m_number of the last crash that was sent to the entry. */
+  std::uint64_t m_lastCrashSent = 0;
   /** When an Announce was last scheduled because the entry's list of drained
    * zones was out of date. */
   Instant m_drainsAnnouncedAt = Instant(std::chrono::hours(-1));
--- a/packages/core/internal/agent/reporter.cpp
+++ b/packages/core/internal/agent/reporter.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/agent/reporter.h"
 
 #include "core/internal/agent/capacitygrants.h"
+#include "core/internal/agent/crashlog.h"
 #include "core/internal/agent/membership.h"
 #include "core/internal/agent/starter.h"
 #include "core/internal/agent/workerusage.h"
@@ -214,6 +215,7 @@
   announce.m_load = PrepareLoadReport(aEntry);
   announce.m_readsOmittedPayloads = true;
   announce.m_drains = m_board.m_drains;
+  announce.m_crashes = CrashLog(m_board).TakeUnsent(aEntry);
   Send(m_board, aEntry, std::move(announce));
 }
 
@@ -253,6 +255,7 @@
   entry.m_unreachable = true;
   entry.m_linked = false;
   entry.m_announceDue = true;
+  entry.m_lastCrashSent = 0;
   entry.m_grant = {};
   if (ReportBatch* batch = std::get_if<ReportBatch>(&aMessage)) {
     entry.m_reports.insert(entry.m_reports.begin(),
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/internal/entry/jobpolicy.h"
 #include "core/internal/entry/jobsteps.h"
+#include "core/internal/entry/lostruns.h"
 
 #include <algorithm>
 
@@ -124,6 +125,15 @@
   const CallerToken caller = aJob.m_caller;
   const bool detached = aJob.m_detached;
   Submission submission = MakeJob(aContext, std::move(aJob), queue);
+  if (queue != nullptr) {
+    m_board.m_crashes.Evict(aContext.m_now);
+    refusal = CheckLostRuns(submission);
+  }
+  if (refusal) {
+    ++m_board.m_counters.m_givenUp;
+    RefuseJob(aContext, caller, submission.m_name, *refusal);
+    return;
+  }
   if (queue != nullptr) {
     refusal = CheckJobLoad(aContext, submission);
     UpdateMeanCoreTime(m_board, submission);
@@ -225,6 +235,19 @@
   return submission;
 }
 
+std::optional<AdmissionController::Refusal>
+AdmissionController::CheckLostRuns(const Submission& aJob) const
+{
+  for (const WorkItem& item : aJob.m_items) {
+    if (MustGiveUp(m_board, aJob, item)) {
+      return Refusal{ ErrorKind::CrashesWorkers,
+                      WhyGivenUp(m_board, aJob, item),
+                      {} };
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<AdmissionController::Refusal>
 AdmissionController::CheckJobLoad(const EntryEventContext& aContext,
                                   const Submission& aJob)
--- a/packages/core/internal/entry/admissioncontroller.h
+++ b/packages/core/internal/entry/admissioncontroller.h
@@ -57,6 +57,8 @@
   Submission MakeJob(const EntryEventContext& aContext,
                      SubmitJob aJob,
                      const QueueConfig* aQueue);
+  /** Refuses a job with a task that must not be started again. */
+  std::optional<Refusal> CheckLostRuns(const Submission& aJob) const;
   std::optional<Refusal> CheckJobLoad(const EntryEventContext& aContext,
                                       const Submission& aJob);
   std::optional<Refusal> CheckWorkersCanRun(const SubmitJob& aJob) const;
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -65,6 +65,8 @@
   /** LoadReport::m_drainsDigest of the agent's last refusal because its zone is
    * drained; zero if there was none. */
   std::uint64_t m_refusedDrainsDigest = 0;
+  /** WorkerCrash::m_number of the last crash that the agent has announced. */
+  std::uint64_t m_lastCrash = 0;
   /** When the last hello was sent because of a change of the drained zones. */
   Instant m_drainsHelloAt;
 
--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/answercontroller.h"
 
+#include "core/internal/entry/lostruns.h"
+
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
@@ -151,6 +153,26 @@
   FinishSubmission(aContext, aSubmission, std::move(answer));
 }
 
+void
+AnswerController::GiveUp(EntryEventContext& aContext,
+                         Submission& aSubmission,
+                         WorkItem& aItem)
+{
+  // The item is in no wait queue. Withdraw must neither erase it there nor
+  // revoke an attempt.
+  aItem.m_state = WorkState::Done;
+  ++m_board.m_counters.m_givenUp;
+  const std::string why = WhyGivenUp(m_board, aSubmission, aItem);
+  aContext.Record(EventCode::WorkGivenUp,
+                  aSubmission,
+                  aItem,
+                  EventDetail()
+                    .Add("queue", aSubmission.m_queue)
+                    .Add("lost_runs", aItem.m_lostRuns)
+                    .Add("why", why));
+  Fail(aContext, aSubmission, ErrorKind::CrashesWorkers, why);
+}
+
 void
 AnswerController::Complete(EntryEventContext& aContext, Submission& aSubmission)
 {
--- a/packages/core/internal/entry/answercontroller.h
+++ b/packages/core/internal/entry/answercontroller.h
@@ -35,6 +35,12 @@
             std::string aDetail);
 
   /** Ends @p aSubmission with its outputs; all of its items must be done. */
+  /** Fails the submission of an item that must not be started again, see
+   * MustGiveUp().
+   * @param aItem must not be in a wait queue, or be offered. */
+  void GiveUp(EntryEventContext& aContext,
+              Submission& aSubmission,
+              WorkItem& aItem);
   void Complete(EntryEventContext& aContext, Submission& aSubmission);
 
   /** Removes @p aCaller, which has disconnected, from @p aSubmission. The
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -4,6 +4,7 @@
 #include "core/internal/entry/demandview.h"
 #include "core/internal/entry/jobpolicy.h"
 #include "core/internal/entry/jobsteps.h"
+#include "core/internal/entry/lostruns.h"
 #include "core/internal/rendezvous.h"
 
 #include <algorithm>
@@ -307,6 +308,12 @@
   const std::uint32_t index = aKey.m_work.m_index;
   WorkItem& item = submission.m_items.at(index);
   WaitQueue& queue = m_board.QueueOf(submission);
+  if (MustGiveUp(m_board, submission, item)) {
+    // Runs of the same task have been lost at other entries in the meantime.
+    queue.Erase(aKey, WaitingWorkOf(submission, item));
+    m_answers.GiveUp(aContext, submission, item);
+    return PlacementResult::GivenUp;
+  }
   const ProbePlacement* probe =
     std::get_if<ProbePlacement>(&m_board.m_policy.m_placement);
   const bool restricted = IsRestrictedToCandidates(submission);
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -73,6 +73,8 @@
   {
     Offered,
     Probing,
+    /** The item must not be started again; its submission has failed. */
+    GivenUp,
     NoCapacity,
   };
 
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -3,6 +3,7 @@
 #include "core/internal/configtransfer.h"
 #include "core/internal/entry/agentrecord.h"
 #include "core/internal/entry/arrivalmeter.h"
+#include "core/internal/entry/crashledger.h"
 #include "core/internal/entry/fairsharetracker.h"
 #include "core/internal/entry/forwardstate.h"
 #include "core/internal/entry/retrybudget.h"
@@ -211,6 +212,7 @@
   std::vector<Probe> m_probes;
   RetryBudget m_retryBudget{ 20 };
 
+  CrashLedger m_crashes;
   ForwardState m_forwarding;
 
   TimerQueue m_timers;
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -130,6 +130,7 @@
   }
   agent.m_lastReceivedAt = aContext.m_now;
   agent.m_reachable = true;
+  RecordCrashes(aContext, agent, std::exchange(aAnnounce.m_crashes, {}));
   agent.m_announced = std::move(aAnnounce);
   const bool isNewService =
     agent.m_announced.m_endpoint &&
@@ -150,6 +151,20 @@
   }
 }
 
+void
+MembershipController::RecordCrashes(const EntryEventContext& aContext,
+                                    AgentRecord& aAgent,
+                                    const std::vector<WorkerCrash>& aCrashes)
+{
+  for (const WorkerCrash& crash : aCrashes) {
+    // After a link was opened again, an agent announces all of its crashes.
+    if (crash.m_number > aAgent.m_lastCrash) {
+      aAgent.m_lastCrash = crash.m_number;
+      m_board.m_crashes.AddCrash(aContext.m_now, crash);
+    }
+  }
+}
+
 bool
 MembershipController::IsSuperseded(const EntryEventContext& aContext,
                                    const ProcessId& aAgent) const
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -58,6 +58,10 @@
   bool IsPeer(const ProcessId& aProcess) const;
   PeerHello MakePeerHello(EntryEventContext& aContext) const;
   /** @return whether another incarnation of the agent has taken its place. */
+  /** Adds the crashes that were not known yet to EntryBoard::m_crashes. */
+  void RecordCrashes(const EntryEventContext& aContext,
+                     AgentRecord& aAgent,
+                     const std::vector<WorkerCrash>& aCrashes);
   bool IsSuperseded(const EntryEventContext& aContext,
                     const ProcessId& aAgent) const;
   void RemoveOtherIncarnations(EntryEventContext& aContext,
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/outcomecontroller.h"
 
+#include "core/internal/entry/lostruns.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -269,9 +271,9 @@
 {
   Submission& submission = *m_board.Find(aWork.m_submission);
   WorkItem& item = *m_board.Find(aWork);
-  RecordLostRun(item, aAgent);
-  if (HasLostTooManyRuns(item)) {
-    GiveUp(aContext, aWork);
+  RecordLostRun(aContext, submission, item, aAgent);
+  if (MustGiveUp(m_board, submission, item)) {
+    m_answers.GiveUp(aContext, submission, item);
     return;
   }
   const bool retry = submission.m_maxAttempts > 1 &&
@@ -291,41 +293,17 @@
 }
 
 void
-OutcomeController::RecordLostRun(WorkItem& aItem, const AgentRecord& aAgent)
+OutcomeController::RecordLostRun(const EntryEventContext& aContext,
+                                 const Submission& aSubmission,
+                                 WorkItem& aItem,
+                                 const AgentRecord& aAgent)
 {
   aItem.m_mayHaveRun = true;
-  aItem.m_lostAt.push_back(aAgent.m_id.m_name);
-}
-
-bool
-OutcomeController::HasLostTooManyRuns(const WorkItem& aItem) const
-{
-  return aItem.m_lostAt.size() >= m_board.m_policy.m_maxLostRuns;
-}
-
-void
-OutcomeController::GiveUp(EntryEventContext& aContext, WorkRef aWork)
-{
-  Submission& submission = *m_board.Find(aWork.m_submission);
-  WorkItem& item = *m_board.Find(aWork);
-  item.m_state = WorkState::Done;
-  std::string agents;
-  for (const std::string& agent : item.m_lostAt) {
-    agents += (agents.empty() ? "" : ", ") + agent;
-  }
-  ++m_board.m_counters.m_givenUp;
-  aContext.Record(EventCode::WorkGivenUp,
-                  submission,
-                  item,
-                  EventDetail()
-                    .Add("queue", submission.m_queue)
-                    .Add("lost_runs", item.m_lostAt.size())
-                    .Add("agents", agents));
-  m_answers.Fail(aContext,
-                 submission,
-                 ErrorKind::CrashesWorkers,
-                 std::to_string(item.m_lostAt.size()) + " runs were lost, at " +
-                   agents);
+  ++aItem.m_lostRuns;
+  m_board.m_crashes.AddLoss(aContext.m_now,
+                            NameOf(aSubmission, aItem),
+                            aItem.m_attempt,
+                            aAgent.m_id.m_name);
 }
 
 void
@@ -467,9 +445,9 @@
 {
   Submission& submission = *m_board.Find(aWork.m_submission);
   WorkItem& item = submission.m_items.at(aWork.m_index);
-  RecordLostRun(item, aAgent);
-  if (submission.m_repeatable && HasLostTooManyRuns(item)) {
-    GiveUp(aContext, aWork);
+  RecordLostRun(aContext, submission, item, aAgent);
+  if (submission.m_repeatable && MustGiveUp(m_board, submission, item)) {
+    m_answers.GiveUp(aContext, submission, item);
     return;
   }
   const bool retry = submission.m_repeatable &&
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -87,10 +87,10 @@
                       AgentRecord& aAgent,
                       const Submission& aJob,
                       const WorkItem& aItem);
-  static void RecordLostRun(WorkItem& aItem, const AgentRecord& aAgent);
-  bool HasLostTooManyRuns(const WorkItem& aItem) const;
-  /** Fails the submission of an item whose runs were lost too often. */
-  void GiveUp(EntryEventContext& aContext, WorkRef aWork);
+  void RecordLostRun(const EntryEventContext& aContext,
+                     const Submission& aSubmission,
+                     WorkItem& aItem,
+                     const AgentRecord& aAgent);
   void OnOutcomeUnknown(EntryEventContext& aContext,
                         const AgentRecord& aAgent,
                         WorkRef aWork,
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -76,8 +76,8 @@
   std::uint32_t m_offers = 0;
   /** Attempts that ran and failed. */
   std::uint32_t m_failures = 0;
-  /** The agents of the runs that were lost. */
-  std::vector<std::string> m_lostAt;
+  /** Attempts whose run was lost by the agent, or with it. */
+  std::uint32_t m_lostRuns = 0;
   std::string m_output;
   /** Run time from start to finish, as the agent measured it. */
   Duration m_ranFor{};
--- a/packages/core/tests/agent_crash_test.cpp
+++ b/packages/core/tests/agent_crash_test.cpp
@@ -30,6 +30,21 @@
   return aText.find(aPart) != std::string::npos;
 }
 
+std::size_t
+CrashesAnnouncedTo(const AgentFixture& aFixture, const ProcessId& aEntry)
+{
+  std::size_t crashes = 0;
+  for (const AgentCommand& command : aFixture.m_commands) {
+    const SendMessage* const send = std::get_if<SendMessage>(&command);
+    const Announce* const announce =
+      send == nullptr ? nullptr : std::get_if<Announce>(&send->m_message);
+    if (announce != nullptr && send->m_to == aEntry) {
+      crashes += announce->m_crashes.size();
+    }
+  }
+  return crashes;
+}
+
 /** Advances the clock until the run leases of a silent worker have expired. */
 void
 LoseWorker(LeaseFixture& aFixture)
@@ -46,6 +61,9 @@
   CPPUNIT_TEST_SUITE(AgentCrashTest);
   CPPUNIT_TEST(CrashIsRecordedWithTheAgeOfEachRun);
   CPPUNIT_TEST(EndOfALeavingWorkerIsNoCrash);
+  CPPUNIT_TEST(CrashIsAnnouncedBeforeItsRunsAreReported);
+  CPPUNIT_TEST(CrashIsAnnouncedOnceToEachEntry);
+  CPPUNIT_TEST(EntryThatStartsAgainLearnsOfEarlierCrashes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +91,51 @@
     CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Interrupted);
     CPPUNIT_ASSERT(EventsOf(fixture, EventCode::WorkerCrashed).empty());
   }
+
+  void CrashIsAnnouncedBeforeItsRunsAreReported()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    LoseWorker(fixture);
+    bool announced = false;
+    for (const AgentCommand& command : fixture.m_commands) {
+      const SendMessage* const send = std::get_if<SendMessage>(&command);
+      if (send == nullptr) {
+        continue;
+      }
+      const Announce* const announce = std::get_if<Announce>(&send->m_message);
+      announced =
+        announced || (announce != nullptr && !announce->m_crashes.empty());
+      const ReportBatch* const batch =
+        std::get_if<ReportBatch>(&send->m_message);
+      CPPUNIT_ASSERT(batch == nullptr || batch->m_reports.empty() || announced);
+    }
+    CPPUNIT_ASSERT(announced);
+  }
+
+  void CrashIsAnnouncedOnceToEachEntry()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    LoseWorker(fixture);
+    fixture.Advance(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         CrashesAnnouncedTo(fixture, fixture.m_entry));
+    fixture.HandleEvent(LinkReset{ fixture.m_entry });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                         CrashesAnnouncedTo(fixture, fixture.m_entry));
+  }
+
+  void EntryThatStartsAgainLearnsOfEarlierCrashes()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    LoseWorker(fixture);
+    const ProcessId restarted{ fixture.m_entry.m_name, { 99 } };
+    fixture.HandleEvent(PeersChanged{ { restarted } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         CrashesAnnouncedTo(fixture, restarted));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentCrashTest);
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/types/answer.h"
+#include "core/types/crash.h"
 #include "core/types/errorkind.h"
 #include "core/types/ids.h"
 #include "core/types/jobspec.h"
@@ -298,6 +299,9 @@
    * earlier versions do not. */
   bool m_readsOmittedPayloads = false;
   ZoneDrains m_drains = {};
+  /** Crashes of the agent's workers that were not announced to the receiver
+   * yet, the oldest first. */
+  std::vector<WorkerCrash> m_crashes = {};
 };
 
 /** The state or outcome of one attempt. */
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -214,6 +214,20 @@
            aFrom.warming_up() };
 }
 
+core::WorkerCrash
+ReadCrash(const wire::WorkerCrash& aFrom)
+{
+  core::WorkerCrash crash{ aFrom.number(),
+                           aFrom.worker(),
+                           DurationFrom(aFrom.detected_ago()),
+                           {} };
+  for (const wire::LostRun& run : aFrom.runs()) {
+    crash.m_runs.push_back(
+      { { run.attempt() }, run.task(), run.queue(), DurationFrom(run.age()) });
+  }
+  return crash;
+}
+
 core::Announce
 ReadBody(const wire::Announce& aFrom)
 {
@@ -231,6 +245,9 @@
   announce.m_load = ReadLoad(aFrom.load());
   announce.m_readsOmittedPayloads = aFrom.reads_same_payload();
   announce.m_drains = ReadDrains(aFrom.drains());
+  for (const wire::WorkerCrash& crash : aFrom.crashes()) {
+    announce.m_crashes.push_back(ReadCrash(crash));
+  }
   return announce;
 }
 
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -181,6 +181,21 @@
   aTo.set_was_member_for(ToWire(aFrom.m_wasMemberFor));
 }
 
+void
+Write(const core::WorkerCrash& aFrom, wire::WorkerCrash& aTo)
+{
+  aTo.set_number(aFrom.m_number);
+  aTo.set_worker(aFrom.m_worker);
+  aTo.set_detected_ago(ToWire(aFrom.m_detectedAgo));
+  for (const core::LostRun& run : aFrom.m_runs) {
+    wire::LostRun& to = *aTo.add_runs();
+    to.set_attempt(run.m_attempt.m_value);
+    to.set_task(run.m_task);
+    to.set_queue(run.m_queue);
+    to.set_age(ToWire(run.m_age));
+  }
+}
+
 /** A visitor that writes a message into the body of an envelope. */
 class BodyWriter
 {
@@ -281,6 +296,9 @@
     Write(aFrom.m_load, *to.mutable_load());
     to.set_reads_same_payload(aFrom.m_readsOmittedPayloads);
     WriteDrains(aFrom.m_drains, to);
+    for (const core::WorkerCrash& crash : aFrom.m_crashes) {
+      Write(crash, *to.add_crashes());
+    }
   }
 
   void operator()(const core::ReportBatch& aFrom) const
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -79,7 +79,11 @@
     { { "w1", "r1", { 16000, 32768, 1 }, true, "stock", { "a" }, true } },
     SampleLoad(),
     true,
-    SampleDrains()
+    SampleDrains(),
+    { { 3,
+        "w1",
+        40ms,
+        { { { 11 }, "5c0e.0.1.17", "checks", 9ms }, { { 12 }, "", "", 2s } } } }
   };
 }
 
@@ -243,7 +247,8 @@
          aLeft.m_workers == aRight.m_workers &&
          Fields(aLeft.m_load) == Fields(aRight.m_load) &&
          aLeft.m_readsOmittedPayloads == aRight.m_readsOmittedPayloads &&
-         aLeft.m_drains == aRight.m_drains;
+         aLeft.m_drains == aRight.m_drains &&
+         aLeft.m_crashes == aRight.m_crashes;
 }
 
 bool
