Isolate queues whose tasks crash workers, and suspected tasks

What callers saw: tasks of one queue kept 10 of 11 workers down, and callers of all queues got nothing for ten seconds.

A fifth of a service's agents (policy.crash_isolation_percent; the same ones at all entries, by rendezvous hashing, also while their workers are down, and never all) runs what is suspected: tasks with a lost run that may be to blame, and all tasks of a queue that is isolated. A queue is isolated when two crashes in ten seconds have taken a task that had lost a run before, which a mass failure does not cause, and the blame for the crashes is mostly its own; for 6 s after the last crash under it. While a queue is isolated, tasks of others stay away from these agents, admission counts each side's capacity and waiting work apart, and a job of an isolated queue whose workers are all down is refused at once. Events queue-isolated and queue-released, metric entry_isolated_queues.

QueueIsolationTest, EntryIsolationTest (their interfaces are new; without isolation the second has no two groups).

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -126,6 +126,7 @@
   const bool detached = aJob.m_detached;
   Submission submission = MakeJob(aContext, std::move(aJob), queue);
   if (queue != nullptr) {
+    m_board.m_queues[submission.m_queue].m_lastArrivalAt = aContext.m_now;
     m_board.m_crashes.Evict(aContext.m_now);
     refusal = CheckLostRuns(submission);
   }
@@ -252,6 +253,12 @@
 AdmissionController::CheckJobLoad(const EntryEventContext& aContext,
                                   const Submission& aJob)
 {
+  if (IsIsolated(m_board, aJob) && m_board.m_isolatedPool.m_parallelism <= 0) {
+    return Refusal{ ErrorKind::NoEndpoint,
+                    "the queue is isolated because its tasks crash workers, "
+                    "and all workers for it are down",
+                    {} };
+  }
   const JobLoad load = LoadAhead(m_board, aContext.m_now, aJob);
   if (load.m_others && load.m_others->m_age) {
     m_board.m_counters.m_othersDemandAgeMs = static_cast<std::uint64_t>(
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace mulberrysail::core {
 
@@ -65,6 +66,11 @@
   /** LoadReport::m_drainsDigest of the agent's last refusal because its zone is
    * drained; zero if there was none. */
   std::uint64_t m_refusedDrainsDigest = 0;
+  /** The workers that were announced last, also while none of them is live. */
+  std::vector<WorkerInfo> m_lastWorkers;
+  /** Whether isolated tasks may run on the agent's workers. While a queue is
+   * isolated, no other tasks may. */
+  bool m_takesIsolated = false;
   /** WorkerCrash::m_number of the last crash that the agent has announced. */
   std::uint64_t m_lastCrash = 0;
   /** When the last hello was sent because of a change of the drained zones. */
--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -243,12 +243,12 @@
 AnswerController::Withdraw(EntryEventContext& aContext, Submission& aSubmission)
 {
   std::map<ProcessId, RevokeBatch> revokes;
-  WaitQueue& queue = m_board.QueueOf(aSubmission);
   for (std::uint32_t i = 0; i < aSubmission.m_items.size(); ++i) {
     WorkItem& item = aSubmission.m_items[i];
     if (item.m_state == WorkState::Waiting) {
-      queue.Erase({ *item.m_order, { aSubmission.m_id, i } },
-                  WaitingWorkOf(aSubmission, item));
+      m_board.QueueOf(aSubmission, item)
+        .Erase({ *item.m_order, { aSubmission.m_id, i } },
+               WaitingWorkOf(aSubmission, item));
     }
     if (item.m_state == WorkState::Offered) {
       RevokeBatch& batch = revokes[item.m_agent];
--- a/packages/core/internal/entry/crashledger.cpp
+++ b/packages/core/internal/entry/crashledger.cpp
@@ -15,6 +15,8 @@
 /** Sum of the blame of a task's lost runs that proves that it crashes workers.
  * At least two runs are lost then. */
 constexpr double kProofBlame = 1;
+/** Blame above which a run may have crashed its worker. */
+constexpr double kSuspectBlame = 0.1;
 constexpr std::size_t kMinRunsForProof = 2;
 
 } // namespace
@@ -112,6 +114,18 @@
   return runs == nullptr ? 0 : runs->size();
 }
 
+std::size_t
+CrashLedger::SuspectedRunsOf(std::string_view aTask) const
+{
+  const std::vector<LostRunRecord>* const runs = Find(aTask);
+  return runs == nullptr
+           ? 0
+           : static_cast<std::size_t>(std::count_if(
+               runs->begin(), runs->end(), [](const LostRunRecord& aRun) {
+                 return aRun.m_blame >= kSuspectBlame;
+               }));
+}
+
 bool
 CrashLedger::IsProven(std::string_view aTask) const
 {
--- a/packages/core/internal/entry/crashledger.h
+++ b/packages/core/internal/entry/crashledger.h
@@ -48,6 +48,10 @@
   /** @return the number of lost runs of a task. */
   std::size_t LostRunsOf(std::string_view aTask) const;
 
+  /** @return the number of lost runs of a task that may have crashed their
+   * worker. */
+  std::size_t SuspectedRunsOf(std::string_view aTask) const;
+
   /** @return whether the lost runs of the task show that it crashes workers. */
   bool IsProven(std::string_view aTask) const;
 
--- a/packages/core/internal/entry/demandview.cpp
+++ b/packages/core/internal/entry/demandview.cpp
@@ -26,7 +26,10 @@
 Demand
 DemandView::StatementTo(const AgentRecord& aAgent) const
 {
-  const WaitQueue& queue = m_board.m_taskPool.m_queue;
+  const bool isolated =
+    aAgent.m_takesIsolated && !m_board.m_isolatedPool.m_queue.Empty();
+  const WaitQueue& queue =
+    isolated ? m_board.m_isolatedPool.m_queue : m_board.m_taskPool.m_queue;
   Demand demand;
   if (queue.Empty()) {
     return demand;
@@ -45,7 +48,7 @@
 {
   OthersWork others;
   std::vector<Duration> recent;
-  for (const AgentRecord* agent : m_board.m_taskAgents) {
+  for (const AgentRecord* agent : m_board.m_taskPool.m_agents) {
     if (agent->m_load.m_sequence == 0) {
       continue;
     }
--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -76,7 +76,10 @@
                                  Duration aLength,
                                  Duration aWork)
 {
-  WaitPool& pool = m_board.PoolOf(aSubmission);
+  // The shares of the teams span all tasks.
+  WaitPool& pool = aSubmission.m_kind == WorkKind::Request
+                     ? m_board.Service(aSubmission.m_service).m_requestPool
+                     : m_board.m_taskPool;
   const auto team = m_board.m_config.m_teams.find(aSubmission.m_team);
   const std::uint32_t weight =
     team == m_board.m_config.m_teams.end() ? 1 : team->second.m_weight;
@@ -125,7 +128,8 @@
   item.m_state = WorkState::Waiting;
   item.m_order = aOrder;
   const WorkRef work{ aSubmission.m_id, aIndex };
-  m_board.QueueOf(aSubmission)
+  item.m_isIsolated = MustIsolate(m_board, aSubmission, item);
+  m_board.QueueOf(aSubmission, item)
     .Insert({ aOrder, work }, WaitingWorkOf(aSubmission, item));
   const Duration urgent =
     aSubmission.m_queue.empty() ? kUrgentMargin : Duration::zero();
@@ -222,15 +226,18 @@
                                      const std::string& aService)
 {
   ServiceState& service = m_board.Service(aService);
-  Dispatch(aContext, service.m_requestPool.m_queue);
+  Dispatch(aContext, service.m_requestPool);
   SubscribeToCapacity(aContext, service.m_requestPool, service.m_agents);
 }
 
 void
 DispatchController::DispatchTasks(EntryEventContext& aContext)
 {
-  Dispatch(aContext, m_board.m_taskPool.m_queue);
-  SubscribeToCapacity(aContext, m_board.m_taskPool, m_board.m_taskAgents);
+  for (WaitPool* const pool :
+       { &m_board.m_taskPool, &m_board.m_isolatedPool }) {
+    Dispatch(aContext, *pool);
+    SubscribeToCapacity(aContext, *pool, pool->m_agents);
+  }
 }
 
 void
@@ -258,6 +265,7 @@
 DispatchController::IsAnyWaiting() const
 {
   return !m_board.m_taskPool.m_queue.Empty() ||
+         !m_board.m_isolatedPool.m_queue.Empty() ||
          std::any_of(
            m_board.m_services.begin(),
            m_board.m_services.end(),
@@ -267,14 +275,15 @@
 }
 
 void
-DispatchController::Dispatch(EntryEventContext& aContext, WaitQueue& aQueue)
+DispatchController::Dispatch(EntryEventContext& aContext, WaitPool& aPool)
 {
+  const WaitQueue& queue = aPool.m_queue;
   std::size_t skipped = 0;
   // With full agents most items are skipped; without this bound each of them
   // would be compared with all agents in each pass.
   std::optional<FreeCapacity> largest;
-  WaitQueue::Keys::const_iterator next = aQueue.Ordered().begin();
-  while (next != aQueue.Ordered().end() && skipped < kMaxSkippedItems) {
+  WaitQueue::Keys::const_iterator next = queue.Ordered().begin();
+  while (next != queue.Ordered().end() && skipped < kMaxSkippedItems) {
     const WaitKey key = next->first;
     const Submission& submission = *m_board.Find(key.m_work.m_submission);
     const bool restricted = IsRestrictedToCandidates(submission);
@@ -283,12 +292,12 @@
     const bool mustFit = submission.m_kind == WorkKind::Task &&
                          m_board.m_policy.m_agentQueueDepth == 0;
     if (mustFit && !largest) {
-      largest = m_placement.LargestFreeCapacity();
+      largest = m_placement.LargestFreeCapacity(aPool.m_agents);
     }
     const bool canBePlaced = !mustFit || largest->Fits(item.m_need);
     if (canBePlaced && TryPlace(aContext, key) != PlacementResult::NoCapacity) {
       largest.reset();
-      next = aQueue.Ordered().upper_bound(key);
+      next = queue.Ordered().upper_bound(key);
       continue;
     }
     // Later items may still be offered if only this item's choice of agents was
@@ -307,7 +316,7 @@
   Submission& submission = *m_board.Find(aKey.m_work.m_submission);
   const std::uint32_t index = aKey.m_work.m_index;
   WorkItem& item = submission.m_items.at(index);
-  WaitQueue& queue = m_board.QueueOf(submission);
+  WaitQueue& queue = m_board.QueueOf(submission, item);
   if (MustGiveUp(m_board, submission, item)) {
     // Runs of the same task have been lost at other entries in the meantime.
     queue.Erase(aKey, WaitingWorkOf(submission, item));
@@ -483,13 +492,13 @@
                    "it could no longer be done by its deadline");
     return;
   }
-  WaitQueue& queue = m_board.QueueOf(*submission);
+  WaitPool& pool = m_board.PoolOf(*submission, item);
   const WaitingWork work = WaitingWorkOf(*submission, item);
-  queue.Erase({ *item.m_order, aWork }, work);
+  pool.m_queue.Erase({ *item.m_order, aWork }, work);
   item.m_order = kUrgentOrder + item.m_startBy.time_since_epoch().count();
-  queue.Insert({ *item.m_order, aWork }, work);
+  pool.m_queue.Insert({ *item.m_order, aWork }, work);
   m_board.m_timers.Add(item.m_startBy, StartByTimer{ aWork });
-  Dispatch(aContext, queue);
+  Dispatch(aContext, pool);
 }
 
 void
--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -78,7 +78,7 @@
     NoCapacity,
   };
 
-  void Dispatch(EntryEventContext& aContext, WaitQueue& aQueue);
+  void Dispatch(EntryEventContext& aContext, WaitPool& aPool);
   /** Subscribes to notifications of free capacity at some of @p aAgents, while
    * items wait in @p aPool. */
   void SubscribeToCapacity(EntryEventContext& aContext,
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -37,7 +37,14 @@
   , m_outcomes(m_board, m_answers, m_dispatch)
   , m_configs(m_board)
   , m_drains(m_board)
-  , m_membership(m_board, m_dispatch, m_outcomes, m_claims, m_configs, m_drains)
+  , m_crashes(m_board)
+  , m_membership(m_board,
+                 m_dispatch,
+                 m_outcomes,
+                 m_claims,
+                 m_configs,
+                 m_drains,
+                 m_crashes)
   , m_forwards(m_board, m_answers, m_admission)
   , m_forwardReceiver(m_board, m_answers, m_admission)
   , m_peerLoads(m_board, m_forwards, m_forwardReceiver)
@@ -184,7 +191,8 @@
       [&](const ForwardDeadlineTimer& aDeadline) {
         m_forwards.OnDeadline(aContext, aDeadline.m_forward);
       },
-      [&](const ForwardTimer&) { m_peerLoads.OnTimer(aContext); } },
+      [&](const ForwardTimer&) { m_peerLoads.OnTimer(aContext); },
+      [&](const IsolationTimer&) { m_membership.OnIsolationTimer(aContext); } },
     aTimer);
 }
 
@@ -379,7 +387,9 @@
 Entry::Counters() const
 {
   EntryCounters counters = m_board.m_counters;
-  counters.m_waiting = m_board.m_taskPool.m_queue.Size();
+  counters.m_isolatedQueues = m_board.m_isolation.Size();
+  counters.m_waiting =
+    m_board.m_taskPool.m_queue.Size() + m_board.m_isolatedPool.m_queue.Size();
   for (const auto& [name, service] : m_board.m_services) {
     counters.m_waiting += service.m_requestPool.m_queue.Size();
   }
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -4,6 +4,7 @@
 #include "core/internal/entry/admissioncontroller.h"
 #include "core/internal/entry/answercontroller.h"
 #include "core/internal/entry/claimcontroller.h"
+#include "core/internal/entry/crashcontroller.h"
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/forwardcontroller.h"
@@ -62,6 +63,7 @@
   OutcomeController m_outcomes;
   ConfigController m_configs;
   ZoneDrainController m_drains;
+  CrashController m_crashes;
   MembershipController m_membership;
   ForwardController m_forwards;
   ForwardReceiver m_forwardReceiver;
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -61,11 +61,12 @@
 }
 
 WaitPool&
-EntryBoard::PoolOf(const Submission& aSubmission)
+EntryBoard::PoolOf(const Submission& aSubmission, const WorkItem& aItem)
 {
-  return aSubmission.m_kind == WorkKind::Request
-           ? Service(aSubmission.m_service).m_requestPool
-           : m_taskPool;
+  if (aSubmission.m_kind == WorkKind::Request) {
+    return Service(aSubmission.m_service).m_requestPool;
+  }
+  return aItem.m_isIsolated ? m_isolatedPool : m_taskPool;
 }
 
 EntryHello
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -6,6 +6,7 @@
 #include "core/internal/entry/crashledger.h"
 #include "core/internal/entry/fairsharetracker.h"
 #include "core/internal/entry/forwardstate.h"
+#include "core/internal/entry/queueisolation.h"
 #include "core/internal/entry/retrybudget.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/submission.h"
@@ -79,6 +80,8 @@
   /** Requests that the endpoints of all agents can run at once, or cores of the
    * workers of all agents. */
   double m_parallelism = 0;
+  /** The agents whose workers run the tasks; not set for requests. */
+  std::vector<AgentRecord*> m_agents;
   FairShareTracker m_fairShares;
   /** When the entry last subscribed to the agents' free capacity. */
   Instant m_subscribedAt = Instant(std::chrono::hours(-1));
@@ -106,6 +109,8 @@
   RunTimeModel m_runTimes;
   /** Moving average of the expected core time of its jobs. */
   Duration m_meanCoreTime{};
+  /** When a job last arrived. */
+  Instant m_lastArrivalAt = Instant(std::chrono::hours(-1));
 };
 
 /** State of one team at this entry, over all services. */
@@ -183,8 +188,6 @@
 
   // Membership
   std::map<ProcessId, AgentRecord> m_agents;
-  /** The agents that have workers. */
-  std::vector<AgentRecord*> m_taskAgents;
   std::vector<ProcessId> m_peers;
   std::deque<DepartedRecord> m_departed;
   /** Departures of agents before this instant may be unknown to this entry. */
@@ -201,6 +204,9 @@
   std::map<std::string, ServiceState, std::less<>> m_services;
   /** Workers form one pool for the jobs of all services. */
   WaitPool m_taskPool;
+  /** Tasks that may crash workers, and the agents with
+   * AgentRecord::m_takesIsolated. */
+  WaitPool m_isolatedPool;
   /** Includes all agents of m_agents. */
   TaskSpeeds m_taskSpeeds;
   std::map<std::string, TeamState, std::less<>> m_teams;
@@ -213,6 +219,8 @@
   RetryBudget m_retryBudget{ 20 };
 
   CrashLedger m_crashes;
+  QueueIsolation m_isolation;
+  bool m_isIsolationTimerArmed = false;
   ForwardState m_forwarding;
 
   TimerQueue m_timers;
@@ -233,11 +241,11 @@
   /** @return the run time model that applies to @p aSubmission. */
   RunTimeModel& RunTimesOf(const Submission& aSubmission);
 
-  /** @return the pool in which items of @p aSubmission wait. */
-  WaitPool& PoolOf(const Submission& aSubmission);
-  WaitQueue& QueueOf(const Submission& aSubmission)
+  /** @return the pool in which @p aItem of @p aSubmission waits. */
+  WaitPool& PoolOf(const Submission& aSubmission, const WorkItem& aItem);
+  WaitQueue& QueueOf(const Submission& aSubmission, const WorkItem& aItem)
   {
-    return PoolOf(aSubmission).m_queue;
+    return PoolOf(aSubmission, aItem).m_queue;
   }
 
   /** @return a hello with the state of this entry. */
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/jobpolicy.h"
 
 #include "core/internal/entry/jobsteps.h"
+#include "core/internal/entry/lostruns.h"
 #include "core/internal/overloaded.h"
 
 #include <algorithm>
@@ -83,18 +84,19 @@
 LoadAhead(EntryBoard& aBoard, Instant aNow, const Submission& aJob)
 {
   JobLoad load;
-  load.m_coreTimeAhead =
-    aBoard.m_taskPool.m_queue.CoreTimeUpTo(JobOrder(aBoard, aJob));
+  const WaitPool& pool =
+    IsIsolated(aBoard, aJob) ? aBoard.m_isolatedPool : aBoard.m_taskPool;
+  load.m_coreTimeAhead = pool.m_queue.CoreTimeUpTo(JobOrder(aBoard, aJob));
   // Work that waits at agents was offered by all entries and competes for the
   // whole capacity, so it is not scaled by the number of entries.
   double offered = 0;
-  for (const AgentRecord* agent : aBoard.m_taskAgents) {
+  for (const AgentRecord* agent : pool.m_agents) {
     offered += static_cast<double>(agent->m_load.m_queuedTaskWork.count());
     load.m_freeMilliCores += agent->m_load.m_freeCapacity.m_milliCores;
     load.m_oldestReport =
       std::max(load.m_oldestReport, aNow - agent->m_loadReceivedAt);
   }
-  const double cores = std::max(aBoard.m_taskPool.m_parallelism, 1.0);
+  const double cores = std::max(pool.m_parallelism, 1.0);
   load.m_coreTimeAtAgents = FromMicros(offered);
   load.m_cores = cores;
   const double ahead = static_cast<double>(load.m_coreTimeAhead.count());
--- a/packages/core/internal/entry/lostruns.cpp
+++ b/packages/core/internal/entry/lostruns.cpp
@@ -22,6 +22,39 @@
          aBoard.m_crashes.IsProven(name);
 }
 
+bool
+MustIsolate(const EntryBoard& aBoard,
+            const Submission& aJob,
+            const WorkItem& aTask)
+{
+  const bool isSuspect =
+    aBoard.m_isolation.Contains(aJob.m_queue) ||
+    aBoard.m_crashes.SuspectedRunsOf(NameOf(aJob, aTask)) > 0;
+  if (!isSuspect || aJob.m_kind == WorkKind::Request) {
+    return false;
+  }
+  return std::any_of(
+    aBoard.m_agents.begin(), aBoard.m_agents.end(), [&](const auto& aPair) {
+      const AgentRecord& agent = aPair.second;
+      return agent.m_takesIsolated &&
+             std::any_of(agent.m_lastWorkers.begin(),
+                         agent.m_lastWorkers.end(),
+                         [&](const WorkerInfo& aWorker) {
+                           return CanRun(aWorker,
+                                         aJob.m_service,
+                                         aTask.m_requiredLabel,
+                                         aTask.m_need);
+                         });
+    });
+}
+
+bool
+IsIsolated(const EntryBoard& aBoard, const Submission& aJob)
+{
+  return aBoard.m_isolation.Contains(aJob.m_queue) &&
+         MustIsolate(aBoard, aJob, aJob.m_items.front());
+}
+
 std::string
 WhyGivenUp(const EntryBoard& aBoard,
            const Submission& aSubmission,
--- a/packages/core/internal/entry/lostruns.h
+++ b/packages/core/internal/entry/lostruns.h
@@ -19,6 +19,18 @@
            const Submission& aSubmission,
            const WorkItem& aItem);
 
+/** @return whether a task may run only on the workers of agents with
+ * AgentRecord::m_takesIsolated: its queue is isolated, or a lost run of it may
+ * have crashed its worker. False if none of these workers can run it. */
+bool
+MustIsolate(const EntryBoard& aBoard,
+            const Submission& aJob,
+            const WorkItem& aTask);
+
+/** @return whether all tasks of a job are isolated, see MustIsolate(). */
+bool
+IsIsolated(const EntryBoard& aBoard, const Submission& aJob);
+
 /** @return how the runs of an item that is given up were lost. */
 std::string
 WhyGivenUp(const EntryBoard& aBoard,
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -130,14 +130,20 @@
   }
   agent.m_lastReceivedAt = aContext.m_now;
   agent.m_reachable = true;
-  RecordCrashes(aContext, agent, std::exchange(aAnnounce.m_crashes, {}));
+  const bool isolationChanged = m_crashes.OnCrashes(
+    aContext, agent, std::exchange(aAnnounce.m_crashes, {}));
   agent.m_announced = std::move(aAnnounce);
+  if (!agent.m_announced.m_workers.empty()) {
+    agent.m_lastWorkers = agent.m_announced.m_workers;
+  }
   const bool isNewService =
     agent.m_announced.m_endpoint &&
     agent.m_servedSince
       .emplace(agent.m_announced.m_endpoint->m_service, aContext.m_now)
       .second;
-  if (changed) {
+  if (isolationChanged) {
+    OnIsolationChanged(aContext);
+  } else if (changed) {
     RebuildIndex();
   }
   OnLoadReport(aContext, aFrom, agent.m_announced.m_load);
@@ -151,20 +157,6 @@
   }
 }
 
-void
-MembershipController::RecordCrashes(const EntryEventContext& aContext,
-                                    AgentRecord& aAgent,
-                                    const std::vector<WorkerCrash>& aCrashes)
-{
-  for (const WorkerCrash& crash : aCrashes) {
-    // After a link was opened again, an agent announces all of its crashes.
-    if (crash.m_number > aAgent.m_lastCrash) {
-      aAgent.m_lastCrash = crash.m_number;
-      m_board.m_crashes.AddCrash(aContext.m_now, crash);
-    }
-  }
-}
-
 bool
 MembershipController::IsSuperseded(const EntryEventContext& aContext,
                                    const ProcessId& aAgent) const
@@ -474,6 +466,41 @@
   }
 }
 
+void
+MembershipController::OnIsolationTimer(EntryEventContext& aContext)
+{
+  if (m_crashes.OnTimer(aContext)) {
+    OnIsolationChanged(aContext);
+  }
+}
+
+void
+MembershipController::OnIsolationChanged(EntryEventContext& aContext)
+{
+  RebuildIndex();
+  m_crashes.MoveWaitingTasks();
+  m_dispatch.DispatchAll(aContext);
+}
+
+void
+MembershipController::AddToTaskPools(AgentRecord& aAgent)
+{
+  double cores = 0;
+  for (const WorkerInfo& worker : aAgent.m_announced.m_workers) {
+    cores += UsableCores(worker);
+  }
+  const bool isReserved =
+    aAgent.m_takesIsolated && !m_board.m_isolation.Empty();
+  if (!isReserved) {
+    m_board.m_taskPool.m_agents.push_back(&aAgent);
+    m_board.m_taskPool.m_parallelism += cores;
+  }
+  if (aAgent.m_takesIsolated) {
+    m_board.m_isolatedPool.m_agents.push_back(&aAgent);
+    m_board.m_isolatedPool.m_parallelism += cores;
+  }
+}
+
 void
 MembershipController::RebuildIndex()
 {
@@ -481,11 +508,17 @@
     service.m_agents.clear();
     service.m_requestPool.m_parallelism = 0;
   }
-  m_board.m_taskAgents.clear();
-  m_board.m_taskPool.m_parallelism = 0;
+  for (WaitPool* const pool :
+       { &m_board.m_taskPool, &m_board.m_isolatedPool }) {
+    pool->m_agents.clear();
+    pool->m_parallelism = 0;
+  }
   m_board.m_taskSpeeds.Clear();
   for (auto& [id, agent] : m_board.m_agents) {
     agent.m_isZoneDrained = m_board.m_drains.Contains(agent.m_announced.m_zone);
+  }
+  m_crashes.SelectAgents();
+  for (auto& [id, agent] : m_board.m_agents) {
     m_board.m_taskSpeeds.Add(agent.m_taskSlowdown);
     const std::string name = ServiceOf(agent);
     if (!name.empty() && agent.ServesRequests(name)) {
@@ -493,12 +526,8 @@
       service.m_agents.push_back(&agent);
       service.m_requestPool.m_parallelism += agent.EndpointSlots();
     }
-    if (!agent.ServesTasks()) {
-      continue;
-    }
-    m_board.m_taskAgents.push_back(&agent);
-    for (const WorkerInfo& worker : agent.m_announced.m_workers) {
-      m_board.m_taskPool.m_parallelism += UsableCores(worker);
+    if (agent.ServesTasks()) {
+      AddToTaskPools(agent);
     }
   }
   m_configs.SelectHolders();
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -2,6 +2,7 @@
 
 #include "core/internal/entry/claimcontroller.h"
 #include "core/internal/entry/configcontroller.h"
+#include "core/internal/entry/crashcontroller.h"
 #include "core/internal/entry/dispatchcontroller.h"
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/outcomecontroller.h"
@@ -19,13 +20,15 @@
                        OutcomeController& aOutcomes,
                        ClaimController& aClaims,
                        ConfigController& aConfigs,
-                       ZoneDrainController& aDrains)
+                       ZoneDrainController& aDrains,
+                       CrashController& aCrashes)
     : m_board(aBoard)
     , m_dispatch(aDispatch)
     , m_outcomes(aOutcomes)
     , m_claims(aClaims)
     , m_configs(aConfigs)
     , m_drains(aDrains)
+    , m_crashes(aCrashes)
   {
   }
 
@@ -45,6 +48,7 @@
   void OnHeartbeat(EntryEventContext& aContext);
 
   void OnLeaseTimer(EntryEventContext& aContext, const ProcessId& aAgent);
+  void OnIsolationTimer(EntryEventContext& aContext);
   void OnPeersChanged(EntryEventContext& aContext, PeersChanged aPeers);
   void OnPeerHello(EntryEventContext& aContext,
                    const ProcessId& aFrom,
@@ -57,11 +61,10 @@
 private:
   bool IsPeer(const ProcessId& aProcess) const;
   PeerHello MakePeerHello(EntryEventContext& aContext) const;
+  /** Assigns agents and waiting tasks to their pools again. */
+  void OnIsolationChanged(EntryEventContext& aContext);
+  void AddToTaskPools(AgentRecord& aAgent);
   /** @return whether another incarnation of the agent has taken its place. */
-  /** Adds the crashes that were not known yet to EntryBoard::m_crashes. */
-  void RecordCrashes(const EntryEventContext& aContext,
-                     AgentRecord& aAgent,
-                     const std::vector<WorkerCrash>& aCrashes);
   bool IsSuperseded(const EntryEventContext& aContext,
                     const ProcessId& aAgent) const;
   void RemoveOtherIncarnations(EntryEventContext& aContext,
@@ -78,6 +81,7 @@
   ClaimController& m_claims;
   ConfigController& m_configs;
   ZoneDrainController& m_drains;
+  CrashController& m_crashes;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/placement.cpp
+++ b/packages/core/internal/entry/placement.cpp
@@ -329,11 +329,11 @@
 }
 
 FreeCapacity
-Placement::LargestFreeCapacity()
+Placement::LargestFreeCapacity(const std::vector<AgentRecord*>& aAgents)
 {
-  m_board.m_counters.m_agentsCompared += m_board.m_taskAgents.size();
+  m_board.m_counters.m_agentsCompared += aAgents.size();
   FreeCapacity largest;
-  for (const AgentRecord* const agent : m_board.m_taskAgents) {
+  for (const AgentRecord* const agent : aAgents) {
     const FreeCapacity free = PredictFreeCapacity(*agent);
     largest.m_milliCores = std::max(largest.m_milliCores, free.m_milliCores);
     largest.m_memoryMb = std::max(largest.m_memoryMb, free.m_memoryMb);
@@ -348,7 +348,7 @@
                        const WorkItem& aItem,
                        Instant aNow)
 {
-  const std::vector<AgentRecord*>& all = m_board.m_taskAgents;
+  const std::vector<AgentRecord*>& all = m_board.PoolOf(aJob, aItem).m_agents;
   const bool byLoad =
     std::holds_alternative<ReportedLoadPlacement>(m_board.m_policy.m_placement);
   const std::size_t considered = byLoad ? kMaxCandidates : 1;
--- a/packages/core/internal/entry/placement.h
+++ b/packages/core/internal/entry/placement.h
@@ -50,7 +50,7 @@
 
   /** @return the most of each resource that any agent has free. A task that
    * does not fit can be placed only in the queue of an agent. */
-  FreeCapacity LargestFreeCapacity();
+  FreeCapacity LargestFreeCapacity(const std::vector<AgentRecord*>& aAgents);
 
   /** @return at most @p aCount random reachable agents of @p aAgents, those of
    * the entry's zone first; may contain duplicates as Sample. */
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -71,6 +71,8 @@
   /** Expected run time of the longest chain of steps that depend on the item's
    * step. */
   Duration m_successorRun{};
+  /** Whether the item waits in EntryBoard::m_isolatedPool. */
+  bool m_isIsolated = false;
   /** Number of offers made for the item so far; sent in Offer::m_startNumber.
    */
   std::uint32_t m_offers = 0;
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -77,6 +77,10 @@
 struct ForwardTimer
 {};
 
+/** Isolated queues may be due for their release. */
+struct IsolationTimer
+{};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -89,7 +93,8 @@
                            ConfigTransferTimer,
                            DrainedZonesTimer,
                            ForwardDeadlineTimer,
-                           ForwardTimer>;
+                           ForwardTimer,
+                           IsolationTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -43,6 +43,8 @@
   AttemptFailed = 311,
   WorkGivenUp = 312,
   AgentSpeedLearned = 315,
+  QueueIsolated = 316,
+  QueueReleased = 317,
 
   AgentJoined = 400,
   AgentLeaving = 401,
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -113,6 +113,9 @@
   /** A request or task is given up after this many lost runs, since it may be
    * what crashes the workers. */
   std::uint32_t m_maxLostRuns = 3;
+  /** Share of the agents of a service, in percent and rounded up, to which
+   * tasks are restricted that may crash workers; 0 for no restriction. */
+  std::uint32_t m_crashIsolationPercent = 20;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
--- a/packages/core/types/status.h
+++ b/packages/core/types/status.h
@@ -86,6 +86,9 @@
   /** Age in milliseconds of the newest figure of other entries' waiting work
    * when the last job of a queue arrived. */
   std::uint64_t m_othersDemandAgeMs = 0;
+  /** Queues that are isolated because their tasks crash workers, a current
+   * value. */
+  std::uint64_t m_isolatedQueues = 0;
   std::uint64_t m_open = 0;
   /** Requests and tasks in the queues of the entry. */
   std::uint64_t m_waiting = 0;
--- a/packages/daemon/internal/counterrows.cpp
+++ b/packages/daemon/internal/counterrows.cpp
@@ -85,6 +85,11 @@
                              "that was used last.",
                              &EntryCounters::m_othersDemandAgeMs,
                              true },
+  CounterRow<EntryCounters>{
+    "isolated_queues",
+    "Queues isolated because their tasks crash workers.",
+    &EntryCounters::m_isolatedQueues,
+    true },
   CounterRow<EntryCounters>{ "open",
                              "Submissions that are not answered yet.",
                              &EntryCounters::m_open,
--- a/packages/daemon/internal/shardset.cpp
+++ b/packages/daemon/internal/shardset.cpp
@@ -164,6 +164,8 @@
     sum.m_agentsSlow = std::max(sum.m_agentsSlow, counters.m_agentsSlow);
     sum.m_othersDemandAgeMs =
       std::max(sum.m_othersDemandAgeMs, counters.m_othersDemandAgeMs);
+    sum.m_isolatedQueues =
+      std::max(sum.m_isolatedQueues, counters.m_isolatedQueues);
     sum.m_open += counters.m_open;
     sum.m_waiting += counters.m_waiting;
   }
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -181,6 +181,15 @@
     },
     "a request or task is given up after so many runs that were lost with "
     "their worker" },
+  SettingField{
+    "policy.crash_isolation_percent",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return Count(aS.m_entryPolicy.m_crashIsolationPercent, 0, 90);
+    },
+    "share of a service's agents, rounded up, that run the tasks of queues "
+    "whose tasks crash workers; 0 for no isolation" },
 };
 
 } // namespace
