Notice a worker that starts again as the same incarnation

Found while looking for other ways on which runs are lost unseen. An agent took ends of the new start for old ones (ended.m_number <= m_lastEnd), so completed runs counted as lost, were placed again, and were acknowledged before they were read; the crash itself was not recorded.

An agent now compares the start that announcements and observations state, numbers ends anew, lets the next observation tell which runs are gone, and records these as a crash. Runs that the new start has accepted stay.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -49,7 +49,8 @@
 
 void
 LeasedRuns::SetAnnouncedIncarnation(Worker& aWorker,
-                                    const std::string& aIncarnation)
+                                    const std::string& aIncarnation,
+                                    std::uint64_t aStartedAtMs)
 {
   if (!aWorker.m_leasedRuns) {
     aWorker.m_leasedRuns.emplace();
@@ -60,6 +61,21 @@
   if (state.m_incarnation != aIncarnation && state.m_incarnation.empty()) {
     state.m_incarnation = aIncarnation;
   }
+  if (state.m_incarnation == aIncarnation) {
+    CheckRestart(state, aStartedAtMs);
+  }
+}
+
+void
+LeasedRuns::CheckRestart(LeasedRunState& aState, std::uint64_t aStartedAtMs)
+{
+  if (aStartedAtMs <= aState.m_startedAtMs) {
+    return;
+  }
+  aState.m_hasRestarted = aState.m_startedAtMs != 0;
+  aState.m_startedAtMs = aStartedAtMs;
+  aState.m_lastEnd = 0;
+  aState.m_acknowledgedRun = 0;
 }
 
 void
@@ -206,10 +222,16 @@
         state.m_announcedIncarnation = aObserved.m_incarnation;
         state.m_observationSentAt = sentAt;
       }
-      state.m_lastAnswerAt = m_board.m_now;
+      if (aObserved.m_startedAtMs < state.m_startedAtMs &&
+          aObserved.m_startedAtMs != 0) {
+        // The answer was sent before the worker started again.
+        return;
+      }
+      CheckRestart(state, aObserved.m_startedAtMs);
       SetResponsive(worker, true);
       ProcessEndedRuns(worker, aObserved);
       ProcessActiveRuns(worker, aObserved);
+      state.m_lastAnswerAt = m_board.m_now;
       state.m_observed = true;
       return;
     case ObserveResult::OtherIncarnation:
@@ -278,6 +300,9 @@
   LeasedRunState& state = *aWorker.m_leasedRuns;
   std::set<RunName> running(aObserved.m_running.begin(),
                             aObserved.m_running.end());
+  if (std::exchange(state.m_hasRestarted, false)) {
+    RecordRestart(aWorker, running);
+  }
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (running.erase(attempt->m_runName) != 0) {
       attempt->m_acceptedAt =
@@ -308,6 +333,18 @@
   }
 }
 
+void
+LeasedRuns::RecordRestart(const Worker& aWorker,
+                          const std::set<RunName>& aRunning)
+{
+  std::vector<Attempt*> lost = RunsOn(aWorker);
+  std::erase_if(lost, [&](const Attempt* aAttempt) {
+    return aRunning.contains(aAttempt->m_runName) || !aAttempt->m_acceptedAt ||
+           *aAttempt->m_acceptedAt >= aWorker.m_leasedRuns->m_observationSentAt;
+  });
+  CrashLog(m_board).Record(aWorker, lost, "the worker has started again");
+}
+
 void
 LeasedRuns::FinishAsCrashed(Worker& aWorker, std::string_view aCause)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -3,6 +3,7 @@
 #include "core/internal/agent/board.h"
 #include "core/types/events.h"
 
+#include <set>
 #include <string_view>
 
 namespace mulberrysail::core::agent {
@@ -22,9 +23,11 @@
   {
   }
 
-  /** Records that a worker with run leases has announced @p aIncarnation. */
+  /** Records that a worker with run leases has announced @p aIncarnation.
+   * @param aStartedAtMs see WorkerAnnounced::m_startedAtMs. */
   void SetAnnouncedIncarnation(Worker& aWorker,
-                               const std::string& aIncarnation);
+                               const std::string& aIncarnation,
+                               std::uint64_t aStartedAtMs);
 
   /** Moves LeasedRunState::m_runsEndBy forward; to be called when a run or a
    * lease renewal is sent to @p aWorker. */
@@ -55,9 +58,15 @@
   /** Sends an observation, and renews the run leases if all runs on the worker
    * are known to be of this agent incarnation. */
   void Observe(Worker& aWorker, const std::string& aIncarnation);
+  /** Begins to number ends anew if the tracked incarnation has started again.
+   * The next observation tells which of its runs have ended with the earlier
+   * start. */
+  static void CheckRestart(LeasedRunState& aState, std::uint64_t aStartedAtMs);
   void SetResponsive(Worker& aWorker, bool aResponsive);
   void ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved);
   void ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved);
+  /** Records the accepted runs that @p aRunning lacks as lost in a crash. */
+  void RecordRestart(const Worker& aWorker, const std::set<RunName>& aRunning);
   /** Ends all attempts running on the worker with RunOutcome::Interrupted, and
    * records them as lost in a crash unless the worker is leaving.
    * @param aCause how the loss was detected, for the log. */
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -6,6 +6,7 @@
 #include "core/internal/agent/workerusage.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace mulberrysail::core::agent {
 
@@ -15,6 +16,19 @@
 constexpr int kInverseClockDrift = 1000;
 constexpr std::size_t kMaxWorkers = 1024;
 
+/** @return whether the announcement was sent before the last one that was
+ * received, and may state a capacity that the worker no longer has. */
+bool
+IsOutdated(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
+{
+  if (aAnnounced.m_sequence == 0 ||
+      aAnnounced.m_incarnation != aWorker.m_announcedBy) {
+    return false;
+  }
+  return std::tie(aAnnounced.m_startedAtMs, aAnnounced.m_sequence) <=
+         std::tie(aWorker.m_announcedStartMs, aWorker.m_lastSequence);
+}
+
 /** How long the breaker state of an expired worker is retained. */
 constexpr Duration kBreakerRetention = std::chrono::seconds(60);
 
@@ -182,6 +196,13 @@
     return;
   }
   Worker& worker = workers[aAnnounced.m_info.m_name];
+  if (IsOutdated(worker, aAnnounced)) {
+    return;
+  }
+  worker.m_announcedBy = aAnnounced.m_incarnation;
+  worker.m_announcedStartMs = aAnnounced.m_startedAtMs;
+  worker.m_lastSequence = aAnnounced.m_sequence;
+  worker.m_largestCapacity.RaiseTo(aAnnounced.m_info.m_capacity);
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
   aAnnounced.m_info.m_warmingUp =
     aAnnounced.m_warmUpRemaining > Duration::zero();
@@ -194,8 +215,8 @@
   worker.m_leaving = aAnnounced.m_leaving;
   worker.m_unreachable = false;
   if (aAnnounced.m_hasRunLeases) {
-    LeasedRuns(m_board).SetAnnouncedIncarnation(worker,
-                                                aAnnounced.m_incarnation);
+    LeasedRuns(m_board).SetAnnouncedIncarnation(
+      worker, aAnnounced.m_incarnation, aAnnounced.m_startedAtMs);
   }
   worker.m_leaseEnds = m_board.m_now + m_board.m_policy.m_workerLease;
   WorkerUsage(m_board).ApplyUsage(worker, aAnnounced.m_usage);
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -43,6 +43,11 @@
   std::string m_incarnation;
   /** The incarnation in the last announcement; may be an earlier one. */
   std::string m_announcedIncarnation;
+  /** WorkerAnnounced::m_startedAtMs of the latest start. */
+  std::uint64_t m_startedAtMs = 0;
+  /** Set when the worker has started again as the same incarnation, until an
+   * observation has shown which runs it lost. */
+  bool m_hasRestarted = false;
   /** Set after the first observation; until then, runs that an earlier
    * incarnation of the agent has started may be active. */
   bool m_observed = false;
@@ -72,6 +77,13 @@
 {
   WorkerInfo m_info;
   std::string m_url;
+  /** The most of each resource that was announced. WorkerInfo::m_capacity may
+   * be lower for a while. */
+  Resources m_largestCapacity;
+  /** The incarnation, start and number of the last announcement. */
+  std::string m_announcedBy;
+  std::uint64_t m_announcedStartMs = 0;
+  std::uint64_t m_lastSequence = 0;
   Instant m_leaseEnds;
   /** When the worker stops being slow after its start, while
    * WorkerInfo::m_warmingUp is set. */
--- a/packages/core/internal/agent/workerusage.cpp
+++ b/packages/core/internal/agent/workerusage.cpp
@@ -60,15 +60,6 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
 }
 
-void
-RaiseTo(Resources& aReserved, const Resources& aUsed)
-{
-  aReserved.m_milliCores = std::max(aReserved.m_milliCores, aUsed.m_milliCores);
-  aReserved.m_memoryMb = std::max(aReserved.m_memoryMb, aUsed.m_memoryMb);
-  aReserved.m_accelerators =
-    std::max(aReserved.m_accelerators, aUsed.m_accelerators);
-}
-
 } // namespace
 
 void
@@ -142,9 +133,9 @@
     if (attempt.m_worker != aWorker.m_info.m_name) {
       continue;
     }
-    RaiseTo(attempt.m_peakUsage, usage.m_used);
+    attempt.m_peakUsage.RaiseTo(usage.m_used);
     SubtractResources(aWorker.m_reserved, attempt.m_reserved);
-    RaiseTo(attempt.m_reserved, usage.m_used);
+    attempt.m_reserved.RaiseTo(usage.m_used);
     AddResources(aWorker.m_reserved, attempt.m_reserved);
   }
 }
--- a/packages/core/tests/agent_crash_test.cpp
+++ b/packages/core/tests/agent_crash_test.cpp
@@ -61,6 +61,10 @@
   CPPUNIT_TEST_SUITE(AgentCrashTest);
   CPPUNIT_TEST(CrashIsRecordedWithTheAgeOfEachRun);
   CPPUNIT_TEST(EndOfALeavingWorkerIsNoCrash);
+  CPPUNIT_TEST(RestartUnderTheSameIncarnationLosesItsRuns);
+  CPPUNIT_TEST(EndsAfterARestartAreNotTakenForEarlierOnes);
+  CPPUNIT_TEST(RunOfTheNewStartIsNotLost);
+  CPPUNIT_TEST(AnswerOfTheEarlierStartIsIgnored);
   CPPUNIT_TEST(CrashIsAnnouncedBeforeItsRunsAreReported);
   CPPUNIT_TEST(CrashIsAnnouncedOnceToEachEntry);
   CPPUNIT_TEST(EntryThatStartsAgainLearnsOfEarlierCrashes);
@@ -92,6 +96,62 @@
     CPPUNIT_ASSERT(EventsOf(fixture, EventCode::WorkerCrashed).empty());
   }
 
+  void RestartUnderTheSameIncarnationLosesItsRuns()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({ { "a", 1 } });
+    fixture.m_startedAtMs += 5000;
+    fixture.AnswerObservation({});
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Interrupted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         EventsOf(fixture, EventCode::WorkerCrashed).size());
+  }
+
+  void EndsAfterARestartAreNotTakenForEarlierOnes()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({}, { { 9, { "a", 1 }, RunEnd::Completed } });
+    fixture.AnswerObservation({});
+    fixture.m_startedAtMs += 5000;
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    fixture.RunTask(2, "b");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
+                         fixture.Observations().back().m_acknowledgedRun);
+    fixture.AnswerObservation({}, { { 1, { "b", 1 }, RunEnd::Completed } });
+    CPPUNIT_ASSERT(fixture.ReportOn(2)->m_fate == AttemptFate::Completed);
+  }
+
+  void RunOfTheNewStartIsNotLost()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({ { "a", 1 } });
+    fixture.m_startedAtMs += 5000;
+    fixture.RunTask(2, "b");
+    fixture.AnswerObservation({ { "b", 1 } });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Interrupted);
+    CPPUNIT_ASSERT(!fixture.ReportOn(2));
+    const std::vector<std::string> crashes =
+      EventsOf(fixture, EventCode::WorkerCrashed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, crashes.size());
+    CPPUNIT_ASSERT(Contains(crashes[0], "runs=1"));
+  }
+
+  void AnswerOfTheEarlierStartIsIgnored()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    fixture.m_startedAtMs += 5000;
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({ { "a", 1 } });
+    fixture.m_startedAtMs -= 5000;
+    fixture.AnswerObservation({});
+    CPPUNIT_ASSERT(!fixture.ReportOn(1));
+  }
+
   void CrashIsAnnouncedBeforeItsRunsAreReported()
   {
     LeaseFixture fixture;
--- a/packages/core/tests/leasefixture.h
+++ b/packages/core/tests/leasefixture.h
@@ -48,6 +48,8 @@
     announced.m_leaving = aLeaving;
     announced.m_hasRunLeases = true;
     announced.m_incarnation = aIncarnation;
+    announced.m_startedAtMs = m_startedAtMs;
+    announced.m_sequence = ++m_lastSequence;
     HandleEvent(announced);
   }
 
@@ -75,7 +77,8 @@
                               last.m_observationId,
                               aResult,
                               std::move(aRunning),
-                              std::move(aEnded) });
+                              std::move(aEnded),
+                              m_startedAtMs });
   }
 
   Offer NamedOffer(std::uint64_t aAttempt, const std::string& aName) const
@@ -101,6 +104,10 @@
     HandleEvent(StartAnswered{ run, StartResult::Started, {} });
     return run;
   }
+
+  /** Of the worker, see WorkerAnnounced. */
+  std::uint64_t m_startedAtMs = 1000;
+  std::uint64_t m_lastSequence = 0;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -175,6 +175,13 @@
   std::string m_incarnation = {};
   /** How much longer the worker runs tasks slowly after its start. */
   Duration m_warmUpRemaining = {};
+  /** When the worker started, on its own clock; zero if it does not tell. A
+   * worker may start again as the same incarnation, and then knows nothing of
+   * its earlier runs, and numbers ends and announcements from 1 again. */
+  std::uint64_t m_startedAtMs = 0;
+  /** Rises with each announcement of one start of the worker; zero if the
+   * worker does not number them. */
+  std::uint64_t m_sequence = 0;
 };
 
 /** A worker deregistered. Unlike WorkerAnnounced::m_leaving, the event carries
@@ -269,6 +276,8 @@
   ObserveResult m_result = ObserveResult::NoAnswer;
   std::vector<RunName> m_running;
   std::vector<EndedRun> m_ended;
+  /** As WorkerAnnounced::m_startedAtMs. */
+  std::uint64_t m_startedAtMs = 0;
 };
 
 using AgentEvent = std::variant<MessageReceived,
--- a/packages/core/types/resources.h
+++ b/packages/core/types/resources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace mulberrysail::core {
@@ -13,6 +14,14 @@
 
   bool operator==(const Resources&) const = default;
 
+  /** Raises each resource to that of @p aOther, if it is lower. */
+  void RaiseTo(const Resources& aOther)
+  {
+    m_milliCores = std::max(m_milliCores, aOther.m_milliCores);
+    m_memoryMb = std::max(m_memoryMb, aOther.m_memoryMb);
+    m_accelerators = std::max(m_accelerators, aOther.m_accelerators);
+  }
+
   /** @return whether @p aNeed exceeds none of these resources. */
   bool Fits(const Resources& aNeed) const
   {
