A capacity that has shrunk is no proof that a task can never run

LIMIT: the room that a worker announces may fall below what runs or is on its way. Found: while the capacity of one worker was below a task's need, its agent refused offers as unsatisfiable, which abandons the whole job, and an entry told callers that no worker could ever hold the task. Now agents and entries keep the largest capacity of each worker: the agent refuses with queue-full, so that the task goes elsewhere, and the entry refuses for now, with a time to come back.

--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -166,23 +166,7 @@
 Admission::CheckTask(const EntryRecord& aEntry, const Offer& aOffer) const
 {
   if (!HasWorkerFor(m_board, aOffer, {})) {
-    const bool anyLive =
-      std::any_of(m_board.m_workers.m_workers.begin(),
-                  m_board.m_workers.m_workers.end(),
-                  [&](const std::pair<const std::string, Worker>& aWorker) {
-                    return IsLive(m_board, aWorker.second);
-                  });
-    const bool anyCanRun =
-      std::any_of(m_board.m_workers.m_workers.begin(),
-                  m_board.m_workers.m_workers.end(),
-                  [&](const std::pair<const std::string, Worker>& aWorker) {
-                    return CanRun(aWorker.second.m_info,
-                                  aOffer.m_service,
-                                  aOffer.m_requiredLabel,
-                                  aOffer.m_need);
-                  });
-    return anyLive && !anyCanRun ? ErrorKind::Unsatisfiable
-                                 : ErrorKind::NoEndpoint;
+    return WhyNoWorkerFor(m_board, aOffer);
   }
   const bool accepted =
     m_board.m_tasks.m_size < m_board.m_policy.m_maxQueuedTasks ||
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -23,10 +23,10 @@
 constexpr Duration kMaxBackfillWait = std::chrono::seconds(1);
 
 bool
-CanRunOffer(const Worker& aWorker, const Offer& aOffer)
+CanRunOffer(const WorkerInfo& aWorker, const Offer& aOffer)
 {
   return CanRun(
-    aWorker.m_info, aOffer.m_service, aOffer.m_requiredLabel, aOffer.m_need);
+    aWorker, aOffer.m_service, aOffer.m_requiredLabel, aOffer.m_need);
 }
 
 double
@@ -81,10 +81,32 @@
                        return aEntry.first != aAvoided &&
                               IsLive(aBoard, worker) &&
                               worker.m_breaker.m_state != BreakerState::Open &&
-                              CanRunOffer(worker, aOffer);
+                              CanRunOffer(worker.m_info, aOffer);
                      });
 }
 
+ErrorKind
+WhyNoWorkerFor(const AgentBoard& aBoard, const Offer& aOffer)
+{
+  bool anyLive = false;
+  bool canRun = false;
+  bool couldRun = false;
+  for (const auto& [name, worker] : aBoard.m_workers.m_workers) {
+    if (!IsLive(aBoard, worker)) {
+      continue;
+    }
+    WorkerInfo largest = worker.m_info;
+    largest.m_capacity = worker.m_largestCapacity;
+    anyLive = true;
+    canRun = canRun || CanRunOffer(worker.m_info, aOffer);
+    couldRun = couldRun || CanRunOffer(largest, aOffer);
+  }
+  if (!anyLive || canRun) {
+    return ErrorKind::NoEndpoint;
+  }
+  return couldRun ? ErrorKind::QueueFull : ErrorKind::Unsatisfiable;
+}
+
 void
 Starter::StartRequests()
 {
@@ -181,7 +203,7 @@
   std::tuple<bool, std::uint32_t, double> bestScore;
   for (auto& [name, worker] : m_board.m_workers.m_workers) {
     if (name == aAttempt.m_worker || worker.m_unreachable ||
-        !CanRunOffer(worker, aAttempt.m_offer)) {
+        !CanRunOffer(worker.m_info, aAttempt.m_offer)) {
       continue;
     }
     const Resources free = FreeCapacity(m_board, worker);
@@ -295,8 +317,11 @@
     }
   }
   for (Attempt* attempt : unservable) {
+    const bool hasLessCapacity =
+      WhyNoWorkerFor(m_board, attempt->m_offer) == ErrorKind::QueueFull;
     const ErrorKind kind = !acceptsWork          ? ErrorKind::Draining
                            : attempt->m_requeued ? ErrorKind::ConnectFailed
+                           : hasLessCapacity     ? ErrorKind::QueueFull
                                                  : ErrorKind::NoEndpoint;
     Outcomes(m_board).EndQueued(*attempt, AttemptFate::Refused, kind);
   }
--- a/packages/core/internal/agent/starter.h
+++ b/packages/core/internal/agent/starter.h
@@ -51,4 +51,10 @@
              const Offer& aOffer,
              const std::string& aAvoided);
 
+/** @return why no worker can run the task of @p aOffer now, QueueFull if a
+ * worker could with the capacity that it had before, Unsatisfiable if none
+ * could, NoEndpoint if none is live. */
+ErrorKind
+WhyNoWorkerFor(const AgentBoard& aBoard, const Offer& aOffer);
+
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -24,6 +24,18 @@
 /** Share of its slack that a request may spend waiting. */
 constexpr double kUsableSlack = 0.8;
 
+const std::vector<WorkerInfo>&
+AnnouncedWorkers(const AgentRecord& aAgent)
+{
+  return aAgent.m_announced.m_workers;
+}
+
+const std::vector<WorkerInfo>&
+LastWorkers(const AgentRecord& aAgent)
+{
+  return aAgent.m_lastWorkers;
+}
+
 Duration
 Scaled(Duration aDuration, double aFactor)
 {
@@ -376,33 +388,46 @@
 std::optional<AdmissionController::Refusal>
 AdmissionController::CheckWorkersCanRun(const SubmitJob& aJob) const
 {
-  bool anyWorker = false;
+  const bool anyWorker = std::any_of(
+    m_board.m_agents.begin(), m_board.m_agents.end(), [](const auto& aPair) {
+      return !aPair.second.m_announced.m_workers.empty();
+    });
+  if (!anyWorker) {
+    return Refusal{ ErrorKind::NoEndpoint, "no worker is known", {} };
+  }
   for (std::size_t i = 0; i < aJob.m_tasks.size(); ++i) {
-    bool fits = false;
-    for (const auto& [id, agent] : m_board.m_agents) {
-      for (const WorkerInfo& worker : agent.m_announced.m_workers) {
-        anyWorker = true;
-        fits = fits || CanRun(worker,
-                              aJob.m_service,
-                              aJob.m_tasks[i].m_requiredLabel,
-                              aJob.m_tasks[i].m_need);
-      }
-      if (fits) {
-        break;
-      }
+    if (AnyWorkerCanRun(aJob, aJob.m_tasks[i], &AnnouncedWorkers)) {
+      continue;
     }
-    if (!anyWorker) {
-      return Refusal{ ErrorKind::NoEndpoint, "no worker is known", {} };
-    }
-    if (!fits) {
-      return Refusal{ ErrorKind::Unsatisfiable,
-                      "no worker could ever hold task " + std::to_string(i),
+    if (AnyWorkerCanRun(aJob, aJob.m_tasks[i], &LastWorkers)) {
+      return Refusal{ ErrorKind::NoEndpoint,
+                      "the workers that could hold task " + std::to_string(i) +
+                        " have less capacity now",
                       {} };
     }
+    return Refusal{ ErrorKind::Unsatisfiable,
+                    "no worker could ever hold task " + std::to_string(i),
+                    {} };
   }
   return std::nullopt;
 }
 
+bool
+AdmissionController::AnyWorkerCanRun(const SubmitJob& aJob,
+                                     const TaskSpec& aTask,
+                                     WorkersOf aWorkersOf) const
+{
+  return std::any_of(
+    m_board.m_agents.begin(), m_board.m_agents.end(), [&](const auto& aPair) {
+      const std::vector<WorkerInfo>& workers = aWorkersOf(aPair.second);
+      return std::any_of(
+        workers.begin(), workers.end(), [&](const WorkerInfo& aWorker) {
+          return CanRun(
+            aWorker, aJob.m_service, aTask.m_requiredLabel, aTask.m_need);
+        });
+    });
+}
+
 Submission&
 AdmissionController::Admit(EntryEventContext& aContext, Submission aSubmission)
 {
--- a/packages/core/internal/entry/admissioncontroller.h
+++ b/packages/core/internal/entry/admissioncontroller.h
@@ -62,6 +62,12 @@
   std::optional<Refusal> CheckJobLoad(const EntryEventContext& aContext,
                                       const Submission& aJob);
   std::optional<Refusal> CheckWorkersCanRun(const SubmitJob& aJob) const;
+  using WorkersOf = const std::vector<WorkerInfo>& (*)(const AgentRecord&);
+  /** @return whether one of the workers that @p aWorkersOf returns for each
+   * agent can run the task, at least if idle. */
+  bool AnyWorkerCanRun(const SubmitJob& aJob,
+                       const TaskSpec& aTask,
+                       WorkersOf aWorkersOf) const;
   /** @return this entry's share of the team's quota of open items. */
   std::uint32_t TeamLimit(const TeamConfig& aTeam) const;
   Submission& Admit(EntryEventContext& aContext, Submission aSubmission);
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace mulberrysail::core {
@@ -66,7 +67,8 @@
   /** LoadReport::m_drainsDigest of the agent's last refusal because its zone is
    * drained; zero if there was none. */
   std::uint64_t m_refusedDrainsDigest = 0;
-  /** The workers that were announced last, also while none of them is live. */
+  /** The workers that were announced last, also while none of them is live,
+   * with the largest capacity that each has announced. */
   std::vector<WorkerInfo> m_lastWorkers;
   /** Whether isolated tasks may run on the agent's workers. While a queue is
    * isolated, no other tasks may. */
@@ -99,6 +101,23 @@
            !m_announced.m_workers.empty();
   }
 
+  /** Updates m_lastWorkers from m_announced. */
+  void RememberWorkers()
+  {
+    if (m_announced.m_workers.empty()) {
+      return;
+    }
+    std::vector<WorkerInfo> workers = m_announced.m_workers;
+    for (WorkerInfo& worker : workers) {
+      for (const WorkerInfo& earlier : m_lastWorkers) {
+        if (earlier.m_name == worker.m_name) {
+          worker.m_capacity.RaiseTo(earlier.m_capacity);
+        }
+      }
+    }
+    m_lastWorkers = std::move(workers);
+  }
+
   /** @return whether @p aLabel is empty or a worker of the agent has it. */
   bool HasLabelOrNone(std::string_view aLabel) const
   {
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -133,9 +133,7 @@
   const bool isolationChanged = m_crashes.OnCrashes(
     aContext, agent, std::exchange(aAnnounce.m_crashes, {}));
   agent.m_announced = std::move(aAnnounce);
-  if (!agent.m_announced.m_workers.empty()) {
-    agent.m_lastWorkers = agent.m_announced.m_workers;
-  }
+  agent.RememberWorkers();
   const bool isNewService =
     agent.m_announced.m_endpoint &&
     agent.m_servedSince
--- a/packages/core/tests/entry_queue_test.cpp
+++ b/packages/core/tests/entry_queue_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(JobFailsAfterItsLastAttempt);
   CPPUNIT_TEST(JobWithAttemptsLeftIsNotReportedFailed);
   CPPUNIT_TEST(InterruptedTaskIsRetried);
+  CPPUNIT_TEST(JobTooLargeForShrunkenWorkersIsRefusedForNow);
   CPPUNIT_TEST(SecondSubmissionGetsTheSameAnswer);
   CPPUNIT_TEST(FinishedJobIsNotRunAgain);
   CPPUNIT_TEST(JobIsRevokedWhenItsLastCallerDisconnects);
@@ -128,6 +129,17 @@
     CPPUNIT_ASSERT(answer->m_execution != Execution::NotRun);
   }
 
+  void JobTooLargeForShrunkenWorkersIsRefusedForNow()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    fixture.AddWorkerAgent("a1", { 1000, 32768, 0 });
+    const CallerToken caller = fixture.Submit("job", 1);
+    const std::optional<Answer> answer = fixture.AnswerTo(caller);
+    CPPUNIT_ASSERT(answer->m_kind == ErrorKind::NoEndpoint);
+    CPPUNIT_ASSERT(answer->m_retryAfter.has_value());
+  }
+
   void InterruptedTaskIsRetried()
   {
     QueueFixture fixture;
