Retry-After while no worker is usable no longer assumes one core

Cause: with no usable worker the work ahead was divided by one core. When workers come back is not known then, so the shortest delay is named, with its spread; cores=0 is logged. RetryAfterIsShortWhileNoWorkerIsUsable failed before.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -281,9 +281,11 @@
   if (load.m_wait <= load.m_maxWait) {
     return std::nullopt;
   }
+  // Without a usable worker the wait is not known.
+  const Duration wait = load.m_cores > 0 ? load.m_wait : Duration::zero();
   return Refusal{ ErrorKind::DeadlineUnreachable,
                   DescribeLoad(load),
-                  m_answers.RetryAfter(load.m_wait) };
+                  m_answers.RetryAfter(wait) };
 }
 
 std::optional<AdmissionController::Refusal>
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -98,7 +98,7 @@
   }
   const double cores = std::max(pool.m_parallelism, 1.0);
   load.m_coreTimeAtAgents = FromMicros(offered);
-  load.m_cores = cores;
+  load.m_cores = pool.m_parallelism;
   const double ahead = static_cast<double>(load.m_coreTimeAhead.count());
   double waiting = ahead * aBoard.EntryCount();
   if (aBoard.m_policy.m_sharedDemand) {
--- a/packages/core/tests/entry_queue_test.cpp
+++ b/packages/core/tests/entry_queue_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(JobWithAttemptsLeftIsNotReportedFailed);
   CPPUNIT_TEST(InterruptedTaskIsRetried);
   CPPUNIT_TEST(JobTooLargeForShrunkenWorkersIsRefusedForNow);
+  CPPUNIT_TEST(RetryAfterIsShortWhileNoWorkerIsUsable);
   CPPUNIT_TEST(SecondSubmissionGetsTheSameAnswer);
   CPPUNIT_TEST(FinishedJobIsNotRunAgain);
   CPPUNIT_TEST(JobIsRevokedWhenItsLastCallerDisconnects);
@@ -140,6 +141,24 @@
     CPPUNIT_ASSERT(answer->m_retryAfter.has_value());
   }
 
+  void RetryAfterIsShortWhileNoWorkerIsUsable()
+  {
+    QueueFixture fixture;
+    const ProcessId agent = fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    fixture.Submit("running", 10);
+    fixture.Submit("waiting", 40);
+    fixture.Advance(milliseconds(10));
+    Announce silent;
+    silent.m_leaseFor = std::chrono::hours(1);
+    silent.m_workers.push_back({ "a1-w", "rack", kWorkerCapacity, true });
+    fixture.Receive(agent, silent);
+    const CallerToken caller = fixture.Submit("late", 1, milliseconds(1500));
+    const std::optional<Answer> answer = fixture.AnswerTo(caller);
+    CPPUNIT_ASSERT(answer->m_kind == ErrorKind::DeadlineUnreachable);
+    // The shortest delay, 500 ms, with its spread of at most 1 s.
+    CPPUNIT_ASSERT(*answer->m_retryAfter <= milliseconds(1500));
+  }
+
   void InterruptedTaskIsRetried()
   {
     QueueFixture fixture;
