Offers of an event, and learning from runs, in modules of their own

OfferBatches collects and sends the offers of one event, RunTimeLearner learns from completed runs; both were moved as they were.

--- a/packages/core/internal/entry/dispatchcontroller.h
+++ b/packages/core/internal/entry/dispatchcontroller.h
@@ -2,9 +2,9 @@
 
 #include "core/internal/entry/answercontroller.h"
 #include "core/internal/entry/entryboard.h"
+#include "core/internal/entry/offerbatches.h"
 #include "core/internal/entry/placement.h"
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +19,7 @@
     : m_board(aBoard)
     , m_answers(aAnswers)
     , m_placement(aBoard)
+    , m_offers(aBoard)
   {
   }
 
@@ -87,10 +88,6 @@
   bool IsAnyWaiting() const;
   /** Chooses an agent for a waiting item and offers the item to it. */
   PlacementResult TryPlace(EntryEventContext& aContext, const WaitKey& aKey);
-  void AddOffer(EntryEventContext& aContext,
-                Submission& aSubmission,
-                std::uint32_t aIndex,
-                AgentRecord& aAgent);
   void StartProbe(EntryEventContext& aContext,
                   Submission& aSubmission,
                   std::uint32_t aIndex,
@@ -103,7 +100,6 @@
                             const Submission& aSubmission,
                             Duration aLength,
                             Duration aWork);
-  void ArmHeartbeat(EntryEventContext& aContext);
   /** Puts tasks into their queue, longest expected run time first. */
   void EnqueueLongestFirst(EntryEventContext& aContext,
                            Submission& aJob,
@@ -117,18 +113,7 @@
   EntryBoard& m_board;
   AnswerController& m_answers;
   Placement m_placement;
-  /** Items of one submission offered in this event context, for the log. */
-  struct OfferedItems
-  {
-    std::size_t m_items = 0;
-    /** Names of their agents, in the order of the items. */
-    std::string m_agents;
-    /** Age of the oldest load report used for these offers. */
-    Duration m_oldestLoad{};
-  };
-
-  std::map<ProcessId, OfferBatch> m_pendingOffers;
-  std::map<SubmissionId, OfferedItems> m_offeredItems;
+  OfferBatches m_offers;
 };
 
 /**
--- a/packages/core/internal/entry/outcomecontroller.h
+++ b/packages/core/internal/entry/outcomecontroller.h
@@ -65,10 +65,6 @@
                           const Submission& aSubmission,
                           const WorkItem& aItem,
                           ErrorKind aKind);
-  void LearnRunTime(EntryEventContext& aContext,
-                    AgentRecord& aAgent,
-                    const Submission& aSubmission,
-                    const WorkItem& aItem);
   /** Counts an attempt that ran and failed.
    * @return whether the task may be retried. */
   bool RecordFailureAndCheckRetry(EntryEventContext& aContext, WorkRef aWork);
@@ -82,11 +78,6 @@
                    AgentRecord& aAgent,
                    WorkRef aWork,
                    AttemptReport& aReport);
-  /** Learns the speed of @p aAgent from a completed task of a queue. */
-  void LearnTaskSpeed(EntryEventContext& aContext,
-                      AgentRecord& aAgent,
-                      const Submission& aJob,
-                      const WorkItem& aItem);
   void RecordLostRun(const EntryEventContext& aContext,
                      const Submission& aSubmission,
                      WorkItem& aItem,
--- a/packages/core/internal/entry/submission.h
+++ b/packages/core/internal/entry/submission.h
@@ -138,6 +138,14 @@
   std::vector<CallerToken> m_joinedCallers;
 };
 
+/** @return whether only the agents of KeyCandidates() may get the submission.
+ */
+inline bool
+IsRestrictedToCandidates(const Submission& aSubmission)
+{
+  return aSubmission.m_key.has_value() && !aSubmission.m_repeatable;
+}
+
 /** @return the caller key if there is one, else the caller's name for the
  * submission; may be empty. */
 inline std::string
