Only confirmed crashes call a job failed; other lost runs count apart

Cause: every lost run counted as a crash, and a silent worker looks like a crashed one until it is back.

An agent announces a crash again as confirmed when the worker has started anew. An answer says crashes-workers only with two confirmed crashes, else run-lost (504 on the platform: it may have run). The bound counts crashes; runs lost without one count up to two more, so that three unseen crashes leave fewer than three starts.

--- a/packages/core/internal/agent/crashlog.cpp
+++ b/packages/core/internal/agent/crashlog.cpp
@@ -42,7 +42,8 @@
 void
 CrashLog::Record(const Worker& aWorker,
                  std::span<Attempt* const> aRuns,
-                 std::string_view aCause)
+                 std::string_view aCause,
+                 bool aIsConfirmed)
 {
   if (aRuns.empty()) {
     return;
@@ -50,6 +51,7 @@
   WorkerCrash crash;
   crash.m_number = ++m_board.m_crashes.m_lastNumber;
   crash.m_worker = aWorker.m_info.m_name;
+  crash.m_isConfirmed = aIsConfirmed;
   for (const Attempt* const attempt : aRuns) {
     crash.m_runs.push_back(
       Describe(*attempt, aWorker.m_leasedRuns->m_lastAnswerAt));
@@ -75,6 +77,22 @@
   ScheduleAnnounceToAll(m_board);
 }
 
+void
+CrashLog::Confirm(const Worker& aWorker)
+{
+  std::deque<RecordedCrash>& crashes = m_board.m_crashes.m_crashes;
+  const auto last = std::find_if(
+    crashes.rbegin(), crashes.rend(), [&](const RecordedCrash& aCrash) {
+      return aCrash.m_crash.m_worker == aWorker.m_info.m_name;
+    });
+  if (last == crashes.rend() || last->m_crash.m_isConfirmed) {
+    return;
+  }
+  last->m_crash.m_isConfirmed = true;
+  last->m_crash.m_number = ++m_board.m_crashes.m_lastNumber;
+  ScheduleAnnounceToAll(m_board);
+}
+
 std::vector<WorkerCrash>
 CrashLog::TakeUnsent(EntryRecord& aEntry) const
 {
@@ -85,6 +103,11 @@
       unsent.back().m_detectedAgo = m_board.m_now - recorded.m_detectedAt;
     }
   }
+  std::sort(unsent.begin(),
+            unsent.end(),
+            [](const WorkerCrash& aLeft, const WorkerCrash& aRight) {
+              return aLeft.m_number < aRight.m_number;
+            });
   aEntry.m_lastCrashSent = m_board.m_crashes.m_lastNumber;
   return unsent;
 }
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -215,7 +215,7 @@
     case ObserveResult::Observed:
       if (!ofTrackedIncarnation) {
         // The answer is from another incarnation than the tracked one.
-        FinishAsCrashed(worker, "another incarnation answered");
+        FinishAsCrashed(worker, "another incarnation answered", true);
         const Instant sentAt = state.m_observationSentAt;
         state = LeasedRunState{};
         state.m_incarnation = aObserved.m_incarnation;
@@ -342,16 +342,22 @@
     return aRunning.contains(aAttempt->m_runName) || !aAttempt->m_acceptedAt ||
            *aAttempt->m_acceptedAt >= aWorker.m_leasedRuns->m_observationSentAt;
   });
-  CrashLog(m_board).Record(aWorker, lost, "the worker has started again");
+  CrashLog(m_board).Record(aWorker, lost, "the worker has started again", true);
+  CrashLog(m_board).Confirm(aWorker);
 }
 
 void
-LeasedRuns::FinishAsCrashed(Worker& aWorker, std::string_view aCause)
+LeasedRuns::FinishAsCrashed(Worker& aWorker,
+                            std::string_view aCause,
+                            bool aIsConfirmed)
 {
   const std::vector<Attempt*> runs = RunsOn(aWorker);
   // A worker that leaves ends the runs that are left; they aren't the cause.
   if (!aWorker.m_leaving) {
-    CrashLog(m_board).Record(aWorker, runs, aCause);
+    CrashLog(m_board).Record(aWorker, runs, aCause, aIsConfirmed);
+  }
+  if (aIsConfirmed) {
+    CrashLog(m_board).Confirm(aWorker);
   }
   for (const Attempt* const attempt : runs) {
     Finish(attempt->m_run, RunOutcome::Interrupted);
@@ -368,7 +374,7 @@
            .Add("worker", aWorker.m_info.m_name)
            .Add("life", aWorker.m_leasedRuns->m_incarnation)
            .Add("runs", aWorker.m_runningTasks));
-  FinishAsCrashed(aWorker, "the incarnation has ended");
+  FinishAsCrashed(aWorker, "the incarnation has ended", true);
   const std::string announcedIncarnation =
     aWorker.m_leasedRuns->m_announcedIncarnation;
   const bool hasNewIncarnation =
@@ -406,7 +412,7 @@
              .Add("worker", aWorker.m_info.m_name)
              .Add("runs", aWorker.m_runningTasks)
              .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
-    FinishAsCrashed(aWorker, "the run leases have expired");
+    FinishAsCrashed(aWorker, "the run leases have expired", false);
   }
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (ShouldStop(m_board, *attempt) && !attempt->m_stopConfirmedAt) {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -69,8 +69,11 @@
   void RecordRestart(const Worker& aWorker, const std::set<RunName>& aRunning);
   /** Ends all attempts running on the worker with RunOutcome::Interrupted, and
    * records them as lost in a crash unless the worker is leaving.
-   * @param aCause how the loss was detected, for the log. */
-  void FinishAsCrashed(Worker& aWorker, std::string_view aCause);
+   * @param aCause how the loss was detected, for the log.
+   * @param aIsConfirmed see WorkerCrash. */
+  void FinishAsCrashed(Worker& aWorker,
+                       std::string_view aCause,
+                       bool aIsConfirmed);
   /** Ends the runs of the tracked incarnation, then tracks the announced
    * incarnation if it differs; otherwise marks the worker as leaving. */
   void EndIncarnation(Worker& aWorker);
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -253,7 +253,7 @@
 {
   for (const WorkItem& item : aJob.m_items) {
     if (MustGiveUp(m_board, aJob, item)) {
-      return Refusal{ ErrorKind::CrashesWorkers,
+      return Refusal{ KindOfGivenUp(m_board, aJob, item),
                       WhyGivenUp(m_board, aJob, item),
                       {} };
     }
--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -170,7 +170,7 @@
                     .Add("queue", aSubmission.m_queue)
                     .Add("lost_runs", aItem.m_lostRuns)
                     .Add("why", why));
-  Fail(aContext, aSubmission, ErrorKind::CrashesWorkers, why);
+  Fail(aContext, aSubmission, KindOfGivenUp(m_board, aSubmission, aItem), why);
 }
 
 void
--- a/packages/core/internal/entry/crashcontroller.cpp
+++ b/packages/core/internal/entry/crashcontroller.cpp
@@ -68,7 +68,9 @@
 void
 CrashController::Add(EntryEventContext& aContext, const WorkerCrash& aCrash)
 {
-  m_board.m_crashes.AddCrash(aContext.m_now, aCrash);
+  if (!m_board.m_crashes.AddCrash(aContext.m_now, aCrash)) {
+    return;
+  }
   const std::vector<double> blame = BlameOfRuns(aCrash);
   const bool hasRepeat = std::any_of(
     aCrash.m_runs.begin(), aCrash.m_runs.end(), [&](const LostRun& aRun) {
--- a/packages/core/internal/entry/crashledger.cpp
+++ b/packages/core/internal/entry/crashledger.cpp
@@ -53,9 +53,10 @@
   }
 }
 
-void
+bool
 CrashLedger::AddCrash(Instant aNow, const WorkerCrash& aCrash)
 {
+  bool isNew = false;
   const std::vector<double> blame = BlameOfRuns(aCrash);
   for (std::size_t i = 0; i < aCrash.m_runs.size(); ++i) {
     const LostRun& lost = aCrash.m_runs[i];
@@ -66,7 +67,11 @@
     run.m_lostWith = aCrash.m_worker;
     run.m_blame = blame[i];
     run.m_otherRuns = aCrash.m_runs.size() - 1;
+    isNew = isNew || !run.m_isCrash;
+    run.m_isCrash = true;
+    run.m_isConfirmed = run.m_isConfirmed || aCrash.m_isConfirmed;
   }
+  return isNew;
 }
 
 LostRunRecord&
@@ -115,15 +120,34 @@
 }
 
 std::size_t
-CrashLedger::SuspectedRunsOf(std::string_view aTask) const
+CrashLedger::CountRuns(std::string_view aTask, RunFilter aFilter) const
 {
   const std::vector<LostRunRecord>* const runs = Find(aTask);
-  return runs == nullptr
-           ? 0
-           : static_cast<std::size_t>(std::count_if(
-               runs->begin(), runs->end(), [](const LostRunRecord& aRun) {
-                 return aRun.m_blame >= kSuspectBlame;
-               }));
+  return runs == nullptr ? 0
+                         : static_cast<std::size_t>(std::count_if(
+                             runs->begin(), runs->end(), aFilter));
+}
+
+std::size_t
+CrashLedger::CrashesOf(std::string_view aTask) const
+{
+  return CountRuns(aTask,
+                   [](const LostRunRecord& aRun) { return aRun.m_isCrash; });
+}
+
+std::size_t
+CrashLedger::ConfirmedCrashesOf(std::string_view aTask) const
+{
+  return CountRuns(
+    aTask, [](const LostRunRecord& aRun) { return aRun.m_isConfirmed; });
+}
+
+std::size_t
+CrashLedger::SuspectedRunsOf(std::string_view aTask) const
+{
+  return CountRuns(aTask, [](const LostRunRecord& aRun) {
+    return aRun.m_blame >= kSuspectBlame;
+  });
 }
 
 bool
--- a/packages/core/internal/entry/crashledger.h
+++ b/packages/core/internal/entry/crashledger.h
@@ -24,6 +24,9 @@
    * that were lost at the same time; 0 if they aren't known. */
   double m_blame = 0;
   std::size_t m_otherRuns = 0;
+  /** Whether an agent has announced the crash, and has confirmed it. */
+  bool m_isCrash = false;
+  bool m_isConfirmed = false;
 };
 
 /** The lost runs of each task, as far as this entry has lost them itself or
@@ -39,8 +42,9 @@
                AttemptId aAttempt,
                const std::string& aAgent);
 
-  /** Adds all runs of a crash; a run that is known is counted once. */
-  void AddCrash(Instant aNow, const WorkerCrash& aCrash);
+  /** Adds all runs of a crash; a run that is known is counted once.
+   * @return whether the crash was not known. */
+  bool AddCrash(Instant aNow, const WorkerCrash& aCrash);
 
   /** Removes the records of tasks whose first loss is long ago. */
   void Evict(Instant aNow);
@@ -48,6 +52,13 @@
   /** @return the number of lost runs of a task. */
   std::size_t LostRunsOf(std::string_view aTask) const;
 
+  /** @return the number of lost runs of a task with which a worker crashed, as
+   * far as announced. */
+  std::size_t CrashesOf(std::string_view aTask) const;
+
+  /** @return those whose worker is known to have started again. */
+  std::size_t ConfirmedCrashesOf(std::string_view aTask) const;
+
   /** @return the number of lost runs of a task that may have crashed their
    * worker. */
   std::size_t SuspectedRunsOf(std::string_view aTask) const;
@@ -63,6 +74,8 @@
   LostRunRecord& FindOrAdd(Instant aNow,
                            const std::string& aTask,
                            AttemptId aAttempt);
+  using RunFilter = bool (*)(const LostRunRecord&);
+  std::size_t CountRuns(std::string_view aTask, RunFilter aFilter) const;
   const std::vector<LostRunRecord>* Find(std::string_view aTask) const;
 
   std::unordered_map<std::string, std::vector<LostRunRecord>> m_tasks;
--- a/packages/core/internal/entry/lostruns.cpp
+++ b/packages/core/internal/entry/lostruns.cpp
@@ -4,6 +4,16 @@
 
 namespace mulberrysail::core {
 
+namespace {
+
+/** Runs beyond the limit that a task may lose without a crash, such as with a
+ * silent agent. */
+constexpr std::size_t kUnexplainedLosses = 2;
+/** Workers that must have crashed under a task to call it their cause. */
+constexpr std::size_t kMinCrashesOfCulprit = 2;
+
+} // namespace
+
 const std::string&
 NameOf(const Submission& aSubmission, const WorkItem& aItem)
 {
@@ -18,10 +28,26 @@
   const std::string& name = NameOf(aSubmission, aItem);
   const std::size_t lost =
     std::max<std::size_t>(aItem.m_lostRuns, aBoard.m_crashes.LostRunsOf(name));
-  return lost >= aBoard.m_policy.m_maxLostRuns ||
+  const std::size_t limit = aBoard.m_policy.m_maxLostRuns;
+  // Agents don't announce which requests are lost with an endpoint.
+  const std::size_t lostLimit = aSubmission.m_kind == WorkKind::Request
+                                  ? limit
+                                  : limit + kUnexplainedLosses;
+  return lost >= lostLimit || aBoard.m_crashes.CrashesOf(name) >= limit ||
          aBoard.m_crashes.IsProven(name);
 }
 
+ErrorKind
+KindOfGivenUp(const EntryBoard& aBoard,
+              const Submission& aSubmission,
+              const WorkItem& aItem)
+{
+  const std::size_t crashes =
+    aBoard.m_crashes.ConfirmedCrashesOf(NameOf(aSubmission, aItem));
+  return crashes >= kMinCrashesOfCulprit ? ErrorKind::CrashesWorkers
+                                         : ErrorKind::RunLost;
+}
+
 bool
 MustIsolate(const EntryBoard& aBoard,
             const Submission& aJob,
--- a/packages/core/internal/entry/lostruns.h
+++ b/packages/core/internal/entry/lostruns.h
@@ -12,13 +12,20 @@
 NameOf(const Submission& aSubmission, const WorkItem& aItem);
 
 /** @return whether the item may not be started again, because it has lost
- * EntryPolicy::m_maxLostRuns runs, here or at other entries, or because its
- * lost runs show that it crashes workers. */
+ * EntryPolicy::m_maxLostRuns runs in crashes, here or at other entries, or some
+ * more in other ways, or because its lost runs show that it crashes workers. */
 bool
 MustGiveUp(const EntryBoard& aBoard,
            const Submission& aSubmission,
            const WorkItem& aItem);
 
+/** @return the error kind for an item that is given up: RunLost unless several
+ * workers are known to have crashed under it. */
+ErrorKind
+KindOfGivenUp(const EntryBoard& aBoard,
+              const Submission& aSubmission,
+              const WorkItem& aItem);
+
 /** @return whether a task may run only on the workers of agents with
  * AgentRecord::m_takesIsolated: its queue is isolated, or a lost run of it may
  * have crashed its worker. False if none of these workers can run it. */
--- a/packages/core/tests/agent_crash_test.cpp
+++ b/packages/core/tests/agent_crash_test.cpp
@@ -45,6 +45,19 @@
   return crashes;
 }
 
+/** @return the crash that was announced last. */
+std::optional<WorkerCrash>
+LastCrash(const AgentFixture& aFixture)
+{
+  std::optional<WorkerCrash> last;
+  for (const Announce& announce : aFixture.Announcements()) {
+    if (!announce.m_crashes.empty()) {
+      last = announce.m_crashes.back();
+    }
+  }
+  return last;
+}
+
 /** Advances the clock until the run leases of a silent worker have expired. */
 void
 LoseWorker(LeaseFixture& aFixture)
@@ -68,6 +81,8 @@
   CPPUNIT_TEST(CrashIsAnnouncedBeforeItsRunsAreReported);
   CPPUNIT_TEST(CrashIsAnnouncedOnceToEachEntry);
   CPPUNIT_TEST(EntryThatStartsAgainLearnsOfEarlierCrashes);
+  CPPUNIT_TEST(CrashIsConfirmedWhenTheWorkerStartsAgain);
+  CPPUNIT_TEST(SilenceIsNoConfirmedCrash);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +201,29 @@
                          CrashesAnnouncedTo(fixture, fixture.m_entry));
   }
 
+  void CrashIsConfirmedWhenTheWorkerStartsAgain()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    LoseWorker(fixture);
+    CPPUNIT_ASSERT(!LastCrash(fixture)->m_isConfirmed);
+    fixture.AnnounceLeasedWorker("life-2");
+    fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+    fixture.Advance(milliseconds(60));
+    fixture.AnswerObservation({});
+    CPPUNIT_ASSERT(LastCrash(fixture)->m_isConfirmed);
+  }
+
+  void SilenceIsNoConfirmedCrash()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    LoseWorker(fixture);
+    fixture.AnswerObservation({});
+    fixture.Advance(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(!LastCrash(fixture)->m_isConfirmed);
+  }
+
   void EntryThatStartsAgainLearnsOfEarlierCrashes()
   {
     LeaseFixture fixture;
--- a/packages/core/types/crash.h
+++ b/packages/core/types/crash.h
@@ -34,6 +34,10 @@
   /** Time since the loss was detected. */
   Duration m_detectedAgo{};
   std::vector<LostRun> m_runs;
+  /** Whether the worker is known to have started again. If not, it may only
+   * have been silent. A crash is announced again, under another number, when
+   * this becomes known. */
+  bool m_isConfirmed = false;
 
   bool operator==(const WorkerCrash&) const = default;
 };
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -217,9 +217,11 @@
 core::WorkerCrash
 ReadCrash(const wire::WorkerCrash& aFrom)
 {
-  core::WorkerCrash crash{
-    aFrom.number(), aFrom.worker(), DurationFrom(aFrom.detected_ago()), {}
-  };
+  core::WorkerCrash crash{ aFrom.number(),
+                           aFrom.worker(),
+                           DurationFrom(aFrom.detected_ago()),
+                           {},
+                           aFrom.confirmed() };
   for (const wire::LostRun& run : aFrom.runs()) {
     crash.m_runs.push_back(
       { { run.attempt() }, run.task(), run.queue(), DurationFrom(run.age()) });
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -187,6 +187,7 @@
   aTo.set_number(aFrom.m_number);
   aTo.set_worker(aFrom.m_worker);
   aTo.set_detected_ago(ToWire(aFrom.m_detectedAgo));
+  aTo.set_confirmed(aFrom.m_isConfirmed);
   for (const core::LostRun& run : aFrom.m_runs) {
     wire::LostRun& to = *aTo.add_runs();
     to.set_attempt(run.m_attempt.m_value);
