--- a/packages/core/tests/entry_isolation_test.cpp
+++ b/packages/core/tests/entry_isolation_test.cpp
@@ -53,8 +53,10 @@
     announce.m_leaseFor = std::chrono::hours(1);
     announce.m_workers.push_back(
       { aAgent.m_name + "-w", "rack", kWorkerCapacity, false });
-    announce.m_crashes.push_back(
-      { ++m_lastCrash, aAgent.m_name + "-w", milliseconds(1), aRuns });
+    announce.m_crashes.push_back({ ++m_lastCrash,
+                                   aAgent.m_name + "-w",
+                                   milliseconds(1),
+                                   std::move(aRuns) });
     Receive(aAgent, std::move(announce));
   }
 
