A message costs the same beside many idle connections

Cause: the thread of the transport read the events of each socket and of its monitor, and tried to receive from both, whenever one of them had something. ZeroMQ looks for commands with two system calls each time. What a message cost grew with the number of connections: 32 polls and 31 getpids a job at an entry beside two others, and a thin entry of eight or an agent of 55 entries paid most.

Change: epoll watches the descriptors of the sockets, and only sockets that signalled, or that a message was sent over, are handled. The outbox wakes the thread only while it waits.

The test failed before: 129 us for an exchange alone, 271 us beside 40 peers (now 100 peers, under twice the cost).

--- a/packages/network/internal/messageoutbox.cpp
+++ b/packages/network/internal/messageoutbox.cpp
@@ -26,9 +26,7 @@
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_contents.m_messages.push_back(std::move(aMessage));
-  if (m_contents.m_messages.size() == 1) {
-    Wake();
-  }
+  WakeReader();
 }
 
 void
@@ -36,7 +34,7 @@
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_contents.m_peers = std::move(aPeers);
-  Wake();
+  WakeReader();
 }
 
 void
@@ -44,22 +42,37 @@
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_contents.m_stop = true;
-  Wake();
+  WakeReader();
+}
+
+bool
+MessageOutbox::PrepareToWait()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_readerWaits =
+    m_contents.m_messages.empty() && !m_contents.m_peers && !m_contents.m_stop;
+  return m_readerWaits;
 }
 
 MessageOutbox::Contents
 MessageOutbox::TakeAll()
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  eventfd_t count = 0;
-  static_cast<void>(eventfd_read(m_descriptor, &count));
+  m_readerWaits = false;
+  if (std::exchange(m_wakeIsPending, false)) {
+    eventfd_t count = 0;
+    static_cast<void>(eventfd_read(m_descriptor, &count));
+  }
   return std::exchange(m_contents, {});
 }
 
 void
-MessageOutbox::Wake() const
+MessageOutbox::WakeReader()
 {
-  static_cast<void>(eventfd_write(m_descriptor, 1));
+  if (std::exchange(m_readerWaits, false)) {
+    m_wakeIsPending = true;
+    static_cast<void>(eventfd_write(m_descriptor, 1));
+  }
 }
 
 } // namespace mulberrysail::network
--- a/packages/network/internal/messageoutbox.h
+++ b/packages/network/internal/messageoutbox.h
@@ -33,9 +33,14 @@
   MessageOutbox(const MessageOutbox&) = delete;
   MessageOutbox& operator=(const MessageOutbox&) = delete;
 
-  /** @return the descriptor, readable while the outbox has contents. */
+  /** @return the descriptor. It becomes readable when contents are added after
+   * PrepareToWait() has returned true. */
   int Descriptor() const { return m_descriptor; }
 
+  /** To be called before waiting for the descriptor.
+   * @return whether the outbox is empty; otherwise the caller must not wait. */
+  bool PrepareToWait();
+
   void Push(OutgoingMessage aMessage);
   void SetPeers(std::vector<PeerAddress> aPeers);
   void RequestStop();
@@ -44,10 +49,15 @@
   Contents TakeAll();
 
 private:
-  void Wake() const;
+  /** Makes the descriptor readable if the reader may be waiting for it. */
+  void WakeReader();
 
   const int m_descriptor;
   std::mutex m_mutex;
+  /** The reader may be waiting and has not been woken yet. Without this flag,
+   * each message that the reader itself adds would cost two system calls. */
+  bool m_readerWaits = false;
+  bool m_wakeIsPending = false;
   Contents m_contents;
 };
 
--- a/packages/network/internal/messagetransport.cpp
+++ b/packages/network/internal/messagetransport.cpp
@@ -1,6 +1,7 @@
 #include "network/internal/messagetransport.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -16,6 +17,11 @@
 constexpr std::size_t kMaxNameBytes = 200;
 /** Messages read from one socket before the next socket is served. */
 constexpr int kReadBatch = 256;
+/** Keys of the descriptors that belong to no outgoing connection. Connections
+ * have positive ids as keys. */
+constexpr DescriptorPoller::Key kListenerKey = 0;
+constexpr DescriptorPoller::Key kOutboxKey =
+  std::numeric_limits<DescriptorPoller::Key>::max();
 /** Delay before the greeting is retried on a new connection that did not accept
  * it. */
 constexpr std::chrono::milliseconds kGreetingRetryDelay = 5ms;
@@ -72,6 +78,7 @@
   , m_hooks(WithDefaults(std::move(aHooks)))
   , m_context(kSocketThreads, kMaxSockets)
 {
+  m_poller.Add(m_outbox.Descriptor(), kOutboxKey);
   if (!m_options.m_address.empty()) {
     Listen();
   }
@@ -94,7 +101,9 @@
     m_options.m_port == 0 ? "*" : std::to_string(m_options.m_port);
   listener.bind("tcp://" + m_options.m_address + ":" + port);
   m_port = PortOf(listener.get(zmq::sockopt::last_endpoint));
+  m_poller.Add(listener.get(zmq::sockopt::fd), kListenerKey);
   m_listener = std::move(listener);
+  m_listenerMayHaveInput = true;
 }
 
 void
@@ -149,31 +158,59 @@
 void
 MessageTransport::Poll()
 {
-  std::vector<zmq::pollitem_t> items;
-  items.reserve(2 + 2 * m_outgoing.size());
-  items.push_back({ nullptr, m_outbox.Descriptor(), ZMQ_POLLIN, 0 });
-  if (m_listener) {
-    items.push_back({ m_listener->handle(), 0, ZMQ_POLLIN, 0 });
+  for (const DescriptorPoller::Key key : m_poller.Wait(PollTimeout())) {
+    MarkReadable(key);
   }
-  std::chrono::milliseconds timeout = kIdleCheckInterval;
-  for (auto& [id, outgoing] : m_outgoing) {
-    items.push_back(
-      { outgoing.m_connection->Socket().handle(), 0, ZMQ_POLLIN, 0 });
-    items.push_back(
-      { outgoing.m_connection->Monitor().handle(), 0, ZMQ_POLLIN, 0 });
-    if (outgoing.m_greetingPending) {
-      timeout = kGreetingRetryDelay;
-    }
+  HandleInput();
+  HandleOutbox();
+  // A socket's descriptor signals once for all that has arrived, and sending
+  // over the socket may use up that signal.
+  HandleInput();
+  RemoveIdleLinks();
+}
+
+std::chrono::milliseconds
+MessageTransport::PollTimeout()
+{
+  const auto mayHaveInput = [](const auto& aPair) {
+    return aPair.second.m_mayHaveInput;
+  };
+  if (!m_outbox.PrepareToWait() || m_listenerMayHaveInput ||
+      std::any_of(m_outgoing.begin(), m_outgoing.end(), mayHaveInput)) {
+    return 0ms;
+  }
+  const auto greetingPending = [](const auto& aPair) {
+    return aPair.second.m_greetingPending;
+  };
+  return std::any_of(m_outgoing.begin(), m_outgoing.end(), greetingPending)
+           ? kGreetingRetryDelay
+           : kIdleCheckInterval;
+}
+
+void
+MessageTransport::MarkReadable(DescriptorPoller::Key aKey)
+{
+  if (aKey == kListenerKey) {
+    m_listenerMayHaveInput = true;
+    return;
+  }
+  const auto outgoing = m_outgoing.find(aKey);
+  if (outgoing != m_outgoing.end()) {
+    outgoing->second.m_mayHaveInput = true;
   }
-  zmq::poll(items, timeout);
+}
+
+void
+MessageTransport::HandleInput()
+{
   for (auto& [id, outgoing] : m_outgoing) {
-    HandleConnection(id, outgoing);
+    if (outgoing.m_mayHaveInput || outgoing.m_greetingPending) {
+      HandleConnection(id, outgoing);
+    }
   }
-  if (m_listener) {
+  if (m_listener && m_listenerMayHaveInput) {
     HandleListener();
   }
-  HandleOutbox();
-  RemoveIdleLinks();
 }
 
 void
@@ -201,8 +238,7 @@
       ++idByUrl;
       continue;
     }
-    RemoveLink(OutgoingLink{ idByUrl->second });
-    m_outgoing.erase(idByUrl->second);
+    CloseConnection(idByUrl->second);
     idByUrl = m_idsByUrl.erase(idByUrl);
   }
   for (const std::string& url : wanted) {
@@ -217,19 +253,33 @@
 {
   const ConnectionId id = ++m_lastId;
   try {
-    m_outgoing.emplace(
-      id,
+    std::unique_ptr<OutgoingConnection> connection =
       std::make_unique<OutgoingConnection>(m_context,
                                            aUrl,
                                            RoutingId(m_options.m_self, id),
-                                           m_options.m_highWaterMark));
+                                           m_options.m_highWaterMark);
+    for (const int descriptor : connection->Descriptors()) {
+      m_poller.Add(descriptor, id);
+    }
+    m_outgoing.emplace(id, std::move(connection));
     m_idsByUrl.emplace(aUrl, id);
-  } catch (const zmq::error_t& error) {
+  } catch (const std::exception& error) {
     m_hooks.m_onRejected("cannot connect to peer address " + aUrl + ": " +
                          error.what());
   }
 }
 
+void
+MessageTransport::CloseConnection(ConnectionId aId)
+{
+  RemoveLink(OutgoingLink{ aId });
+  const auto outgoing = m_outgoing.find(aId);
+  for (const int descriptor : outgoing->second.m_connection->Descriptors()) {
+    m_poller.Remove(descriptor);
+  }
+  m_outgoing.erase(outgoing);
+}
+
 void
 MessageTransport::HandleConnection(ConnectionId aId, Outgoing& aOutgoing)
 {
@@ -241,6 +291,7 @@
     const std::optional<zmq::message_t> bytes =
       TryReceive(aOutgoing.m_connection->Socket());
     if (!bytes) {
+      aOutgoing.m_mayHaveInput = false;
       return;
     }
     HandleBytes(OutgoingLink{ aId }, *bytes);
@@ -275,6 +326,7 @@
   for (int i = 0; i < kReadBatch; ++i) {
     const std::optional<zmq::message_t> routingId = TryReceive(*m_listener);
     if (!routingId) {
+      m_listenerMayHaveInput = false;
       return;
     }
     std::vector<zmq::message_t> parts;
@@ -415,8 +467,11 @@
   bool sent = false;
   try {
     if (const OutgoingLink* outgoing = std::get_if<OutgoingLink>(&aLink)) {
-      sent = m_outgoing.at(outgoing->m_connectionId).m_connection->Send(aBytes);
+      Outgoing& connection = m_outgoing.at(outgoing->m_connectionId);
+      connection.m_mayHaveInput = true;
+      sent = connection.m_connection->Send(aBytes);
     } else {
+      m_listenerMayHaveInput = true;
       sent = SendIncoming(std::get<IncomingLink>(aLink), aBytes);
     }
   } catch (const zmq::error_t& error) {
--- a/packages/network/internal/messagetransport.h
+++ b/packages/network/internal/messagetransport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "network/imessagetransport.h"
+#include "network/internal/descriptorpoller.h"
 #include "network/internal/messagelinks.h"
 #include "network/internal/messageoutbox.h"
 #include "network/internal/outgoingconnection.h"
@@ -40,6 +41,9 @@
     std::unique_ptr<OutgoingConnection> m_connection;
     /** The connection was opened, but the greeting is not sent yet. */
     bool m_greetingPending = false;
+    /** Whether events or messages of the connection must be looked for, though
+     * its descriptors may not be readable. */
+    bool m_mayHaveInput = true;
   };
 
   /** Identifies outgoing connections; values are never reused. */
@@ -50,9 +54,15 @@
   // The methods below run on the transport's thread.
   void Run();
   void Poll();
+  /** @return how long to wait for readable descriptors. */
+  std::chrono::milliseconds PollTimeout();
+  void MarkReadable(DescriptorPoller::Key aKey);
+  /** Handles the events and messages of the sockets that may have any. */
+  void HandleInput();
   void HandleOutbox();
   void ApplyPeers(const std::vector<PeerAddress>& aPeers);
   void OpenConnection(const std::string& aUrl);
+  void CloseConnection(ConnectionId aId);
   void HandleConnection(ConnectionId aId, Outgoing& aOutgoing);
   void HandleConnectionEvents(ConnectionId aId, Outgoing& aOutgoing);
   void SendGreeting(Outgoing& aOutgoing);
@@ -75,8 +85,10 @@
   const TransportOptions m_options;
   const TransportHooks m_hooks;
   MessageOutbox m_outbox;
+  DescriptorPoller m_poller;
   zmq::context_t m_context;
   std::optional<zmq::socket_t> m_listener;
+  bool m_listenerMayHaveInput = false;
   std::uint16_t m_port = 0;
   std::map<ConnectionId, Outgoing> m_outgoing;
   std::map<std::string, ConnectionId> m_idsByUrl;
--- a/packages/network/internal/outgoingconnection.cpp
+++ b/packages/network/internal/outgoingconnection.cpp
@@ -71,6 +71,12 @@
   zmq_socket_monitor(m_socket.handle(), nullptr, 0);
 }
 
+std::array<int, 2>
+OutgoingConnection::Descriptors() const
+{
+  return { m_socket.get(zmq::sockopt::fd), m_monitor.get(zmq::sockopt::fd) };
+}
+
 std::optional<ConnectionEvent>
 OutgoingConnection::NextEvent()
 {
--- a/packages/network/internal/outgoingconnection.h
+++ b/packages/network/internal/outgoingconnection.h
@@ -2,6 +2,7 @@
 
 #include <zmq.hpp>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -44,7 +45,10 @@
   OutgoingConnection& operator=(const OutgoingConnection&) = delete;
 
   zmq::socket_t& Socket() { return m_socket; }
-  zmq::socket_t& Monitor() { return m_monitor; }
+
+  /** @return descriptors of which one becomes readable when events or messages
+   * arrive after all earlier ones were read. */
+  std::array<int, 2> Descriptors() const;
 
   /** @return the next change of the connection, if there is one. */
   std::optional<ConnectionEvent> NextEvent();
--- a/packages/network/tests/messagetransport_test.cpp
+++ b/packages/network/tests/messagetransport_test.cpp
@@ -2,8 +2,11 @@
 #include "protocol/codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 #include <zmq.hpp>
 
+#include <memory>
+
 namespace mulberrysail::network {
 
 namespace {
@@ -62,6 +65,7 @@
   CPPUNIT_TEST(MessagesForAnotherIncarnationAreRejected);
   CPPUNIT_TEST(PeerThatDoesNotReadDelaysNoOther);
   CPPUNIT_TEST(PortInUseIsAnError);
+  CPPUNIT_TEST(IdlePeersDoNotRaiseTheCostOfAMessage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -251,7 +255,56 @@
     CPPUNIT_ASSERT(second.error().m_kind == core::ErrorKind::InvalidSettings);
   }
 
+  void IdlePeersDoNotRaiseTheCostOfAMessage()
+  {
+    constexpr double kMostTimes = 2;
+    const double alone = MicrosPerExchange(0);
+    const double amongMany = MicrosPerExchange(100);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(alone) + " us alone, " +
+                             std::to_string(amongMany) + " us beside 100 peers",
+                           amongMany < kMostTimes * alone);
+  }
+
 private:
+  /** @return processor time of this process for one message each way between
+   * two transports, of which one is connected to @p aIdlePeers others. */
+  static double MicrosPerExchange(std::uint64_t aIdlePeers)
+  {
+    constexpr std::uint64_t kExchanges = 500;
+    RecordingPeer entry(kEntry, true);
+    RecordingPeer agent(kAgent, false);
+    std::vector<std::unique_ptr<RecordingPeer>> idle;
+    std::vector<PeerAddress> peers{ { entry.Url() } };
+    for (std::uint64_t i = 0; i < aIdlePeers; ++i) {
+      const core::ProcessId self{ "idle-" + std::to_string(i), { 1 } };
+      idle.push_back(std::make_unique<RecordingPeer>(self, true));
+      peers.push_back({ idle.back()->Url() });
+    }
+    agent.Transport().SetPeers(peers);
+    CPPUNIT_ASSERT(agent.WaitForLinks(kEntry));
+    for (const std::unique_ptr<RecordingPeer>& peer : idle) {
+      CPPUNIT_ASSERT(agent.WaitForLinks(peer->Self()));
+    }
+    const double before = ProcessorMicros();
+    for (std::uint64_t i = 1; i <= kExchanges; ++i) {
+      agent.Transport().Send(kEntry, Numbered(i));
+      CPPUNIT_ASSERT(entry.WaitForMessages(i));
+      entry.Transport().Send(kAgent, Numbered(i));
+      CPPUNIT_ASSERT(agent.WaitForMessages(i));
+    }
+    return (ProcessorMicros() - before) / kExchanges;
+  }
+
+  static double ProcessorMicros()
+  {
+    constexpr double kMicrosPerSecond = 1e6;
+    rusage usage{};
+    CPPUNIT_ASSERT_EQUAL(0, getrusage(RUSAGE_SELF, &usage));
+    return kMicrosPerSecond * static_cast<double>(usage.ru_utime.tv_sec +
+                                                  usage.ru_stime.tv_sec) +
+           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+  }
+
   /** Sends repeatedly until one message is received. */
   static bool EventuallyDelivers(RecordingPeer& aFrom, RecordingPeer& aTo)
   {
