Log lines in quick succession share a wake-up and a write

Cause: each log line woke the log's thread and was written with two system calls.

Change: the log's thread waits up to 20 ms for further lines and writes up to 4,096 bytes at once. A process that is killed loses the lines of the last 20 ms; a process that ends writes them.

--- a/packages/telemetry/internal/logoutput.cpp
+++ b/packages/telemetry/internal/logoutput.cpp
@@ -10,7 +10,10 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <string>
+#include <thread>
+#include <utility>
 
 namespace mulberrysail::telemetry {
 
@@ -22,9 +25,13 @@
 /** How long a line waits for the descriptor to become writable, unless the
  * previous line has already timed out. */
 constexpr int kPollTimeoutMs = 50;
-/** Longer lines are truncated: a pipe accepts at most POSIX's PIPE_BUF bytes
- * atomically, 4096 on Linux. */
-constexpr std::size_t kMaxLineBytes = 4096;
+/** A pipe accepts at most POSIX's PIPE_BUF bytes atomically, 4096 on Linux. */
+constexpr std::size_t kMaxWriteBytes = 4096;
+/** Longer lines are truncated. */
+constexpr std::size_t kMaxLineBytes = kMaxWriteBytes;
+/** How long a line waits for further lines, to be written with them by one
+ * system call. */
+constexpr std::chrono::milliseconds kCollectTime{ 20 };
 constexpr const char* kPattern = "time=%Y-%m-%dT%H:%M:%S.%fZ %v";
 
 constexpr std::array kLevels = { spdlog::level::debug,
@@ -37,8 +44,9 @@
   return kLevels[static_cast<std::size_t>(aLevel)];
 }
 
-/** Writes whole lines and drops those that the descriptor does not accept in
- * time. Used only by the log's own thread. */
+/** Writes whole lines, several at a time, and drops those that the descriptor
+ * does not accept in time. Used only by the log's own thread and, after that
+ * thread has ended, by the destructor. */
 class DescriptorSink
   : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
@@ -47,12 +55,34 @@
     : m_descriptor(aDescriptor)
   {
   }
+  ~DescriptorSink() override { WriteBuffer(); }
+  DescriptorSink(const DescriptorSink&) = delete;
+  DescriptorSink& operator=(const DescriptorSink&) = delete;
+
+  /** Sets the queue of the lines for this sink, before the first line. */
+  void SetQueue(spdlog::details::thread_pool& aQueue) { m_queue = &aQueue; }
 
   std::uint64_t Written() const { return m_written; }
   std::uint64_t Dropped() const { return m_dropped; }
 
 protected:
   void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    Append(aMessage);
+    if (!AreLinesQueued()) {
+      std::this_thread::sleep_for(kCollectTime);
+    }
+    if (!AreLinesQueued()) {
+      WriteBuffer();
+    }
+  }
+
+  void flush_() override {}
+
+private:
+  bool AreLinesQueued() const { return m_queue->queue_size() > 0; }
+
+  void Append(const spdlog::details::log_msg& aMessage)
   {
     spdlog::memory_buf_t line;
     formatter_->format(aMessage, line);
@@ -60,12 +90,22 @@
       line.resize(kMaxLineBytes);
       line[kMaxLineBytes - 1] = '\n';
     }
-    ++(WaitUntilWritable() && WriteLine(line) ? m_written : m_dropped);
+    if (m_buffer.size() + line.size() > kMaxWriteBytes) {
+      WriteBuffer();
+    }
+    m_buffer.append(line.data(), line.size());
+    ++m_bufferedLines;
   }
 
-  void flush_() override {}
+  void WriteBuffer()
+  {
+    if (m_bufferedLines > 0) {
+      (WaitUntilWritable() && Write() ? m_written : m_dropped) +=
+        std::exchange(m_bufferedLines, 0);
+      m_buffer.clear();
+    }
+  }
 
-private:
   bool WaitUntilWritable()
   {
     pollfd state{ m_descriptor, POLLOUT, 0 };
@@ -74,16 +114,19 @@
     return !m_stalled;
   }
 
-  bool WriteLine(const spdlog::memory_buf_t& aLine) const
+  bool Write() const
   {
     ssize_t written = 0;
     do {
-      written = ::write(m_descriptor, aLine.data(), aLine.size());
+      written = ::write(m_descriptor, m_buffer.data(), m_buffer.size());
     } while (written < 0 && errno == EINTR);
-    return written == static_cast<ssize_t>(aLine.size());
+    return written == static_cast<ssize_t>(m_buffer.size());
   }
 
   const int m_descriptor;
+  spdlog::details::thread_pool* m_queue = nullptr;
+  std::string m_buffer;
+  std::uint64_t m_bufferedLines = 0;
   bool m_stalled = false;
   std::atomic<std::uint64_t> m_written = 0;
   std::atomic<std::uint64_t> m_dropped = 0;
@@ -102,6 +145,7 @@
         m_threads,
         spdlog::async_overflow_policy::overrun_oldest))
   {
+    m_sink->SetQueue(*m_threads);
     m_logger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
       kPattern, spdlog::pattern_time_type::utc));
     m_logger->set_level(ToSpdlog(aMinLevel));
@@ -132,6 +176,8 @@
 
 private:
   std::shared_ptr<DescriptorSink> m_sink;
+  /** Declared after the sink, so that its thread ends before the sink writes
+   * the remaining lines. */
   std::shared_ptr<spdlog::details::thread_pool> m_threads;
   std::shared_ptr<spdlog::async_logger> m_logger;
 };
--- a/packages/telemetry/tests/logoutput_test.cpp
+++ b/packages/telemetry/tests/logoutput_test.cpp
@@ -5,11 +5,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <array>
 #include <chrono>
 #include <string>
+#include <thread>
 
 namespace mulberrysail::telemetry {
 
@@ -57,6 +59,7 @@
   CPPUNIT_TEST(WritesWholeLinesInOrder);
   CPPUNIT_TEST(DisabledLevelsAreNotWritten);
   CPPUNIT_TEST(StalledReaderDropsLinesWithoutBlocking);
+  CPPUNIT_TEST(LinesInQuickSuccessionShareWrites);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +119,31 @@
     const std::string text = pipe.Drain();
     CPPUNIT_ASSERT_EQUAL('\n', text.back());
   }
+
+  void LinesInQuickSuccessionShareWrites()
+  {
+    constexpr std::uint64_t kLines = 300;
+    const Pipe pipe;
+    const std::unique_ptr<ILogOutput> output =
+      MakeLogOutput(pipe.Writer(), EventLevel::Info);
+    const long before = VoluntarySwitches();
+    for (std::uint64_t i = 0; i < kLines; ++i) {
+      output->Write(EventLevel::Info, "event=steady");
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    // Each line's pause in this thread is one switch.
+    const long switches = VoluntarySwitches() - before - long{ kLines };
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(switches) + " wake-ups",
+                           switches * 2 < long{ kLines });
+  }
+
+private:
+  static long VoluntarySwitches()
+  {
+    rusage usage{};
+    CPPUNIT_ASSERT_EQUAL(0, ::getrusage(RUSAGE_SELF, &usage));
+    return usage.ru_nvcsw;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogOutputTest);
