Entries without processor time leave the rotation and move callers

Cause: the balancer spreads connections by client, connections stay, and nothing tells it that an entry has more callers than its processor bears.

Change: an entry at over 0.9 of its processor share for a second, or with late timers, reports itself as not ready for 3.2 s and closes 10 to 40 percent of its connections once the balancer has noticed, if fewer than half of its peers are busy and they have processor time left (RotationControl). Then it stays ready for at least 12 s. Peers exchange their load in steps of 25 percent, so that few messages are needed.

Before, nothing could fail: an entry was ready whatever its load.

--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -88,6 +88,14 @@
          m_policy.m_agentTimeout > Duration::zero() && m_shard == 0;
 }
 
+bool
+EntryBoard::ExchangesLoad() const
+{
+  const bool sheds =
+    m_policy.m_shedConnections && m_policy.m_processorShare > 0 && m_shard == 0;
+  return sheds || ForwardsJobs();
+}
+
 void
 EntryBoard::ArmForwardTimer(Instant aNow)
 {
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -254,6 +254,10 @@
   /** @return whether this entry forwards jobs and accepts forwarded ones. */
   bool ForwardsJobs() const;
 
+  /** @return whether this entry and its peers tell each other how much of their
+   * processor time they use. */
+  bool ExchangesLoad() const;
+
   /** Schedules the next check of peers with open forwarded jobs. */
   void ArmForwardTimer(Instant aNow);
 
--- a/packages/core/internal/entry/peerloadcontroller.cpp
+++ b/packages/core/internal/entry/peerloadcontroller.cpp
@@ -10,23 +10,63 @@
 
 /** Between two entries with open forwarded jobs. */
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
-/** A change of the used share by this much is announced to peers. */
-constexpr int kAnnouncedChangePercent = 10;
+/** A change of the used share by this much is announced to peers that may
+ * forward jobs. */
+constexpr int kForwardingChangePercent = 10;
+/** The same if no jobs are forwarded: a coarser figure is enough to choose when
+ * to leave the rotation, and costs fewer messages. */
+constexpr int kSheddingChangePercent = 25;
+/** Peers that use more of their allowed processor time have no headroom. */
+constexpr double kHeadroomBelow = 0.7;
+constexpr double kBusyPeerAbove = 0.85;
 constexpr double kHundred = 100;
 constexpr double kMilliCoresPerCore = 1000;
 
+int
+AnnouncedChange(const EntryBoard& aBoard)
+{
+  return aBoard.ForwardsJobs() ? kForwardingChangePercent
+                               : kSheddingChangePercent;
+}
+
+PeerHeadroom
+HeadroomOf(const std::map<ProcessId, ForwardPeer>& aPeers)
+{
+  PeerHeadroom headroom;
+  for (const auto& [id, peer] : aPeers) {
+    if (!peer.m_load) {
+      continue;
+    }
+    const double used = peer.m_load->m_usedPercent / kHundred;
+    const double allowed =
+      peer.m_load->m_allowedMilliCores / kMilliCoresPerCore;
+    ++headroom.m_known;
+    if (peer.m_load->m_draining || used > kBusyPeerAbove) {
+      ++headroom.m_busy;
+    } else {
+      headroom.m_freeCores += allowed * std::max(kHeadroomBelow - used, 0.0);
+    }
+  }
+  return headroom;
+}
+
 } // namespace
 
 void
 PeerLoadController::OnSample(EntryEventContext& aContext,
                              const ProcessorSampled& aSample)
 {
-  if (!m_board.ForwardsJobs()) {
+  if (!m_board.ExchangesLoad()) {
     return;
   }
   ForwardState& state = m_board.m_forwarding;
+  if (m_board.m_policy.m_shedConnections) {
+    ControlRotation(aContext, aSample);
+  }
   const double used = std::clamp(aSample.m_usedShare, 0.0, 1.0);
-  state.m_share.OnSample(used, aSample.m_lateness);
+  if (m_board.ForwardsJobs()) {
+    state.m_share.OnSample(used, aSample.m_lateness);
+  }
   state.m_usedPercent =
     static_cast<std::uint32_t>(std::lround(used * kHundred));
   const bool first = !state.m_firstSampleAt;
@@ -37,11 +77,36 @@
   const int change = static_cast<int>(state.m_usedPercent) -
                      static_cast<int>(state.m_announcedPercent);
   if (first || state.m_announcedAccepts != m_receiver.Accepts(aContext.m_now) ||
-      std::abs(change) >= kAnnouncedChangePercent) {
+      std::abs(change) >= AnnouncedChange(m_board)) {
     SendLoadToAll(aContext);
   }
 }
 
+void
+PeerLoadController::ControlRotation(EntryEventContext& aContext,
+                                    const ProcessorSampled& aSample)
+{
+  const PeerHeadroom headroom = HeadroomOf(m_board.m_forwarding.m_peers);
+  const std::optional<ChangeRotation> change = m_rotation.OnSample(
+    aContext.m_now, aSample, m_board.m_policy.m_processorShare, headroom);
+  if (!change) {
+    return;
+  }
+  aContext.Record(change->m_inRotation ? EventCode::RotationJoined
+                                       : EventCode::RotationLeft,
+                  0,
+                  EventDetail()
+                    .Add("used_percent",
+                         static_cast<std::uint64_t>(
+                           std::lround(kHundred * m_rotation.UsedShare())))
+                    .Add("late_ms", aSample.m_lateness)
+                    .Add("close_percent", change->m_closePercent)
+                    .Add("peers", headroom.m_known)
+                    .Add("busy_peers", headroom.m_busy)
+                    .Add("free_cores", headroom.m_freeCores));
+  aContext.m_commands.emplace_back(*change);
+}
+
 void
 PeerLoadController::OnLoad(EntryEventContext& aContext,
                            const ProcessId& aFrom,
@@ -97,7 +162,7 @@
   const bool listed =
     std::find(m_board.m_peers.begin(), m_board.m_peers.end(), aPeer) !=
     m_board.m_peers.end();
-  if (listed && m_board.ForwardsJobs()) {
+  if (listed && m_board.ExchangesLoad()) {
     SendLoad(aContext, aPeer);
   }
 }
@@ -109,7 +174,7 @@
   const std::vector<ProcessId>& listed = m_board.m_peers;
   for (const ProcessId& peer : listed) {
     EndEarlierIncarnations(aContext, peer);
-    if (m_board.ForwardsJobs() &&
+    if (m_board.ExchangesLoad() &&
         std::find(aOld.begin(), aOld.end(), peer) == aOld.end()) {
       SendLoad(aContext, peer);
     }
@@ -132,7 +197,7 @@
 void
 PeerLoadController::OnDrain(EntryEventContext& aContext)
 {
-  if (m_board.ForwardsJobs()) {
+  if (m_board.ExchangesLoad()) {
     SendLoadToAll(aContext);
   }
 }
--- a/packages/core/internal/entry/peerloadcontroller.h
+++ b/packages/core/internal/entry/peerloadcontroller.h
@@ -3,6 +3,7 @@
 #include "core/internal/entry/entryboard.h"
 #include "core/internal/entry/forwardcontroller.h"
 #include "core/internal/entry/forwardreceiver.h"
+#include "core/internal/entry/rotationcontrol.h"
 #include "core/types/events.h"
 
 namespace mulberrysail::core {
@@ -43,6 +44,8 @@
   void OnTimer(EntryEventContext& aContext);
 
 private:
+  void ControlRotation(EntryEventContext& aContext,
+                       const ProcessorSampled& aSample);
   void SendLoad(EntryEventContext& aContext, const ProcessId& aPeer);
   void SendLoadToAll(EntryEventContext& aContext);
   /** Ends the jobs of earlier incarnations of @p aNew. */
@@ -52,6 +55,7 @@
   EntryBoard& m_board;
   ForwardController& m_forwards;
   ForwardReceiver& m_receiver;
+  RotationControl m_rotation;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -27,6 +27,13 @@
   EventRow{ EventCode::LogLimited,
             "log-limited",
             "log lines of one kind were dropped, as there were too many" },
+  EventRow{
+    EventCode::RotationLeft,
+    "rotation-left",
+    "an entry lacks processor time and moves callers to other entries" },
+  EventRow{ EventCode::RotationJoined,
+            "rotation-joined",
+            "an entry accepts new connections again" },
   EventRow{ EventCode::SubmissionAdmitted,
             "submission-admitted",
             "an entry admitted a request or job" },
--- a/packages/core/tests/schedule_cluster.cpp
+++ b/packages/core/tests/schedule_cluster.cpp
@@ -259,6 +259,8 @@
                           }
                         });
         },
+        // No balancer is simulated.
+        [](const core::ChangeRotation&) {},
         [&](const RecordEvent& aRecord) {
           Trace(self.m_name + " " + std::string(EventName(aRecord.m_code)) +
                 " " + std::to_string(aRecord.m_subject) + " " +
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -119,11 +119,21 @@
   std::string m_document;
 };
 
+/** Makes the process report itself as ready or not ready to its load balancer,
+ * and close a share of its callers' connections. */
+struct ChangeRotation
+{
+  bool m_inRotation = true;
+  /** Share of the connections that are closed after their next response. */
+  std::uint32_t m_closePercent = 0;
+};
+
 using EntryCommand = std::variant<SendMessage,
                                   AnswerCaller,
                                   SendSubmissionId,
                                   RecordEvent,
-                                  ApplyConfig>;
+                                  ApplyConfig,
+                                  ChangeRotation>;
 using AgentCommand =
   std::variant<SendMessage, StartRun, StopRun, ObserveRuns, RecordEvent>;
 
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -17,6 +17,8 @@
   SettingsRejected = 103,
   SettingsRead = 104,
   LogLimited = 110,
+  RotationLeft = 111,
+  RotationJoined = 112,
 
   SubmissionAdmitted = 200,
   SubmissionRefused = 201,
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -106,6 +106,10 @@
   bool m_forwardJobs = false;
   /** Cores that the entry may use; zero if not known. */
   double m_processorShare = 0;
+  /** Leave the load balancer's rotation for a few seconds and close some of the
+   * callers' connections when the processor time runs out while peers have
+   * some left. Requires m_processorShare. */
+  bool m_shedConnections = false;
   /** Estimate the wait of a queue's job from the core time that waits at all
    * entries, as agents report it, instead of from the entry's own times the
    * number of entries. */
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -188,7 +188,8 @@
 EntryRole::StartSampling()
 {
   const core::EntryPolicy& policy = m_settings.m_entryPolicy;
-  if (!policy.m_forwardJobs || policy.m_processorShare <= 0) {
+  const bool needed = policy.m_forwardJobs || policy.m_shedConnections;
+  if (!needed || policy.m_processorShare <= 0) {
     return;
   }
   m_sampler = std::make_shared<ProcessorSampler>(
@@ -209,6 +210,14 @@
   ServeCallersIfReady();
 }
 
+void
+EntryRole::OnRotation(const core::ChangeRotation& aChange)
+{
+  m_inRotation = aChange.m_inRotation;
+  m_httpServer.CloseConnections(aChange.m_closePercent);
+  m_callerServer.CloseConnections(aChange.m_closePercent);
+}
+
 void
 EntryRole::OnDrains(core::ZoneDrains aDrains)
 {
@@ -251,6 +260,8 @@
     m_configService->ApplyPeerConfig(aConfig.m_version,
                                      std::move(aConfig.m_document));
   });
+  aOwner.SetRotationSink(
+    [this](const core::ChangeRotation& aChange) { OnRotation(aChange); });
   const std::uint16_t port = m_settings.m_messages.m_port;
   network::TransportOptions options;
   options.m_self = aSelf;
@@ -347,6 +358,9 @@
   if (!m_config.Get()) {
     return "no-configuration";
   }
+  if (!m_inRotation) {
+    return "overloaded";
+  }
   // An entry that has just started knows no agents yet and would refuse work
   // that other entries can place.
   return HasReachableAgent() ? "" : "no-agent";
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -54,6 +54,7 @@
   network::TransportHooks MakeHooks(EntryShard& aOwner);
   void OnMessage(EntryShard& aOwner, core::MessageReceived aReceived);
   void OnConfig(core::ConfigChanged aConfig);
+  void OnRotation(const core::ChangeRotation& aChange);
   void OnDrains(core::ZoneDrains aDrains);
   void OnStoreAvailability(bool aAvailable, const std::string& aCause);
   void StartConfig();
@@ -102,6 +103,7 @@
   std::optional<DrainApi> m_drainApi;
   /** Set by Drain(). */
   std::atomic<bool> m_draining{ false };
+  std::atomic<bool> m_inRotation{ true };
   /** Set by StartRefusing(). */
   std::atomic<bool> m_refusing{ false };
   std::atomic<bool> m_stopped{ false };
--- a/packages/daemon/internal/entryshard.cpp
+++ b/packages/daemon/internal/entryshard.cpp
@@ -73,6 +73,11 @@
     m_pending.m_configs.push_back(std::move(aConfig));
   }
 
+  void operator()(const core::ChangeRotation& aChange) const
+  {
+    m_pending.m_rotation = aChange;
+  }
+
 private:
   EntryShard& m_shard;
   PendingCalls& m_pending;
@@ -271,6 +276,12 @@
   m_configSink = std::move(aSink);
 }
 
+void
+EntryShard::SetRotationSink(RotationSink aSink)
+{
+  m_rotationSink = std::move(aSink);
+}
+
 void
 EntryShard::MakeCalls(PendingCalls aPending) const
 {
@@ -282,6 +293,9 @@
       m_configSink(std::move(config));
     }
   }
+  if (aPending.m_rotation && m_rotationSink) {
+    m_rotationSink(*aPending.m_rotation);
+  }
 }
 
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/entryshard.h
+++ b/packages/daemon/internal/entryshard.h
@@ -44,6 +44,10 @@
    * before the transport is started. */
   void SetConfigSink(ConfigSink aSink);
 
+  using RotationSink = std::function<void(core::ChangeRotation)>;
+  /** Sets what carries out changes of the rotation, before the first event. */
+  void SetRotationSink(RotationSink aSink);
+
   /** Stops the transport, after its queue was sent. */
   void StopTransport();
 
@@ -89,6 +93,7 @@
   {
     std::vector<PendingAnswer> m_answers;
     std::vector<core::ApplyConfig> m_configs;
+    std::optional<core::ChangeRotation> m_rotation;
   };
   class Executor;
 
@@ -115,6 +120,7 @@
   std::uint64_t m_lastToken = 0;
   std::unordered_map<core::CallerToken, AnswerSink> m_answerSinks;
   ConfigSink m_configSink;
+  RotationSink m_rotationSink;
 };
 
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/routedhttpserver.cpp
+++ b/packages/daemon/internal/routedhttpserver.cpp
@@ -59,6 +59,14 @@
   }
 }
 
+void
+RoutedHttpServer::CloseConnections(std::uint32_t aPercent)
+{
+  if (m_server) {
+    m_server->CloseConnections(aPercent);
+  }
+}
+
 void
 RoutedHttpServer::StopAccepting()
 {
--- a/packages/daemon/internal/routedhttpserver.h
+++ b/packages/daemon/internal/routedhttpserver.h
@@ -58,6 +58,7 @@
 
   /** See network::IHttpServer. */
   void EndKeepAlive();
+  void CloseConnections(std::uint32_t aPercent);
 
   /** Stops accepting connections. */
   void StopAccepting();
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -172,6 +172,16 @@
     },
     "pass jobs to entries with free processor time, and take jobs from them; "
     "requires `processor_share`, `policy.agent_silence_ms` and one shard" },
+  SettingField{
+    "policy.shed_connections",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return &aS.m_entryPolicy.m_shedConnections;
+    },
+    "leave the load balancer's rotation and close some connections while the "
+    "processor time is used up and other entries have some left; requires "
+    "`processor_share` and one shard" },
   SettingField{
     "policy.max_lost_runs",
     kEntry,
--- a/packages/daemon/settings/settingsreader.cpp
+++ b/packages/daemon/settings/settingsreader.cpp
@@ -277,6 +277,11 @@
   void CheckForwarding()
   {
     const core::EntryPolicy& policy = m_settings.m_entryPolicy;
+    if (policy.m_shedConnections && m_settings.m_shards > 1) {
+      AddFault("policy.shed_connections",
+               "requires `shards` 1, found " +
+                 std::to_string(m_settings.m_shards));
+    }
     if (!policy.m_forwardJobs) {
       return;
     }
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -105,6 +105,12 @@
    * connections are still accepted. */
   virtual void EndKeepAlive() = 0;
 
+  /** Makes the server close a share of the present connections, each after its
+   * next response that leaves no other one open, so that their clients connect
+   * anew. Connections with open requests come first.
+   * @param aPercent 0 to 100; the number of connections is rounded up. */
+  virtual void CloseConnections(std::uint32_t aPercent) = 0;
+
   /** Accepts no new connections. Requests in progress are still answered; each
    * connection is closed after its last open response. */
   virtual void StopAccepting() = 0;
--- a/packages/network/internal/connectionregistry.cpp
+++ b/packages/network/internal/connectionregistry.cpp
@@ -118,7 +118,9 @@
   }
   const bool last = connection.m_unanswered.empty() &&
                     connection.m_lastRequest == aId.m_request;
-  connection.m_closing = connection.m_closing || (m_draining && last);
+  connection.m_closing =
+    connection.m_closing ||
+    ((m_draining || connection.m_closeWhenAnswered) && last);
   return connection.m_closing;
 }
 
@@ -129,6 +131,23 @@
   m_draining = true;
 }
 
+void
+ConnectionRegistry::CloseShare(std::uint32_t aPercent)
+{
+  constexpr std::size_t kHundred = 100;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::size_t left =
+    (m_connections.size() * aPercent + kHundred - 1) / kHundred;
+  for (const bool busy : { true, false }) {
+    for (auto& [id, connection] : m_connections) {
+      if (left > 0 && connection.m_unanswered.empty() != busy) {
+        connection.m_closeWhenAnswered = true;
+        --left;
+      }
+    }
+  }
+}
+
 void
 ConnectionRegistry::Clear()
 {
--- a/packages/network/internal/connectionregistry.h
+++ b/packages/network/internal/connectionregistry.h
@@ -45,6 +45,10 @@
 
   /** Marks connections to be closed after their last open response. */
   void Drain();
+  /** Marks a share of the connections, rounded up, to be closed after their
+   * last open response; those with open requests first.
+   * @param aPercent 0 to 100. */
+  void CloseShare(std::uint32_t aPercent);
   /** Removes all connections without calling their hooks. */
   void Clear();
 
@@ -54,6 +58,8 @@
     std::map<std::uint64_t, DisconnectHook> m_unanswered;
     std::uint64_t m_lastRequest = 0;
     bool m_closing = false;
+    /** To be closed with the next response that leaves no request open. */
+    bool m_closeWhenAnswered = false;
   };
 
   mutable std::mutex m_mutex;
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -413,6 +413,11 @@
 
   void EndKeepAlive() override { m_context->m_registry->Drain(); }
 
+  void CloseConnections(std::uint32_t aPercent) override
+  {
+    m_context->m_registry->CloseShare(aPercent);
+  }
+
   void StopAccepting() override
   {
     m_context->m_registry->Drain();
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(ThousandsOfSlowConnectionsBlockNoRequest);
   CPPUNIT_TEST(ConnectionsOverTheLimitAreClosed);
   CPPUNIT_TEST(StopAcceptingFinishesOpenRequests);
+  CPPUNIT_TEST(ClosedShareAnswersItsOpenRequests);
   CPPUNIT_TEST(StopAcceptingServesTheAcceptQueue);
   CPPUNIT_TEST(ResponseIsUnwrittenUntilItIsRead);
   CPPUNIT_TEST(ResponderOutlivesTheServer);
@@ -168,6 +169,25 @@
     CPPUNIT_ASSERT_EQUAL(0, m_hookCalls.load());
   }
 
+  void ClosedShareAnswersItsOpenRequests()
+  {
+    StartCapturing();
+    RawSocket idle = Open();
+    RawSocket busy = Open();
+    busy.Send(Get("/"));
+    const Received received = m_received.get_future().get();
+    m_server->CloseConnections(50);
+    received.m_responder({});
+    const std::string response = busy.ReadAll();
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(response.find("Connection: close") != std::string::npos);
+    m_received = std::promise<Received>();
+    idle.Send(Get("/"));
+    m_received.get_future().get().m_responder({});
+    CPPUNIT_ASSERT(idle.ReadUntil(kHeadEnd).find("Connection: close") ==
+                   std::string::npos);
+  }
+
   void SlowClientIsDisconnected()
   {
     m_options.m_readTimeout = std::chrono::milliseconds(50);
