--- a/packages/network/internal/descriptorpoller.cpp
+++ b/packages/network/internal/descriptorpoller.cpp
@@ -3,6 +3,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <system_error>
@@ -54,9 +55,11 @@
                                events.data(),
                                static_cast<int>(events.size()),
                                static_cast<int>(aTimeout.count()));
+  const std::size_t readable = static_cast<std::size_t>(std::max(count, 0));
   std::vector<Key> keys;
-  for (int i = 0; i < count; ++i) {
-    keys.push_back(events.at(static_cast<std::size_t>(i)).data.u64);
+  keys.reserve(readable);
+  for (std::size_t i = 0; i < readable; ++i) {
+    keys.push_back(events.at(i).data.u64);
   }
   return keys;
 }
