--- a/packages/store/tests/drains_test.cpp
+++ b/packages/store/tests/drains_test.cpp
@@ -103,13 +103,13 @@
 
   void AdapterReadsItsOwnKeysAndRejectsWrites()
   {
-    m_store->Put("op/wave/3", "x", std::nullopt, [](WriteOutcome) {});
-    m_store->Put("op/evacuate/z7", "", std::nullopt, [](WriteOutcome) {});
-    m_store->Put("op/config", "doc", std::nullopt, [](WriteOutcome) {});
+    m_store->Put("team/notes/3", "x", std::nullopt, [](WriteOutcome) {});
+    m_store->Put("team/drains/z7", "", std::nullopt, [](WriteOutcome) {});
+    m_store->Put("team/config", "doc", std::nullopt, [](WriteOutcome) {});
     m_calls.clear();
-    Start(ConfigSource{ "op/",
-                        "op/config",
-                        "op/evacuate/",
+    Start(ConfigSource{ "team/",
+                        "team/config",
+                        "team/drains/",
                         [](std::string_view) -> core::Result<ParsedConfig> {
                           return ParsedConfig{ { 3 }, "{}" };
                         } });
@@ -117,7 +117,7 @@
     CPPUNIT_ASSERT(m_lists.back().m_zones == std::vector<std::string>{ "z7" });
     ExpectError(ErrorKind::InvalidPatch, Drain("z1", 1));
     ExpectError(ErrorKind::InvalidPatch, Undrain("z7"));
-    CPPUNIT_ASSERT(m_store->m_values.contains("op/evacuate/z7"));
+    CPPUNIT_ASSERT(m_store->m_values.contains("team/drains/z7"));
   }
 
   void DrainsTakeNoAdditionalCalls()
