Outgoing connections of a transport in a module of their own

Change: opening, closing and watching the outgoing connections moved to OutgoingConnections; behaviour as before.

--- a/packages/network/internal/messagetransport.cpp
+++ b/packages/network/internal/messagetransport.cpp
@@ -38,10 +38,9 @@
 }
 
 std::string
-RoutingId(const core::ProcessId& aSelf, std::uint64_t aOutgoing)
+RoutingIdPrefix(const core::ProcessId& aSelf)
 {
-  return aSelf.m_name + "/" + std::to_string(aSelf.m_incarnation.m_value) +
-         "/" + std::to_string(aOutgoing);
+  return aSelf.m_name + "/" + std::to_string(aSelf.m_incarnation.m_value);
 }
 
 std::uint16_t
@@ -77,6 +76,9 @@
   : m_options(aOptions)
   , m_hooks(WithDefaults(std::move(aHooks)))
   , m_context(kSocketThreads, kMaxSockets)
+  , m_outgoing(m_poller,
+               RoutingIdPrefix(m_options.m_self),
+               m_options.m_highWaterMark)
 {
   m_poller.Add(m_outbox.Descriptor(), kOutboxKey);
   if (!m_options.m_address.empty()) {
@@ -150,7 +152,7 @@
       }
     }
   }
-  m_outgoing.clear();
+  m_outgoing.CloseAll();
   m_listener.reset();
   m_context.close();
 }
@@ -172,19 +174,12 @@
 std::chrono::milliseconds
 MessageTransport::PollTimeout()
 {
-  const auto mayHaveInput = [](const auto& aPair) {
-    return aPair.second.m_mayHaveInput;
-  };
   if (!m_outbox.PrepareToWait() || m_listenerMayHaveInput ||
-      std::any_of(m_outgoing.begin(), m_outgoing.end(), mayHaveInput)) {
+      m_outgoing.AnyMayHaveInput()) {
     return 0ms;
   }
-  const auto greetingPending = [](const auto& aPair) {
-    return aPair.second.m_greetingPending;
-  };
-  return std::any_of(m_outgoing.begin(), m_outgoing.end(), greetingPending)
-           ? kGreetingRetryDelay
-           : kIdleCheckInterval;
+  return m_outgoing.AnyGreetingPending() ? kGreetingRetryDelay
+                                         : kIdleCheckInterval;
 }
 
 void
@@ -192,18 +187,15 @@
 {
   if (aKey == kListenerKey) {
     m_listenerMayHaveInput = true;
-    return;
-  }
-  const auto outgoing = m_outgoing.find(aKey);
-  if (outgoing != m_outgoing.end()) {
-    outgoing->second.m_mayHaveInput = true;
+  } else {
+    m_outgoing.MarkReadable(aKey);
   }
 }
 
 void
 MessageTransport::HandleInput()
 {
-  for (auto& [id, outgoing] : m_outgoing) {
+  for (auto& [id, outgoing] : m_outgoing.All()) {
     if (outgoing.m_mayHaveInput || outgoing.m_greetingPending) {
       HandleConnection(id, outgoing);
     }
@@ -233,51 +225,18 @@
   for (const PeerAddress& peer : aPeers) {
     wanted.insert(peer.m_url);
   }
-  for (auto idByUrl = m_idsByUrl.begin(); idByUrl != m_idsByUrl.end();) {
-    if (wanted.contains(idByUrl->first)) {
-      ++idByUrl;
-      continue;
-    }
-    CloseConnection(idByUrl->second);
-    idByUrl = m_idsByUrl.erase(idByUrl);
+  for (const ConnectionId id : m_outgoing.FindUnwanted(wanted)) {
+    RemoveLink(OutgoingLink{ id });
+    m_outgoing.Close(id);
   }
   for (const std::string& url : wanted) {
-    if (!m_idsByUrl.contains(url)) {
-      OpenConnection(url);
-    }
-  }
-}
-
-void
-MessageTransport::OpenConnection(const std::string& aUrl)
-{
-  const ConnectionId id = ++m_lastId;
-  try {
-    std::unique_ptr<OutgoingConnection> connection =
-      std::make_unique<OutgoingConnection>(m_context,
-                                           aUrl,
-                                           RoutingId(m_options.m_self, id),
-                                           m_options.m_highWaterMark);
-    for (const int descriptor : connection->Descriptors()) {
-      m_poller.Add(descriptor, id);
+    try {
+      m_outgoing.Open(m_context, url);
+    } catch (const std::exception& error) {
+      m_hooks.m_onRejected("cannot connect to peer address " + url + ": " +
+                           error.what());
     }
-    m_outgoing.emplace(id, std::move(connection));
-    m_idsByUrl.emplace(aUrl, id);
-  } catch (const std::exception& error) {
-    m_hooks.m_onRejected("cannot connect to peer address " + aUrl + ": " +
-                         error.what());
-  }
-}
-
-void
-MessageTransport::CloseConnection(ConnectionId aId)
-{
-  RemoveLink(OutgoingLink{ aId });
-  const auto outgoing = m_outgoing.find(aId);
-  for (const int descriptor : outgoing->second.m_connection->Descriptors()) {
-    m_poller.Remove(descriptor);
   }
-  m_outgoing.erase(outgoing);
 }
 
 void
@@ -467,7 +426,7 @@
   bool sent = false;
   try {
     if (const OutgoingLink* outgoing = std::get_if<OutgoingLink>(&aLink)) {
-      Outgoing& connection = m_outgoing.at(outgoing->m_connectionId);
+      Outgoing& connection = m_outgoing.At(outgoing->m_connectionId);
       connection.m_mayHaveInput = true;
       sent = connection.m_connection->Send(aBytes);
     } else {
--- a/packages/network/internal/messagetransport.h
+++ b/packages/network/internal/messagetransport.h
@@ -4,7 +4,7 @@
 #include "network/internal/descriptorpoller.h"
 #include "network/internal/messagelinks.h"
 #include "network/internal/messageoutbox.h"
-#include "network/internal/outgoingconnection.h"
+#include "network/internal/outgoingconnections.h"
 #include "protocol/codec.h"
 
 #include <atomic>
@@ -31,24 +31,6 @@
   void Stop() override;
 
 private:
-  struct Outgoing
-  {
-    explicit Outgoing(std::unique_ptr<OutgoingConnection> aConnection)
-      : m_connection(std::move(aConnection))
-    {
-    }
-
-    std::unique_ptr<OutgoingConnection> m_connection;
-    /** The connection was opened, but the greeting is not sent yet. */
-    bool m_greetingPending = false;
-    /** Whether events or messages of the connection must be looked for, though
-     * its descriptors may not be readable. */
-    bool m_mayHaveInput = true;
-  };
-
-  /** Identifies outgoing connections; values are never reused. */
-  using ConnectionId = std::uint64_t;
-
   void Listen();
 
   // The methods below run on the transport's thread.
@@ -61,8 +43,6 @@
   void HandleInput();
   void HandleOutbox();
   void ApplyPeers(const std::vector<PeerAddress>& aPeers);
-  void OpenConnection(const std::string& aUrl);
-  void CloseConnection(ConnectionId aId);
   void HandleConnection(ConnectionId aId, Outgoing& aOutgoing);
   void HandleConnectionEvents(ConnectionId aId, Outgoing& aOutgoing);
   void SendGreeting(Outgoing& aOutgoing);
@@ -87,12 +67,10 @@
   MessageOutbox m_outbox;
   DescriptorPoller m_poller;
   zmq::context_t m_context;
+  OutgoingConnections m_outgoing;
   std::optional<zmq::socket_t> m_listener;
   bool m_listenerMayHaveInput = false;
   std::uint16_t m_port = 0;
-  std::map<ConnectionId, Outgoing> m_outgoing;
-  std::map<std::string, ConnectionId> m_idsByUrl;
-  ConnectionId m_lastId = 0;
   MessageLinks m_links;
   core::Instant m_nextIdleCheck = core::Instant::min();
   bool m_stopped = false;
