Observability for TWICE: age of offers, entry of a run, unread callers

Logs didn't show when an offer was decided, which entry a run was started for, or how long callers had gone unread, so the hypotheses of the incident couldn't be told apart. Offers and heartbeats now state when the entry decided on them, on the agent's clock; attempt-started has entry and offer_age_ms, submission-admitted has unread_ms. No decision uses them.

--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -53,7 +53,7 @@
       ? std::nullopt
       : std::optional(ShardOf(aBatch.m_offers.front().m_attempt));
   for (Offer& offer : aBatch.m_offers) {
-    ProcessOffer(aEntry, std::move(offer));
+    ProcessOffer(aEntry, std::move(offer), aBatch.m_leaseGrantedAt);
   }
   if (shard) {
     CapacityGrants(m_board).RecordDemand(entry, *shard, aBatch.m_demand);
@@ -61,7 +61,9 @@
 }
 
 void
-Admission::ProcessOffer(EntryIndex aEntry, Offer aOffer)
+Admission::ProcessOffer(EntryIndex aEntry,
+                        Offer aOffer,
+                        std::optional<Instant> aLeaseGrantedAt)
 {
   const AttemptKey key{ aEntry, aOffer.m_attempt };
   if (HandleDuplicate(key, aOffer)) {
@@ -94,6 +96,7 @@
   attempt.m_offer = std::move(aOffer);
   attempt.m_sequence = m_board.m_attempts.m_nextUniqueNumber++;
   attempt.m_receivedAt = m_board.m_now;
+  attempt.m_leaseGrantedAt = aLeaseGrantedAt;
   if (attempt.m_offer.m_key) {
     KeyRegistry(m_board).Claim(attempt);
   }
--- a/packages/core/internal/agent/admission.h
+++ b/packages/core/internal/agent/admission.h
@@ -17,7 +17,9 @@
   void ProcessOffers(EntryIndex aEntry, OfferBatch aBatch);
 
 private:
-  void ProcessOffer(EntryIndex aEntry, Offer aOffer);
+  void ProcessOffer(EntryIndex aEntry,
+                    Offer aOffer,
+                    std::optional<Instant> aLeaseGrantedAt);
   /** Handles an offer whose attempt is open, has ended, or may have ended with
    * an evicted report: ignores the offer, repeats the outcome, or refuses the
    * offer or reports the run as lost.
--- a/packages/core/internal/agent/attempt.h
+++ b/packages/core/internal/agent/attempt.h
@@ -33,6 +33,8 @@
   /** Increases with each accepted attempt; breaks ties in the queue order. */
   std::uint64_t m_sequence = 0;
   Instant m_receivedAt;
+  /** OfferBatch::m_leaseGrantedAt. */
+  std::optional<Instant> m_leaseGrantedAt;
   Instant m_startedAt;
   bool m_running = false;
   bool m_stopRequested = false;
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -237,15 +237,7 @@
   attempts.m_byRun.emplace(aAttempt.m_run, aAttempt.m_key);
   ++m_board.m_counters.m_started;
   KeyRegistry(m_board).UpdateFate(aAttempt);
-  RecordAttempt(m_board,
-                EventCode::AttemptStarted,
-                aAttempt.m_key.m_attempt,
-                aAttempt.m_offer,
-                EventDetail()
-                  .Add("worker", aTarget.m_name)
-                  .Add("life", aTarget.m_incarnation)
-                  .Add("start", aAttempt.m_runName.m_startNumber)
-                  .Add("waited_ms", m_board.m_now - aAttempt.m_receivedAt));
+  RecordStart(aAttempt, aTarget);
   // The payload of a task is kept, as the task may have to be sent to another
   // worker.
   std::string payload = aTarget.m_kind == WorkKind::Task
@@ -262,6 +254,28 @@
               aAttempt.m_runName });
 }
 
+void
+Starter::RecordStart(const Attempt& aAttempt, const RunTarget& aTarget)
+{
+  EventDetail detail;
+  detail.Add("worker", aTarget.m_name)
+    .Add("life", aTarget.m_incarnation)
+    .Add("start", aAttempt.m_runName.m_startNumber)
+    .Add("waited_ms", m_board.m_now - aAttempt.m_receivedAt);
+  const auto entry = m_board.m_entries.m_records.find(aAttempt.m_key.m_entry);
+  if (entry != m_board.m_entries.m_records.end()) {
+    detail.Add("entry", entry->second.m_id.m_name);
+  }
+  if (aAttempt.m_leaseGrantedAt) {
+    detail.Add("offer_age_ms", m_board.m_now - *aAttempt.m_leaseGrantedAt);
+  }
+  RecordAttempt(m_board,
+                EventCode::AttemptStarted,
+                aAttempt.m_key.m_attempt,
+                aAttempt.m_offer,
+                std::move(detail));
+}
+
 void
 Starter::RefuseUnservable()
 {
--- a/packages/core/internal/agent/starter.h
+++ b/packages/core/internal/agent/starter.h
@@ -32,6 +32,7 @@
    * failures, then with the least capacity left over; null if none fits. */
   Worker* BestFit(const Attempt& aAttempt);
   void Start(Attempt& aAttempt, RunTarget aTarget);
+  void RecordStart(const Attempt& aAttempt, const RunTarget& aTarget);
   /** Counts @p aQueued attempts as refused if the agent's zone is drained. */
   void CountDrainRefusals(std::size_t aQueued);
   void RefuseRequests();
--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -449,16 +449,18 @@
   }
   m_board.m_timers.Add(aSubmission.m_deadline,
                        DeadlineTimer{ aSubmission.m_id });
+  EventDetail detail;
+  detail.Add("service", aSubmission.m_service)
+    .Add("queue", aSubmission.m_queue)
+    .Add("items", items)
+    .Add("due_in_ms", aSubmission.m_due - aContext.m_now)
+    .Add("deadline_in_ms", aSubmission.m_deadline - aContext.m_now)
+    .Add("config", m_board.m_config.m_version.m_value);
+  if (m_board.m_callersReadUntil) {
+    detail.Add("unread_ms", aContext.m_now - *m_board.m_callersReadUntil);
+  }
   aContext.Record(
-    EventCode::SubmissionAdmitted,
-    aSubmission,
-    EventDetail()
-      .Add("service", aSubmission.m_service)
-      .Add("queue", aSubmission.m_queue)
-      .Add("items", items)
-      .Add("due_in_ms", aSubmission.m_due - aContext.m_now)
-      .Add("deadline_in_ms", aSubmission.m_deadline - aContext.m_now)
-      .Add("config", m_board.m_config.m_version.m_value));
+    EventCode::SubmissionAdmitted, aSubmission, std::move(detail));
   const SubmissionId id = aSubmission.m_id;
   return m_board.m_submissions.emplace(id, std::move(aSubmission))
     .first->second;
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -288,6 +288,12 @@
   m_peerLoads.OnSample(aContext, aEvent);
 }
 
+void
+Entry::On(EntryEventContext& /*aContext*/, const CallersRead& aEvent)
+{
+  m_board.m_callersReadUntil = aEvent.m_until;
+}
+
 Instant
 Entry::NextWake() const
 {
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -53,6 +53,7 @@
   void On(EntryEventContext& aContext, const NoPriorSubmissions& aEvent);
   void On(EntryEventContext& aContext, const ZoneDrainsChanged& aEvent);
   void On(EntryEventContext& aContext, const ProcessorSampled& aEvent);
+  void On(EntryEventContext& aContext, const CallersRead& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -22,6 +22,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -195,6 +196,9 @@
   bool m_started = false;
   bool m_draining = false;
 
+  /** CallersRead::m_until; absent if the process does not state it. */
+  std::optional<Instant> m_callersReadUntil;
+
   // Work
   std::uint64_t m_nextId = 1;
   std::unordered_map<SubmissionId, Submission> m_submissions;
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -299,6 +299,7 @@
                        aContext.m_now - agent.m_lastSentAt >= interval;
       if (due) {
         hello.m_demand = DemandView(m_board).StatementTo(agent);
+        hello.m_leaseGrantedAt = aContext.m_now + agent.m_clockOffset;
         aContext.Send(id, hello);
         agent.m_lastSentAt = aContext.m_now;
         agent.m_heartbeatPendingSince =
--- a/packages/core/internal/entry/offerbatches.cpp
+++ b/packages/core/internal/entry/offerbatches.cpp
@@ -108,6 +108,7 @@
     const auto record = m_board.m_agents.find(agent);
     if (record != m_board.m_agents.end()) {
       batch.m_demand = DemandView(m_board).StatementTo(record->second);
+      batch.m_leaseGrantedAt = aContext.m_now + record->second.m_clockOffset;
     }
     aContext.Send(agent, std::move(batch));
   }
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -129,6 +129,13 @@
   Duration m_lateness{};
 };
 
+/** The entry has read everything that its callers sent before m_until: their
+ * requests and the ends of their connections. */
+struct CallersRead
+{
+  Instant m_until;
+};
+
 using EntryEvent = std::variant<MessageReceived,
                                 SendFailed,
                                 LinkReset,
@@ -142,7 +149,8 @@
                                 PeersChanged,
                                 NoPriorSubmissions,
                                 ZoneDrainsChanged,
-                                ProcessorSampled>;
+                                ProcessorSampled,
+                                CallersRead>;
 
 // ---- agent ----
 
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -129,6 +129,10 @@
    * offer before; see Announce::m_readsOmittedPayloads. Not part of the
    * message. */
   bool m_omitRepeatedPayloads = false;
+  /** On the agent's clock, and never later than it really was: when the entry
+   * granted the lease under which the offered attempts may start. Absent if the
+   * sender is of a version that does not state it. */
+  std::optional<Instant> m_leaseGrantedAt = std::nullopt;
 };
 
 /** Revokes queued attempts and, if m_stopRunning is set, stops running ones. */
@@ -175,6 +179,9 @@
   ZoneDrains m_drains = {};
   /** What waits at the sender; absent if the message does not state it. */
   std::optional<Demand> m_demand = std::nullopt;
+  /** As OfferBatch::m_leaseGrantedAt; renews the lease of all attempts of the
+   * sender at the agent. Absent if the message renews none. */
+  std::optional<Instant> m_leaseGrantedAt = std::nullopt;
 };
 
 /** One part of the document of an accepted configuration. */
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -106,6 +106,7 @@
     return std::nullopt;
   }
   m_callerServer.HoldUntilServing();
+  m_callerServer.OnReadCheck([this] { OnReadCheck(); });
   m_callerServer.SetHandler(m_adapter->MakeCallerHandler(m_jobGateway));
   m_readinessServer.SetHandler(
     [this](const network::HttpRequest&,
@@ -200,6 +201,13 @@
   m_sampler->Start();
 }
 
+void
+EntryRole::OnReadCheck()
+{
+  m_shards.Broadcast(core::CallersRead{ m_lastReadCheckAt });
+  m_lastReadCheckAt = Now();
+}
+
 void
 EntryRole::OnConfig(core::ConfigChanged aConfig)
 {
--- a/packages/daemon/internal/entryrole.h
+++ b/packages/daemon/internal/entryrole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/internal/clock.h"
 #include "daemon/internal/configapi.h"
 #include "daemon/internal/configgate.h"
 #include "daemon/internal/configholder.h"
@@ -53,6 +54,9 @@
     EntryShard& aOwner);
   network::TransportHooks MakeHooks(EntryShard& aOwner);
   void OnMessage(EntryShard& aOwner, core::MessageReceived aReceived);
+  /** Tells the shards until when their callers have been read; see
+   * network::HttpServerOptions::m_onReadCheck. */
+  void OnReadCheck();
   void OnConfig(core::ConfigChanged aConfig);
   void OnRotation(const core::ChangeRotation& aChange);
   void OnDrains(core::ZoneDrains aDrains);
@@ -104,6 +108,8 @@
   /** Set by Drain(). */
   std::atomic<bool> m_draining{ false };
   std::atomic<bool> m_inRotation{ true };
+  /** Used on the thread of m_callerServer only. */
+  core::Instant m_lastReadCheckAt = Now();
   /** Set by StartRefusing(). */
   std::atomic<bool> m_refusing{ false };
   std::atomic<bool> m_stopped{ false };
--- a/packages/daemon/internal/routedhttpserver.cpp
+++ b/packages/daemon/internal/routedhttpserver.cpp
@@ -21,6 +21,7 @@
   options.m_maxConnections = aSettings.m_maxConnections;
   options.m_maxBodyBytes = aSettings.m_maxBodyBytes;
   options.m_maxHeaderBytes = aSettings.m_maxHeaderBytes;
+  options.m_onReadCheck = m_onReadCheck;
   core::Result<std::unique_ptr<network::IHttpServer>> server =
     network::StartHttpServer(options,
                              [this](const network::HttpRequest& aRequest,
--- a/packages/daemon/internal/routedhttpserver.h
+++ b/packages/daemon/internal/routedhttpserver.h
@@ -6,6 +6,7 @@
 #include "daemon/settings/settings.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,13 @@
    * be called after Listen(). */
   void HoldUntilServing() { m_holdsRequests = true; }
 
+  /** Sets network::HttpServerOptions::m_onReadCheck. Must not be called after
+   * Listen(). */
+  void OnReadCheck(std::function<void()> aHook)
+  {
+    m_onReadCheck = std::move(aHook);
+  }
+
   /** Starts to listen. Requests are refused until StartServing(), unless
    * HoldUntilServing() was called. */
   std::optional<core::Error> Listen(const HttpSettings& aSettings);
@@ -79,6 +87,7 @@
   std::string m_address;
   bool m_holdsRequests = false;
   HeldRequests m_heldRequests;
+  std::function<void()> m_onReadCheck;
   std::atomic<bool> m_serving{ false };
   std::unique_ptr<network::IHttpServer> m_server;
 };
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -89,8 +89,15 @@
   std::uint32_t m_maxHeaderBytes = 16U << 10U;
   /** Limit for reading one whole request, and for an idle connection. */
   std::chrono::milliseconds m_readTimeout{ 30000 };
+  /** Called on a server thread at each kReadCheckInterval; may be empty. With
+   * one server thread, all data that had arrived from clients, and all ends of
+   * their connections, before one call have been handled before the next. */
+  std::function<void()> m_onReadCheck = nullptr;
 };
 
+/** Interval between two calls of HttpServerOptions::m_onReadCheck. */
+inline constexpr std::chrono::milliseconds kReadCheckInterval{ 100 };
+
 /** An HTTP server with a fixed number of threads. */
 class IHttpServer
 {
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -324,6 +324,9 @@
     m_server.emplace(restinio::external_io_context(m_context->m_ioContext),
                      MakeSettings());
     m_server->open_sync();
+    if (m_options.m_onReadCheck) {
+      ScheduleReadCheck();
+    }
     for (std::uint32_t i = 0; i < std::max(1U, m_options.m_threads); ++i) {
       m_threads.emplace_back([this] { m_context->m_ioContext.run(); });
     }
@@ -365,6 +368,17 @@
   }
 
 private:
+  void ScheduleReadCheck()
+  {
+    m_readCheckTimer.expires_after(kReadCheckInterval);
+    m_readCheckTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        m_options.m_onReadCheck();
+        ScheduleReadCheck();
+      }
+    });
+  }
+
   /** Closes the listener once all connections in the kernel's accept queue have
    * been accepted: closing it earlier would reset them.
    * @param aUntil when to close the listener in any case. */
@@ -438,6 +452,7 @@
   /** The listener's file descriptor. */
   int m_listener = -1;
   asio::steady_timer m_acceptQueueTimer{ m_context->m_ioContext };
+  asio::steady_timer m_readCheckTimer{ m_context->m_ioContext };
   std::vector<std::thread> m_threads;
   std::atomic<bool> m_closing{ false };
   std::atomic<bool> m_stopped{ false };
--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -173,6 +173,9 @@
   if (aFrom.has_demand()) {
     hello.m_demand = ReadDemand(aFrom.demand());
   }
+  if (aFrom.has_lease_granted_at()) {
+    hello.m_leaseGrantedAt = InstantFrom(aFrom.lease_granted_at());
+  }
   return hello;
 }
 
@@ -370,6 +373,9 @@
   if (aFrom.has_demand()) {
     batch.m_demand = ReadDemand(aFrom.demand());
   }
+  if (aFrom.has_lease_granted_at()) {
+    batch.m_leaseGrantedAt = InstantFrom(aFrom.lease_granted_at());
+  }
   return batch;
 }
 
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -220,6 +220,9 @@
     if (aFrom.m_demand) {
       Write(*aFrom.m_demand, *to.mutable_demand());
     }
+    if (aFrom.m_leaseGrantedAt) {
+      to.set_lease_granted_at(ToWire(*aFrom.m_leaseGrantedAt));
+    }
   }
 
   void operator()(const core::RevokeBatch& aFrom) const
@@ -260,6 +263,9 @@
     if (aFrom.m_demand) {
       Write(*aFrom.m_demand, *to.mutable_demand());
     }
+    if (aFrom.m_leaseGrantedAt) {
+      to.set_lease_granted_at(ToWire(*aFrom.m_leaseGrantedAt));
+    }
   }
 
   void operator()(const core::ConfigUpdate& aFrom) const
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -186,7 +186,8 @@
          aLeft.m_sequence == aRight.m_sequence &&
          SameList(aLeft.m_offers, aRight.m_offers) &&
          aLeft.m_subscribeFor == aRight.m_subscribeFor &&
-         aLeft.m_demand == aRight.m_demand;
+         aLeft.m_demand == aRight.m_demand &&
+         aLeft.m_leaseGrantedAt == aRight.m_leaseGrantedAt;
 }
 
 bool
@@ -218,7 +219,8 @@
          aLeft.m_subscribeFor == aRight.m_subscribeFor &&
          aLeft.m_keepConfig == aRight.m_keepConfig &&
          aLeft.m_shard == aRight.m_shard && aLeft.m_drains == aRight.m_drains &&
-         aLeft.m_demand == aRight.m_demand;
+         aLeft.m_demand == aRight.m_demand &&
+         aLeft.m_leaseGrantedAt == aRight.m_leaseGrantedAt;
 }
 
 bool
@@ -322,12 +324,24 @@
 SampleMessages()
 {
   return {
-    core::OfferBatch{ { 9 }, 21, { SampleOffer() }, 2s, SampleDemand() },
+    core::OfferBatch{ { 9 },
+                      21,
+                      { SampleOffer() },
+                      2s,
+                      SampleDemand(),
+                      false,
+                      core::Instant(70s) },
     core::RevokeBatch{ { { 11 }, { 12 } }, true },
     core::Reconcile{ { { 11 } } },
     core::FenceQuery{ { 3 }, "stock-check", { "slip-7", 2, 5 }, 10min },
-    core::EntryHello{
-      { 4 }, true, 2s, true, 3, SampleDrains(), SampleDemand() },
+    core::EntryHello{ { 4 },
+                      true,
+                      2s,
+                      true,
+                      3,
+                      SampleDrains(),
+                      SampleDemand(),
+                      core::Instant(70s) },
     core::ConfigUpdate{ { 5 }, "{}", 8, 10, 77 },
     core::ConfigRequest{ { 4 }, { 5 }, 77, 8 },
     SampleAnnounce(),
