An offer starts only under a lease that counts from its decision

Callers of slow entries saw tasks run at two workers at once. Cause: the entry takes a run as ended 1,250 ms after it decided on its last message to the agent, but an agent accepted an offer however late it was, and counted any message, by an estimate of its sending, as a sign of life. An offer that lay in the outbox or the network for seconds started beside the run that the entry had placed in its place.

Now offers and heartbeats grant a lease from the time of the decision, on the agent's clock (a lower bound from the best clock reading that the agent has sent). The agent refuses an offer whose own lease has lapsed, whatever followed it, ends attempts when the newest lease lapses, before it handles a newer message, and no other message extends them.

--- a/packages/core/internal/agent/admission.cpp
+++ b/packages/core/internal/agent/admission.cpp
@@ -42,6 +42,7 @@
     return;
   }
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  Membership(m_board).RenewLease(entry, aBatch.m_leaseGrantedAt);
   entry.m_lastOfferSequence =
     std::max(entry.m_lastOfferSequence, aBatch.m_sequence);
   if (!aBatch.m_offers.empty()) {
@@ -76,7 +77,12 @@
                aOffer.m_need.m_milliCores);
     UpdateMean(m_board.m_workers.m_meanNeedMemoryMb, aOffer.m_need.m_memoryMb);
   }
-  const ErrorKind kind = CheckOffer(entry, aOffer);
+  // A newer message may have renewed the entry's lease, but the entry may have
+  // given up this offer since it was sent.
+  const bool arrivedLate =
+    aLeaseGrantedAt && Membership::HasLapsed(m_board, *aLeaseGrantedAt);
+  const ErrorKind kind =
+    arrivedLate ? ErrorKind::AttemptExpired : CheckOffer(entry, aOffer);
   if (kind == ErrorKind::QueueFull) {
     entry.m_earliestRefused =
       std::min(entry.m_earliestRefused.value_or(aOffer.m_dispatchTime),
--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -59,6 +59,7 @@
   m_board.m_commands = &aCommands;
   ReportCache(m_board).EvictExpired();
   KeyRegistry(m_board).EvictExpired();
+  Membership(m_board).EndAttemptsWithoutLease();
   std::visit([this](auto& aAny) { On(aAny); }, aEvent);
   ProcessDue();
   m_board.m_commands = nullptr;
@@ -146,6 +147,7 @@
 Agent::HandleHello(EntryIndex aEntry, const EntryHello& aHello)
 {
   EntryRecord& entry = m_board.m_entries.m_records.at(aEntry);
+  Membership(m_board).RenewLease(entry, aHello.m_leaseGrantedAt);
   // An entry that waits for outcomes needs a reply as proof that the agent is
   // alive.
   entry.m_loadRequested = entry.m_loadRequested || entry.m_openAttempts > 0;
@@ -308,7 +310,7 @@
 Agent::NextWake() const
 {
   Instant wake =
-    std::min(NextSendDue(m_board), Membership::NextEntryTimeout(m_board));
+    std::min(NextSendDue(m_board), Membership::NextLeaseEnd(m_board));
   wake = std::min(wake, LeasedRuns::NextDue(m_board));
   if (!m_board.m_expiry.empty()) {
     wake = std::min(wake, m_board.m_expiry.begin()->first.first);
--- a/packages/core/internal/agent/entrysection.h
+++ b/packages/core/internal/agent/entrysection.h
@@ -50,6 +50,10 @@
    * been alive: the estimated send time of its messages, not their time of
    * arrival; initially the time at which the entry was added. */
   Instant m_lastSeen;
+  /** When the entry granted the newest lease of its attempts at this agent, on
+   * this agent's clock; absent if its version states no leases. Then m_lastSeen
+   * applies. */
+  std::optional<Instant> m_leaseGrantedAt;
   /** Shortest time between the sending and the arrival of a message, including
    * the offset between the two clocks; absent until a message with a send time
    * has arrived. */
@@ -91,6 +95,11 @@
   /** Keyed by the shard bits of the attempt id. */
   std::map<std::uint64_t, EvictionMarks> m_evictionMarks;
 
+  Instant LeaseGrantedAt() const
+  {
+    return m_leaseGrantedAt.value_or(m_lastSeen);
+  }
+
   /** @return whether a shard of the entry waits for free capacity. */
   bool IsSubscribed(Instant aNow) const
   {
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -270,36 +270,51 @@
   ExpireEndpoint();
   ExpireWorkers();
   EndWarmUps();
-  EndAttemptsOfUnresponsiveEntries();
+  EndAttemptsWithoutLease();
   RemoveStaleEntries();
 }
 
 Instant
-Membership::NextEntryTimeout(const AgentBoard& aBoard)
+Membership::NextLeaseEnd(const AgentBoard& aBoard)
 {
   Instant due = kNever;
-  const Duration timeout = aBoard.m_policy.m_entryTimeout;
-  if (timeout == Duration::zero()) {
+  const Duration duration = aBoard.m_policy.m_entryTimeout;
+  if (duration == Duration::zero()) {
     return due;
   }
   for (const auto& [index, entry] : aBoard.m_entries.m_records) {
-    if (entry.m_openAttempts > 0 && entry.m_lastSeen + timeout > aBoard.m_now) {
-      due = std::min(due, entry.m_lastSeen + timeout);
+    const Instant end = entry.LeaseGrantedAt() + duration;
+    if (entry.m_openAttempts > 0 && end > aBoard.m_now) {
+      due = std::min(due, end);
     }
   }
   return due;
 }
 
 void
-Membership::EndAttemptsOfUnresponsiveEntries()
+Membership::RenewLease(EntryRecord& aEntry,
+                       std::optional<Instant> aGrantedAt) const
 {
-  const Duration timeout = m_board.m_policy.m_entryTimeout;
-  if (timeout == Duration::zero()) {
-    return;
+  if (aGrantedAt) {
+    const Instant grantedAt = std::min(*aGrantedAt, m_board.m_now);
+    aEntry.m_leaseGrantedAt =
+      std::max(aEntry.m_leaseGrantedAt.value_or(grantedAt), grantedAt);
   }
+}
+
+bool
+Membership::HasLapsed(const AgentBoard& aBoard, Instant aGrantedAt)
+{
+  const Duration duration = aBoard.m_policy.m_entryTimeout;
+  return duration != Duration::zero() && aGrantedAt + duration <= aBoard.m_now;
+}
+
+void
+Membership::EndAttemptsWithoutLease()
+{
   for (const auto& [index, entry] : m_board.m_entries.m_records) {
     if (entry.m_openAttempts > 0 &&
-        entry.m_lastSeen + timeout <= m_board.m_now) {
+        HasLapsed(m_board, entry.LeaseGrantedAt())) {
       EndAttemptsOf(index);
     }
   }
@@ -323,7 +338,8 @@
            EventCode::EntrySilent,
            0,
            DescribeProcess("entry", record.m_id)
-             .Add("silent_ms", m_board.m_now - record.m_lastSeen));
+             .Add("silent_ms", m_board.m_now - record.m_lastSeen)
+             .Add("lease_age_ms", m_board.m_now - record.LeaseGrantedAt()));
   }
 }
 
--- a/packages/core/internal/agent/membership.h
+++ b/packages/core/internal/agent/membership.h
@@ -31,19 +31,32 @@
    * link to it was opened. @return its index. */
   EntryIndex MarkReachable(const ProcessId& aEntry);
 
+  /** Renews the lease of the attempts of @p aEntry.
+   * @param aGrantedAt see OfferBatch::m_leaseGrantedAt; absent to renew none.
+   */
+  void RenewLease(EntryRecord& aEntry, std::optional<Instant> aGrantedAt) const;
+
+  /** @return whether a lease that was granted at @p aGrantedAt has lapsed. */
+  static bool HasLapsed(const AgentBoard& aBoard, Instant aGrantedAt);
+
+  /** Ends the attempts of entries whose leases have lapsed. Must precede the
+   * handling of a message: a newer lease revives no attempt, since the entry
+   * may have placed the work again. */
+  void EndAttemptsWithoutLease();
+
   void SetEntries(std::span<const ProcessId> aEntries);
   void SetEndpoint(EndpointAnnounced aAnnounced);
   void SetWorker(WorkerAnnounced aAnnounced);
   void SetWorkerLeaving(const WorkerLeft& aLeft);
 
   /** Expires the endpoint and the workers whose leases have ended, ends
-   * warm-ups that are over, ends the attempts of unresponsive entries, and
+   * warm-ups that are over, ends the attempts of entries without a lease, and
    * removes stale entries. */
   void ProcessTimeouts();
 
-  /** @return when the next entry with open attempts becomes unresponsive if no
-   * message from it is received. */
-  static Instant NextEntryTimeout(const AgentBoard& aBoard);
+  /** @return when the lease of the next entry with open attempts lapses if it
+   * is not renewed. */
+  static Instant NextLeaseEnd(const AgentBoard& aBoard);
 
 private:
   /** Updates the shortest transit time of the entry.
@@ -60,7 +73,6 @@
   void ExpireWorkers();
   /** Clears WorkerInfo::m_warmingUp of the workers whose warm-up is over. */
   void EndWarmUps();
-  void EndAttemptsOfUnresponsiveEntries();
   /** Removes stale entries: unlisted, without open attempts, and not seen
    * within the retention period. */
   void RemoveStaleEntries();
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/entry/clockoffset.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/taskspeeds.h"
 #include "core/types/messages.h"
@@ -34,15 +35,29 @@
   /** All services that the agent's endpoint has served, and since when.
    * The agent may hold caller keys of each. */
   std::map<std::string, Instant, std::less<>> m_servedSince;
-  /** When the last message was received from the agent, and sent to it. */
+  /** When the last message was received from the agent. */
   Instant m_lastReceivedAt;
-  Instant m_lastSentAt;
+  /** When the last message was sent that renewed the lease of the attempts at
+   * the agent. */
+  Instant m_renewalSentAt;
+  /** When that lease was granted; earlier than m_renewalSentAt if callers had
+   * not been read. */
+  Instant m_leaseGrantedAt;
   /** When the first heartbeat was sent that the agent has not answered. */
   std::optional<Instant> m_heartbeatPendingSince;
-  /** The agent's clock minus this entry's clock. The estimate is never above
-   * the true offset, since the load report that it is computed from was in
-   * transit for some time. */
-  Duration m_clockOffset{};
+  /** The agent's clock minus this entry's clock. */
+  ClockOffset m_clockOffset;
+
+  /** Renews the lease of all attempts at the agent.
+   * @param aGrantedAt see EntryBoard::LeaseTime().
+   * @return @p aGrantedAt on the agent's clock, to be sent to the agent. */
+  Instant RenewLease(Instant aNow, Instant aGrantedAt)
+  {
+    m_renewalSentAt = aNow;
+    m_leaseGrantedAt = std::max(m_leaseGrantedAt, aGrantedAt);
+    return aGrantedAt + m_clockOffset.At(aNow);
+  }
+
   /** False after a send failed, a heartbeat or the lease timed out, or the
    * agent refused all work; true again with the next message from it. */
   bool m_reachable = true;
--- a/packages/core/internal/entry/demandview.cpp
+++ b/packages/core/internal/entry/demandview.cpp
@@ -39,7 +39,7 @@
   const WorkRef first = queue.Ordered().begin()->first.m_work;
   const Submission& job = m_board.m_submissions.at(first.m_submission);
   demand.m_earliestDispatch =
-    LatestStartByPriority(m_board, job) + aAgent.m_clockOffset;
+    LatestStartByPriority(m_board, job) + aAgent.m_clockOffset.Latest();
   return demand;
 }
 
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -69,6 +69,12 @@
   return aItem.m_isIsolated ? m_isolatedPool : m_taskPool;
 }
 
+Instant
+EntryBoard::LeaseTime(Instant aNow) const
+{
+  return aNow;
+}
+
 EntryHello
 EntryBoard::MakeHello() const
 {
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -252,6 +252,10 @@
     return PoolOf(aSubmission, aItem).m_queue;
   }
 
+  /** @return the time at which a lease that is granted now starts. An agent
+   * ends the attempts of an entry whose lease has lapsed. */
+  Instant LeaseTime(Instant aNow) const;
+
   /** @return a hello with the state of this entry. */
   EntryHello MakeHello() const;
 
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -236,10 +236,7 @@
     return;
   }
   AgentRecord& agent = found->second;
-  // The message was in transit for some time, so this estimate is at most the
-  // true offset, and instants converted with it are never later than intended.
-  agent.m_clockOffset =
-    aLoad.m_reportedAt.time_since_epoch() - aContext.m_now.time_since_epoch();
+  agent.m_clockOffset.Add(aContext.m_now, aLoad.m_reportedAt);
   DispatchController::ApplyLoad(aContext, agent, aLoad);
   m_configs.OnAgentVersion(aContext, agent);
   m_drains.OnAgentDigest(aContext, agent);
@@ -296,12 +293,12 @@
         : Duration::zero();
     if (unanswered < m_board.m_policy.m_agentTimeout) {
       const bool due = aContext.m_now - agent.m_lastReceivedAt >= interval ||
-                       aContext.m_now - agent.m_lastSentAt >= interval;
+                       aContext.m_now - agent.m_renewalSentAt >= interval;
       if (due) {
         hello.m_demand = DemandView(m_board).StatementTo(agent);
-        hello.m_leaseGrantedAt = aContext.m_now + agent.m_clockOffset;
+        hello.m_leaseGrantedAt =
+          agent.RenewLease(aContext.m_now, m_board.LeaseTime(aContext.m_now));
         aContext.Send(id, hello);
-        agent.m_lastSentAt = aContext.m_now;
         agent.m_heartbeatPendingSince =
           agent.m_heartbeatPendingSince.value_or(aContext.m_now);
       }
--- a/packages/core/internal/entry/offerbatches.cpp
+++ b/packages/core/internal/entry/offerbatches.cpp
@@ -33,7 +33,6 @@
   aAgent.m_openAttempts.insert(item.m_attempt);
   ++item.m_offers;
   ++aAgent.m_offersSent;
-  aAgent.m_lastSentAt = aContext.m_now;
   ArmHeartbeat(aContext);
   aAgent.m_unreflectedOffers.push_back({ aAgent.m_offersSent,
                                          aSubmission.m_kind,
@@ -44,19 +43,19 @@
     m_board.m_retryBudget.CountFirstAttempt();
   }
 
+  const Duration clockOffset = aAgent.m_clockOffset.At(aContext.m_now);
   core::Offer offer;
   offer.m_attempt = item.m_attempt;
   offer.m_kind = aSubmission.m_kind;
   offer.m_service = aSubmission.m_service;
   offer.m_team = aSubmission.m_team;
-  // Both instants are in the agent's clock and never later than intended, see
-  // AgentRecord::m_clockOffset.
+  // Both instants are on the agent's clock and never later than intended.
   offer.m_startBy =
     (aSubmission.m_queue.empty()
        ? item.m_startBy
        : aSubmission.m_deadline - item.m_expectedRun - item.m_successorRun) +
-    aAgent.m_clockOffset;
-  offer.m_deadline = aSubmission.m_deadline + aAgent.m_clockOffset;
+    clockOffset;
+  offer.m_deadline = aSubmission.m_deadline + clockOffset;
   offer.m_expectedRun = item.m_expectedRun;
   offer.m_need = item.m_need;
   if (aSubmission.m_kind == WorkKind::Task) {
@@ -71,7 +70,7 @@
   offer.m_requiredLabel = item.m_requiredLabel;
   offer.m_queue = aSubmission.m_queue;
   offer.m_dispatchTime =
-    LatestStartByPriority(m_board, aSubmission) + aAgent.m_clockOffset;
+    LatestStartByPriority(m_board, aSubmission) + clockOffset;
   OfferedItems& offered = m_offeredItems[aSubmission.m_id];
   offered.m_agents +=
     (offered.m_agents.empty() ? "" : ",") + aAgent.m_id.m_name;
@@ -108,7 +107,8 @@
     const auto record = m_board.m_agents.find(agent);
     if (record != m_board.m_agents.end()) {
       batch.m_demand = DemandView(m_board).StatementTo(record->second);
-      batch.m_leaseGrantedAt = aContext.m_now + record->second.m_clockOffset;
+      batch.m_leaseGrantedAt = record->second.RenewLease(
+        aContext.m_now, m_board.LeaseTime(aContext.m_now));
     }
     aContext.Send(agent, std::move(batch));
   }
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -250,7 +250,7 @@
                                        AgentRecord& aAgent)
 {
   const Instant runsEndAt =
-    aAgent.m_lastSentAt + m_board.m_policy.m_runsEndAfter;
+    aAgent.m_leaseGrantedAt + m_board.m_policy.m_runsEndAfter;
   std::vector<AttemptId> open(aAgent.m_openAttempts.begin(),
                               aAgent.m_openAttempts.end());
   std::sort(open.begin(), open.end());
--- a/packages/core/internal/entry/zonedraincontroller.cpp
+++ b/packages/core/internal/entry/zonedraincontroller.cpp
@@ -107,7 +107,6 @@
 {
   aAgent.m_drainsHelloAt = aContext.m_now;
   // The agent takes the hello as a sign of life of this entry.
-  aAgent.m_lastSentAt = aContext.m_now;
   aContext.Send(aAgent.m_id, m_board.MakeHello());
 }
 
--- /dev/null
+++ b/packages/core/tests/entry_attemptlease_test.cpp
@@ -0,0 +1,65 @@
+#include "core/tests/queuefixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mulberrysail::core {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+/** The leases that an entry grants to its attempts at agents. */
+class EntryAttemptLeaseTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EntryAttemptLeaseTest);
+  CPPUNIT_TEST(LateReportDoesNotPostponeTheLeaseOfAnOffer);
+  CPPUNIT_TEST(OnlyHeartbeatsAndOffersRenewTheLease);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LateReportDoesNotPostponeTheLeaseOfAnOffer()
+  {
+    QueueFixture fixture;
+    const ProcessId agent = fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const Duration clockOffset = hours(2);
+    const auto report = [&](std::uint64_t aSequence, Duration aTransit) {
+      ReportBatch batch;
+      batch.m_load.m_sequence = aSequence;
+      batch.m_load.m_reportedAt = fixture.m_now + clockOffset - aTransit;
+      batch.m_load.m_freeCapacity = kWorkerCapacity;
+      fixture.Receive(agent, std::move(batch));
+    };
+    report(100, milliseconds(2));
+    report(101, milliseconds(900));
+    fixture.Submit("job", 1);
+    const std::optional<Instant> granted =
+      fixture.Sent<OfferBatch>().at(0).second.m_leaseGrantedAt;
+    CPPUNIT_ASSERT(granted);
+    CPPUNIT_ASSERT(*granted == fixture.m_now + clockOffset - milliseconds(2));
+  }
+
+  void OnlyHeartbeatsAndOffersRenewTheLease()
+  {
+    QueueFixture fixture;
+    const ProcessId agent = fixture.AddWorkerAgent("a1", kTaskNeed);
+    fixture.Submit("first", 1);
+    fixture.ClearCommands();
+    // The second job waits, so the entry subscribes to free capacity.
+    fixture.Submit("second", 1);
+    fixture.HandleEvent(LinkReset{ agent });
+    for (const auto& [to, hello] : fixture.Sent<EntryHello>()) {
+      CPPUNIT_ASSERT(!hello.m_leaseGrantedAt);
+    }
+    CPPUNIT_ASSERT(!fixture.Sent<EntryHello>().empty());
+    fixture.ClearCommands();
+    fixture.Advance(milliseconds(300));
+    CPPUNIT_ASSERT(fixture.Sent<EntryHello>().at(0).second.m_leaseGrantedAt);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryAttemptLeaseTest);
+
+} // namespace
+
+} // namespace mulberrysail::core
