A revocation is repeated until the end of the run is reported

Cause: an entry forgot an attempt as soon as it had handed the revoke to the transport; lost with its link it was never repeated, while offers for other work kept the runs alive.

Revoked tasks are now kept until the agent reports their end, or the last lease granted to it proves that all its runs have ended.

--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -1,11 +1,11 @@
 #include "core/internal/entry/answercontroller.h"
 
 #include "core/internal/entry/lostruns.h"
+#include "core/internal/entry/revocationcontroller.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -242,28 +242,15 @@
 void
 AnswerController::Withdraw(EntryEventContext& aContext, Submission& aSubmission)
 {
-  std::map<ProcessId, RevokeBatch> revokes;
   for (std::uint32_t i = 0; i < aSubmission.m_items.size(); ++i) {
-    WorkItem& item = aSubmission.m_items[i];
+    const WorkItem& item = aSubmission.m_items[i];
     if (item.m_state == WorkState::Waiting) {
       m_board.QueueOf(aSubmission, item)
         .Erase({ *item.m_order, { aSubmission.m_id, i } },
                WaitingWorkOf(aSubmission, item));
     }
-    if (item.m_state == WorkState::Offered) {
-      RevokeBatch& batch = revokes[item.m_agent];
-      batch.m_stopRunning = true;
-      batch.m_attempts.push_back(item.m_attempt);
-      m_board.m_attempts.erase(item.m_attempt);
-      const auto agent = m_board.m_agents.find(item.m_agent);
-      if (agent != m_board.m_agents.end()) {
-        agent->second.m_openAttempts.erase(item.m_attempt);
-      }
-    }
-  }
-  for (auto& [agent, batch] : revokes) {
-    aContext.Send(agent, std::move(batch));
   }
+  RevocationController(m_board).Revoke(aContext, aSubmission);
 }
 
 void
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/entry/entry.h"
 
+#include "core/internal/entry/revocationcontroller.h"
 #include "core/internal/overloaded.h"
 
 #include <algorithm>
@@ -184,6 +185,11 @@
       },
       [&](const DispatchTimer&) { m_dispatch.DispatchAll(aContext); },
       [&](const HeartbeatTimer&) { m_membership.OnHeartbeat(aContext); },
+      [&](const RevocationTimer&) {
+        if (RevocationController(m_board).OnTimer(aContext)) {
+          m_dispatch.DispatchTasks(aContext);
+        }
+      },
       [&](const ConfigTransferTimer&) { m_configs.OnTransferTimer(aContext); },
       [&](const DrainedZonesTimer& aDrained) {
         m_drains.OnZonesTimer(aContext, aDrained.m_zones);
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -8,6 +8,7 @@
 #include "core/internal/entry/forwardstate.h"
 #include "core/internal/entry/queueisolation.h"
 #include "core/internal/entry/retrybudget.h"
+#include "core/internal/entry/revocations.h"
 #include "core/internal/entry/runtimemodel.h"
 #include "core/internal/entry/submission.h"
 #include "core/internal/entry/taskspeeds.h"
@@ -221,6 +222,8 @@
   std::map<FenceId, Claim> m_claims;
   std::vector<Probe> m_probes;
   RetryBudget m_retryBudget{ 20 };
+  Revocations m_revocations;
+  bool m_isRevocationTimerArmed = false;
 
   CrashLedger m_crashes;
   QueueIsolation m_isolation;
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/membershipcontroller.h"
 
 #include "core/internal/entry/demandview.h"
+#include "core/internal/entry/revocationcontroller.h"
 
 #include <algorithm>
 #include <utility>
@@ -193,6 +194,7 @@
                     .Add("silent_ms", aContext.m_now - aAgent.m_lastReceivedAt)
                     .Add("open", aAgent.m_openAttempts.size()));
   aAgent.m_reachable = false;
+  m_board.m_revocations.SetLeaseGrantedAt(aAgent.m_id, aAgent.m_leaseGrantedAt);
   for (DepartedAgent& departed : AsDepartedAgents(aContext, aAgent)) {
     m_board.m_departed.push_back({ std::move(departed), aContext.m_now });
   }
@@ -259,6 +261,7 @@
   if (found != m_board.m_agents.end()) {
     found->second.m_configHelloAt = {};
     m_outcomes.ReconcileOpenAttempts(aContext, found->second);
+    RevocationController(m_board).OnLinkReset(aContext, aPeer);
   }
 }
 
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -108,6 +108,9 @@
     return;
   }
   WorkRef work;
+  if (m_board.m_revocations.Remove(aAgent.m_id, aReport.m_attempt)) {
+    return;
+  }
   WorkItem* item = CloseAttempt(aAgent, aReport.m_attempt, work);
   if (item == nullptr) {
     ++m_board.m_counters.m_repliesDropped;
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -56,6 +56,10 @@
 struct HeartbeatTimer
 {};
 
+/** Revocations that no agent has confirmed may be due for a repetition. */
+struct RevocationTimer
+{};
+
 /** A newer configuration of a peer is due for a transfer, or a transfer for a
  * check of its progress. */
 struct ConfigTransferTimer
@@ -90,6 +94,7 @@
                            RetentionTimer,
                            DispatchTimer,
                            HeartbeatTimer,
+                           RevocationTimer,
                            ConfigTransferTimer,
                            DrainedZonesTimer,
                            ForwardDeadlineTimer,
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -101,6 +101,9 @@
   EventRow{ EventCode::WorkGivenUp,
             "work-given-up",
             "a request or task is not started again, as its runs were lost" },
+  EventRow{ EventCode::RevocationRepeated,
+            "revocation-repeated",
+            "an agent has not confirmed the end of revoked attempts" },
   EventRow{
     EventCode::AgentSpeedLearned,
     "agent-speed-learned",
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -44,6 +44,7 @@
   RunUnclear = 310,
   AttemptFailed = 311,
   WorkGivenUp = 312,
+  RevocationRepeated = 313,
   AgentSpeedLearned = 315,
   QueueIsolated = 316,
   QueueReleased = 317,
