A job sent again waits for the end of its revoked runs

Cause: a withdrawn job's name was forgotten before its runs had ended.

A task isn't offered while a revoked run of the same name may go on: until the agent reports its end, or its lease has ended. What can't meet its objective by then is refused as before.

EntryRevocationTest::ResubmittedJobWaitsForTheEndOfItsEarlierRuns fails without the check in TryPlace.

--- a/packages/core/internal/entry/dispatchcontroller.cpp
+++ b/packages/core/internal/entry/dispatchcontroller.cpp
@@ -313,6 +313,10 @@
     m_answers.GiveUp(aContext, submission, item);
     return PlacementResult::GivenUp;
   }
+  if (m_board.m_revocations.MayStillRun(item.m_name)) {
+    // An earlier submission of the job was revoked, and its run may go on.
+    return PlacementResult::NoCapacity;
+  }
   const ProbePlacement* probe =
     std::get_if<ProbePlacement>(&m_board.m_policy.m_placement);
   const bool restricted = IsRestrictedToCandidates(submission);
--- a/packages/core/tests/entry_revocation_test.cpp
+++ b/packages/core/tests/entry_revocation_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(UnconfirmedRevocationIsRepeated);
   CPPUNIT_TEST(ConfirmedRevocationIsNotRepeated);
   CPPUNIT_TEST(RevocationIsRepeatedWhileOtherWorkRenewsTheLease);
+  CPPUNIT_TEST(ResubmittedJobWaitsForTheEndOfItsEarlierRuns);
+  CPPUNIT_TEST(ResubmittedJobStartsOnceTheLeaseOfASilentAgentHasEnded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +72,42 @@
     CPPUNIT_ASSERT(!fixture.Sent<RevokeBatch>().empty());
   }
 
+  void ResubmittedJobWaitsForTheEndOfItsEarlierRuns()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    fixture.AddWorkerAgent("a2", kWorkerCapacity);
+    SubmitAndLeave(fixture);
+    const auto first = fixture.Offers().at(0);
+    fixture.ClearCommands();
+    fixture.Advance(milliseconds(10));
+    fixture.Submit("job", 1);
+    fixture.Submit("other", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Offers().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("other.0"),
+                         fixture.Offers()[0].m_offer.m_name);
+    fixture.ReportFate(first, AttemptFate::Interrupted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Offers().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("job.0"),
+                         fixture.Offers()[1].m_offer.m_name);
+  }
+
+  void ResubmittedJobStartsOnceTheLeaseOfASilentAgentHasEnded()
+  {
+    QueueFixture fixture;
+    const ProcessId silent = fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    SubmitAndLeave(fixture);
+    fixture.AddWorkerAgent("a2", kWorkerCapacity);
+    fixture.HandleEvent(SendFailed{ silent, EntryHello{} });
+    fixture.ClearCommands();
+    fixture.Advance(milliseconds(1210));
+    fixture.Submit("job", 1);
+    fixture.Advance(milliseconds(30));
+    CPPUNIT_ASSERT(fixture.Offers().empty());
+    fixture.Advance(milliseconds(70));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Offers().size());
+  }
+
 private:
   /** Submits a job of one task, whose caller leaves once it was offered. */
   static AttemptId SubmitAndLeave(QueueFixture& aFixture)
