An entry that stood still grants no lease beyond its last reading

Cause: deadlines and leases counted from the reading.

The HTTP server states at each 100 ms until when all callers have been read. If that is more than 300 ms ago, an entry counts the deadline of a job and the leases that it grants from there: what can no longer be in time is refused at once as not run, and agents start nothing for callers that may have left.

EntryAttemptLeaseTest::RequestReadAfterAFreezeIsRefused and LeaseOfAnEntryThatStoodStillCountsFromItsLastReading guard it.

--- a/packages/core/internal/entry/admissioncontroller.cpp
+++ b/packages/core/internal/entry/admissioncontroller.cpp
@@ -137,6 +137,15 @@
   const CallerToken caller = aJob.m_caller;
   const bool detached = aJob.m_detached;
   Submission submission = MakeJob(aContext, std::move(aJob), queue);
+  if (submission.m_deadline <= aContext.m_now) {
+    RefuseJob(aContext,
+              caller,
+              submission.m_name,
+              { ErrorKind::DeadlineUnreachable,
+                "the job may have waited in vain while the entry stood still",
+                m_answers.RetryAfter(Duration::zero()) });
+    return;
+  }
   if (queue != nullptr) {
     m_board.m_queues[submission.m_queue].m_lastArrivalAt = aContext.m_now;
     m_board.m_crashes.Evict(aContext.m_now);
@@ -219,7 +228,9 @@
     submission.m_priority = aQueue->m_priority;
     submission.m_maxAttempts = aQueue->m_maxAttempts;
   }
-  submission.m_deadline = aContext.m_now + deadline;
+  // The caller may have sent the job when the entry stood still.
+  submission.m_deadline =
+    aContext.m_now + deadline - m_board.UnreadFor(aContext.m_now);
   const RunTimeModel& model = m_board.RunTimesOf(submission);
   const double meanFactor =
     m_board.m_policy.m_learnTaskSpeed ? model.MeanFactor() : 1;
--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -11,6 +11,9 @@
 /** Added to the silence after which forwarded jobs are cancelled; part of the
  * time bound in docs/GUARANTEES.md. */
 constexpr Duration kForwardCheckInterval = std::chrono::milliseconds(100);
+/** Age of the last complete reading of the callers, while the entry runs as it
+ * should. Covers three of the intervals at which the process states it. */
+constexpr Duration kMaxUsualUnread = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -69,10 +72,18 @@
   return aItem.m_isIsolated ? m_isolatedPool : m_taskPool;
 }
 
+Duration
+EntryBoard::UnreadFor(Instant aNow) const
+{
+  const Duration unread =
+    m_callersReadUntil ? aNow - *m_callersReadUntil : Duration::zero();
+  return unread > kMaxUsualUnread ? unread : Duration::zero();
+}
+
 Instant
 EntryBoard::LeaseTime(Instant aNow) const
 {
-  return aNow;
+  return aNow - UnreadFor(aNow);
 }
 
 EntryHello
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -255,8 +255,14 @@
     return PoolOf(aSubmission, aItem).m_queue;
   }
 
-  /** @return the time at which a lease that is granted now starts. An agent
-   * ends the attempts of an entry whose lease has lapsed. */
+  /** @return for how long requests of callers, or the ends of their
+   * connections, may have gone unread because the process stood still; zero
+   * while it reads as usual. */
+  Duration UnreadFor(Instant aNow) const;
+
+  /** @return the time at which a lease that is granted now starts: not
+   * later than the callers were read, as one that has left since may submit its
+   * job to another entry. */
   Instant LeaseTime(Instant aNow) const;
 
   /** @return a hello with the state of this entry. */
--- a/packages/core/tests/entry_attemptlease_test.cpp
+++ b/packages/core/tests/entry_attemptlease_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST_SUITE(EntryAttemptLeaseTest);
   CPPUNIT_TEST(LateReportDoesNotPostponeTheLeaseOfAnOffer);
   CPPUNIT_TEST(OnlyHeartbeatsAndOffersRenewTheLease);
+  CPPUNIT_TEST(RequestReadAfterAFreezeIsRefused);
+  CPPUNIT_TEST(LeaseOfAnEntryThatStoodStillCountsFromItsLastReading);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +58,31 @@
     fixture.Advance(milliseconds(300));
     CPPUNIT_ASSERT(fixture.Sent<EntryHello>().at(0).second.m_leaseGrantedAt);
   }
+
+  void RequestReadAfterAFreezeIsRefused()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    fixture.HandleEvent(CallersRead{ fixture.m_now });
+    fixture.Advance(milliseconds(2900));
+    const CallerToken caller = fixture.Submit("job", 1, milliseconds(1500));
+    CPPUNIT_ASSERT(fixture.Offers().empty());
+    CPPUNIT_ASSERT(fixture.AnswerTo(caller)->m_execution == Execution::NotRun);
+  }
+
+  void LeaseOfAnEntryThatStoodStillCountsFromItsLastReading()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const Instant readUntil = fixture.m_now;
+    fixture.HandleEvent(CallersRead{ readUntil });
+    fixture.Advance(milliseconds(700));
+    fixture.Submit("job", 1);
+    const OfferBatch batch = fixture.Sent<OfferBatch>().at(0).second;
+    CPPUNIT_ASSERT(*batch.m_leaseGrantedAt <= readUntil);
+    CPPUNIT_ASSERT(batch.m_offers[0].m_deadline <=
+                   readUntil + std::chrono::seconds(2));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryAttemptLeaseTest);
