A request isn't handled if its caller had left before it was read

An entry that stood still accepts the connections that wait in the kernel one by one. Their requests counted as new, and their tasks started, though the ends of the connections lay right behind them: the caller had sent its job to another entry meanwhile. Class: "read now" taken for "sent now".

The server now handles a request only after it has read from the connection once more, and drops it if that read brought the end. This holds with one server thread, as deployed; with several, one reads while another handles.

--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -68,7 +68,9 @@
  * the response is given. */
 using DisconnectHook = std::function<void()>;
 
-/** Handles one request. Called on a server thread; must not block.
+/** Handles one request. Called on a server thread; must not block. With one
+ * server thread, not called for a client that had left before its request was
+ * read.
  * @return a hook for the loss of the connection; may be empty. */
 using HttpHandler = std::function<DisconnectHook(HttpRequest, HttpResponder)>;
 
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -302,6 +302,35 @@
   }
 }
 
+/** Handles a request unless its client had left before it was read. Several
+ * server threads can't tell: one reads while another handles. */
+void
+HandleUnlessGone(const HttpServerOptions& aOptions,
+                 const HttpHandler& aHandler,
+                 const ContextPtr& aContext,
+                 const restinio::request_handle_t& aRequest)
+{
+  if (aOptions.m_threads > 1) {
+    HandleRequest(aOptions, aHandler, aContext, aRequest);
+    return;
+  }
+  // Weak, to avoid a reference cycle: the context owns what is posted to it.
+  const std::weak_ptr<ServerContext> weakContext = aContext;
+  const auto handle = [=] {
+    const ContextPtr context = weakContext.lock();
+    if (context && context->m_registry->IsOpen(RequestIdOf(*aRequest))) {
+      HandleRequest(aOptions, aHandler, context, aRequest);
+    }
+  };
+  // RESTinio starts its next read when the caller of this function returns. The
+  // result is queued behind the first function that is posted here.
+  asio::post(aContext->m_ioContext, [=] {
+    if (const ContextPtr context = weakContext.lock()) {
+      asio::post(context->m_ioContext, handle);
+    }
+  });
+}
+
 class HttpServer : public IHttpServer
 {
 public:
@@ -437,7 +466,7 @@
           }
           if (context &&
               context->m_registry->BeginRequest(RequestIdOf(*aRequest))) {
-            HandleRequest(options, handler, context, aRequest);
+            HandleUnlessGone(options, handler, context, aRequest);
           }
           return restinio::request_accepted();
         });
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(OversizedRequestsAreRefused);
   CPPUNIT_TEST(DisconnectCallsTheHookOnce);
   CPPUNIT_TEST(ResponseDropsTheHook);
+  CPPUNIT_TEST(RequestOfAClientThatHasLeftIsNotHandled);
   CPPUNIT_TEST(SlowClientIsDisconnected);
   CPPUNIT_TEST(StreamsParts);
   CPPUNIT_TEST(StreamEndsWithItsConnection);
@@ -169,6 +170,42 @@
     CPPUNIT_ASSERT_EQUAL(0, m_hookCalls.load());
   }
 
+  void RequestOfAClientThatHasLeftIsNotHandled()
+  {
+    std::promise<void> blocked;
+    std::promise<void> release;
+    std::vector<std::string> handled;
+    m_options.m_threads = 1;
+    Start([&](const HttpRequest& aRequest, const HttpResponder& aResponder) {
+      if (aRequest.m_path == "/block") {
+        blocked.set_value();
+        release.get_future().wait();
+      } else {
+        handled.push_back(aRequest.m_path);
+      }
+      aResponder({});
+      return DisconnectHook();
+    });
+    RawSocket accepted = Open();
+    accepted.Send(Get("/first"));
+    CPPUNIT_ASSERT(accepted.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    RawSocket blocking = Open();
+    blocking.Send(Get("/block"));
+    blocked.get_future().wait();
+    accepted.Send(Get("/accepted"));
+    accepted.EndSending();
+    RawSocket queued = Open();
+    queued.Send(Get("/queued"));
+    queued.EndSending();
+    RawSocket staying = Open();
+    staying.Send(Get("/staying"));
+    release.set_value();
+    CPPUNIT_ASSERT(staying.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    m_server->Stop();
+    const std::vector<std::string> expected{ "/first", "/staying" };
+    CPPUNIT_ASSERT(handled == expected);
+  }
+
   void ClosedShareAnswersItsOpenRequests()
   {
     StartCapturing();
--- a/packages/network/tests/rawserver.h
+++ b/packages/network/tests/rawserver.h
@@ -2,9 +2,12 @@
 
 #include <asio.hpp>
 
+#include <netinet/tcp.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace mulberrysail::network::tests {
@@ -54,7 +57,26 @@
 
   void Close() { m_socket.close(); }
 
+  /** Ends the sent data, and waits until the other side's system has received
+   * that end. */
+  void EndSending()
+  {
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    while (State() == TCP_FIN_WAIT1) {
+      std::this_thread::yield();
+    }
+  }
+
 private:
+  /** @return the state of the connection, as in netinet/tcp.h. */
+  int State()
+  {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+    return info.tcpi_state;
+  }
+
   asio::ip::tcp::socket m_socket;
   std::string m_input;
 };
