A request is handled once a reset that may follow it has arrived

A connection was reset while a request was on its way; its caller sent the job again 10 ms later, to another entry of its zone, and both entries ran it (the first had offered its tasks 3.6 ms before it read the reset; a stop takes up to 50 ms). Class: "read now" taken for "in time".

The wait counts into the deadline. Ruled out: a notice to the other entries, which a slow entry sends too late.

HttpServerTest::RequestThatIsFollowedByAResetIsNotHandled guards it; without the wait the request is handled as it is read.

--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -107,6 +107,7 @@
   }
   m_callerServer.HoldUntilServing();
   m_callerServer.OnReadCheck([this] { OnReadCheck(); });
+  m_callerServer.SetSettleTime(m_settings.m_adapter.m_settleTime);
   m_callerServer.SetHandler(m_adapter->MakeCallerHandler(m_jobGateway));
   m_readinessServer.SetHandler(
     [this](const network::HttpRequest&,
--- a/packages/daemon/internal/routedhttpserver.cpp
+++ b/packages/daemon/internal/routedhttpserver.cpp
@@ -22,6 +22,7 @@
   options.m_maxBodyBytes = aSettings.m_maxBodyBytes;
   options.m_maxHeaderBytes = aSettings.m_maxHeaderBytes;
   options.m_onReadCheck = m_onReadCheck;
+  options.m_settleTime = m_settleTime;
   core::Result<std::unique_ptr<network::IHttpServer>> server =
     network::StartHttpServer(options,
                              [this](const network::HttpRequest& aRequest,
--- a/packages/daemon/internal/routedhttpserver.h
+++ b/packages/daemon/internal/routedhttpserver.h
@@ -36,6 +36,13 @@
     m_onReadCheck = std::move(aHook);
   }
 
+  /** Sets network::HttpServerOptions::m_settleTime. Must not be called after
+   * Listen(). */
+  void SetSettleTime(core::Duration aTime)
+  {
+    m_settleTime = std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+  }
+
   /** Starts to listen. Requests are refused until StartServing(), unless
    * HoldUntilServing() was called. */
   std::optional<core::Error> Listen(const HttpSettings& aSettings);
@@ -88,6 +95,7 @@
   bool m_holdsRequests = false;
   HeldRequests m_heldRequests;
   std::function<void()> m_onReadCheck;
+  std::chrono::milliseconds m_settleTime{ 0 };
   std::atomic<bool> m_serving{ false };
   std::unique_ptr<network::IHttpServer> m_server;
 };
--- a/packages/daemon/settings/processfields.cpp
+++ b/packages/daemon/settings/processfields.cpp
@@ -130,6 +130,15 @@
                           TextForm::ListenAddress };
     },
     "where an adapter tells a balancer whether the entry is ready" },
+  SettingField{ "adapter.settle_ms",
+                kEntry,
+                false,
+                [](Settings& aS) -> FieldBinding {
+                  return Millis(aS.m_adapter.m_settleTime, 0, 1000);
+                },
+                "time from the reading of a caller's request to its handling, "
+                "with one HTTP "
+                "thread: the longest way of a reset from a caller" },
   SettingField{
     "adapter.worker_url",
     kAgent,
--- a/packages/daemon/settings/settings.h
+++ b/packages/daemon/settings/settings.h
@@ -92,6 +92,8 @@
   std::string m_listen;
   /** IP:PORT where a load balancer checks whether an entry is ready. */
   std::string m_readyListen;
+  /** See network::HttpServerOptions::m_settleTime. */
+  core::Duration m_settleTime{};
   /** URL at which the worker local to an agent accepts commands. */
   std::string m_workerUrl;
 };
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -24,6 +24,8 @@
    * ", ". */
   std::map<std::string, std::string, std::less<>> m_headers;
   std::string m_body;
+  std::chrono::steady_clock::time_point m_readAt =
+    std::chrono::steady_clock::now();
 };
 
 /** A response that is sent in parts, with chunked transfer encoding.
@@ -70,7 +72,7 @@
 
 /** Handles one request. Called on a server thread; must not block. With one
  * server thread, not called for a client that had left before its request was
- * read.
+ * read, or leaves within HttpServerOptions::m_settleTime.
  * @return a hook for the loss of the connection; may be empty. */
 using HttpHandler = std::function<DisconnectHook(HttpRequest, HttpResponder)>;
 
@@ -91,6 +93,10 @@
   std::uint32_t m_maxHeaderBytes = 16U << 10U;
   /** Limit for reading one whole request, and for an idle connection. */
   std::chrono::milliseconds m_readTimeout{ 30000 };
+  /** Time between the reading and the handling of a request, used with one
+   * server thread. If a connection is reset while a request is on its way, the
+   * reset follows the request, and the client may send it elsewhere at once. */
+  std::chrono::milliseconds m_settleTime{ 0 };
   /** Called on a server thread at each kReadCheckInterval; may be empty. With
    * one server thread, all data that had arrived from clients, and all ends of
    * their connections, before one call have been handled before the next. */
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "network/errorresponse.h"
 #include "network/internal/connectionregistry.h"
+#include "network/internal/delayedcalls.h"
 #include "network/internal/httprequestreader.h"
 
 #include <restinio/http_server.hpp>
@@ -100,7 +101,13 @@
 /** State shared with responders and streams, which may outlive the server. */
 struct ServerContext
 {
+  explicit ServerContext(std::chrono::milliseconds aSettleTime)
+    : m_settling(m_ioContext, aSettleTime)
+  {
+  }
+
   asio::io_context m_ioContext;
+  DelayedCalls m_settling;
   std::shared_ptr<ConnectionRegistry> m_registry;
   /** Number of responses given but not yet written. Shared with the write
    * operations, which the I/O context owns. */
@@ -273,7 +280,8 @@
 HandleRequest(const HttpServerOptions& aOptions,
               const HttpHandler& aHandler,
               const ContextPtr& aContext,
-              const restinio::request_handle_t& aRequest)
+              const restinio::request_handle_t& aRequest,
+              std::chrono::steady_clock::time_point aReadAt)
 {
   const std::shared_ptr<Responder> responder =
     std::make_shared<Responder>(aContext, aRequest);
@@ -285,6 +293,7 @@
   HttpRequest request;
   try {
     request = ReadRequest(*aRequest);
+    request.m_readAt = aReadAt;
   } catch (const std::exception& error) {
     responder->Respond(MakeErrorResponse(core::ErrorKind::MalformedRequest,
                                          { .m_detail = error.what() }));
@@ -302,16 +311,19 @@
   }
 }
 
-/** Handles a request unless its client had left before it was read. Several
- * server threads can't tell: one reads while another handles. */
+/** Handles a request unless its client had left before it was read, or leaves
+ * within the settle time. Several server threads can't tell: one reads while
+ * another handles. */
 void
 HandleUnlessGone(const HttpServerOptions& aOptions,
                  const HttpHandler& aHandler,
                  const ContextPtr& aContext,
                  const restinio::request_handle_t& aRequest)
 {
+  const std::chrono::steady_clock::time_point readAt =
+    std::chrono::steady_clock::now();
   if (aOptions.m_threads > 1) {
-    HandleRequest(aOptions, aHandler, aContext, aRequest);
+    HandleRequest(aOptions, aHandler, aContext, aRequest, readAt);
     return;
   }
   // Weak, to avoid a reference cycle: the context owns what is posted to it.
@@ -319,9 +331,13 @@
   const auto handle = [=] {
     const ContextPtr context = weakContext.lock();
     if (context && context->m_registry->IsOpen(RequestIdOf(*aRequest))) {
-      HandleRequest(aOptions, aHandler, context, aRequest);
+      HandleRequest(aOptions, aHandler, context, aRequest, readAt);
     }
   };
+  if (aOptions.m_settleTime > std::chrono::milliseconds::zero()) {
+    aContext->m_settling.Add(handle);
+    return;
+  }
   // RESTinio starts its next read when the caller of this function returns. The
   // result is queued behind the first function that is posted here.
   asio::post(aContext->m_ioContext, [=] {
@@ -475,7 +491,8 @@
 
   const HttpServerOptions m_options;
   const HttpHandler m_handler;
-  const ContextPtr m_context = std::make_shared<ServerContext>();
+  const ContextPtr m_context =
+    std::make_shared<ServerContext>(m_options.m_settleTime);
   std::optional<Server> m_server;
   std::uint16_t m_port = 0;
   /** The listener's file descriptor. */
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(DisconnectCallsTheHookOnce);
   CPPUNIT_TEST(ResponseDropsTheHook);
   CPPUNIT_TEST(RequestOfAClientThatHasLeftIsNotHandled);
+  CPPUNIT_TEST(RequestThatIsFollowedByAResetIsNotHandled);
   CPPUNIT_TEST(SlowClientIsDisconnected);
   CPPUNIT_TEST(StreamsParts);
   CPPUNIT_TEST(StreamEndsWithItsConnection);
@@ -206,6 +207,31 @@
     CPPUNIT_ASSERT(handled == expected);
   }
 
+  void RequestThatIsFollowedByAResetIsNotHandled()
+  {
+    m_options.m_threads = 1;
+    m_options.m_settleTime = std::chrono::milliseconds(500);
+    std::vector<std::string> handled;
+    Start([&](const HttpRequest& aRequest, const HttpResponder& aResponder) {
+      handled.push_back(aRequest.m_path);
+      aResponder({});
+      return DisconnectHook();
+    });
+    const auto sentAt = std::chrono::steady_clock::now();
+    RawSocket reset = Open();
+    reset.Send(Get("/reset"));
+    RawSocket staying = Open();
+    staying.Send(Get("/1") + Get("/2"));
+    reset.Reset();
+    CPPUNIT_ASSERT(staying.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(staying.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sentAt >=
+                   m_options.m_settleTime);
+    m_server->Stop();
+    const std::vector<std::string> expected{ "/1", "/2" };
+    CPPUNIT_ASSERT(handled == expected);
+  }
+
   void ClosedShareAnswersItsOpenRequests()
   {
     StartCapturing();
