A lease is never newer than the last complete reading of the callers

An entry granted leases from the present as long as its last complete reading was at most 300 ms old. A caller whose connection broke within that time submits its job again 1,300 ms later, while runs under such a lease may go on for 300 + 1,165 ms if every message to their agent is lost.

Leases now count from the last reading however recent it is, so 1,165 ms from the break is the bound without a remainder; the reading is stated every 50 ms in place of 100 ms. EntryAttemptLeaseTest::LeaseIsNeverNewerThanTheLastReading failed before (1 of 5 tests), passes now; core_tests 385 passed.

--- a/packages/core/internal/entry/entryboard.cpp
+++ b/packages/core/internal/entry/entryboard.cpp
@@ -2,6 +2,8 @@
 
 #include "core/ientry.h"
 
+#include <algorithm>
+
 namespace mulberrysail::core {
 
 namespace {
@@ -83,7 +85,7 @@
 Instant
 EntryBoard::LeaseTime(Instant aNow) const
 {
-  return aNow - UnreadFor(aNow);
+  return std::min(aNow, m_callersReadUntil.value_or(aNow));
 }
 
 EntryHello
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -260,9 +260,9 @@
    * while it reads as usual. */
   Duration UnreadFor(Instant aNow) const;
 
-  /** @return the time at which a lease that is granted now starts: not
-   * later than the callers were read, as one that has left since may submit its
-   * job to another entry. */
+  /** @return the time at which a lease that is granted now starts: not later
+   * than the callers were read, however recently, since a caller that has left
+   * meanwhile may submit its job to another entry. */
   Instant LeaseTime(Instant aNow) const;
 
   /** @return a hello with the state of this entry. */
--- a/packages/core/tests/entry_attemptlease_test.cpp
+++ b/packages/core/tests/entry_attemptlease_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(OnlyHeartbeatsAndOffersRenewTheLease);
   CPPUNIT_TEST(RequestReadAfterAFreezeIsRefused);
   CPPUNIT_TEST(LeaseOfAnEntryThatStoodStillCountsFromItsLastReading);
+  CPPUNIT_TEST(LeaseIsNeverNewerThanTheLastReading);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +84,29 @@
     CPPUNIT_ASSERT(batch.m_offers[0].m_deadline <=
                    readUntil + std::chrono::seconds(2));
   }
+
+  void LeaseIsNeverNewerThanTheLastReading()
+  {
+    QueueFixture fixture;
+    const ProcessId agent = fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const Instant readUntil = fixture.m_now;
+    fixture.HandleEvent(CallersRead{ readUntil });
+    fixture.Submit("job", 1, std::chrono::seconds(9));
+    // The entry learns of no further reading, while its agent answers.
+    for (int i = 0; i < 3; ++i) {
+      fixture.ClearCommands();
+      fixture.Advance(milliseconds(90));
+      fixture.Receive(agent, ReportBatch{});
+    }
+    for (const auto& [to, hello] : fixture.Sent<EntryHello>()) {
+      CPPUNIT_ASSERT(!hello.m_leaseGrantedAt ||
+                     *hello.m_leaseGrantedAt <= readUntil);
+    }
+    fixture.ClearCommands();
+    fixture.Submit("other", 1);
+    CPPUNIT_ASSERT(*fixture.Sent<OfferBatch>().at(0).second.m_leaseGrantedAt <=
+                   readUntil);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryAttemptLeaseTest);
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -104,7 +104,7 @@
 };
 
 /** Interval between two calls of HttpServerOptions::m_onReadCheck. */
-inline constexpr std::chrono::milliseconds kReadCheckInterval{ 100 };
+inline constexpr std::chrono::milliseconds kReadCheckInterval{ 50 };
 
 /** An HTTP server with a fixed number of threads. */
 class IHttpServer
