A late announcement of an ended incarnation doesn't describe its successor

A heartbeat that was held up by a partition arrived after its worker had crashed and another, of another kind, had started at the same address. Cause: each announcement replaced kind, capacity and state before it was known which incarnation is alive.

The agent now keeps the starts of incarnations that are proved to have ended, and ignores their announcements; and a worker has no free capacity while the last announcement is of another incarnation than the one whose runs are tracked.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -18,6 +18,8 @@
 /** Minimum time before an unanswered observation or an unconfirmed stop command
  * is sent again. */
 constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+/** Announcements are late by few restarts of their worker. */
+constexpr std::size_t kMaxEndedIncarnations = 16;
 /** Maximum time a worker takes to end a run after its lease expires or it is
  * stopped. */
 constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
@@ -216,6 +218,7 @@
       if (!ofTrackedIncarnation) {
         // The answer is from another incarnation than the tracked one.
         FinishAsCrashed(worker, "another incarnation answered", true);
+        RecordEnded(worker, state.m_incarnation);
         const Instant sentAt = state.m_observationSentAt;
         state = LeasedRunState{};
         state.m_incarnation = aObserved.m_incarnation;
@@ -235,6 +238,7 @@
       state.m_observed = true;
       return;
     case ObserveResult::OtherIncarnation:
+      RecordEnded(worker, aObserved.m_incarnation);
       if (ofTrackedIncarnation) {
         EndIncarnation(worker);
       } else {
@@ -364,6 +368,21 @@
   }
 }
 
+void
+LeasedRuns::RecordEnded(Worker& aWorker, const std::string& aIncarnation)
+{
+  if (aIncarnation.empty()) {
+    return;
+  }
+  const std::uint64_t startedAtMs = aWorker.m_announcedBy == aIncarnation
+                                      ? aWorker.m_announcedStartMs
+                                      : aWorker.m_leasedRuns->m_startedAtMs;
+  aWorker.m_endedIncarnations.push_back({ aIncarnation, startedAtMs });
+  if (aWorker.m_endedIncarnations.size() > kMaxEndedIncarnations) {
+    aWorker.m_endedIncarnations.pop_front();
+  }
+}
+
 void
 LeasedRuns::EndIncarnation(Worker& aWorker)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -77,6 +77,7 @@
   /** Ends the runs of the tracked incarnation, then tracks the announced
    * incarnation if it differs; otherwise marks the worker as leaving. */
   void EndIncarnation(Worker& aWorker);
+  static void RecordEnded(Worker& aWorker, const std::string& aIncarnation);
   void Finish(RunId aRun, RunOutcome aOutcome);
   std::vector<Attempt*> RunsOn(const Worker& aWorker);
 
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -21,6 +21,15 @@
 bool
 IsOutdated(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
 {
+  const auto isOfAnnounced = [&](const WorkerStart& aEnded) {
+    return aEnded.m_incarnation == aAnnounced.m_incarnation &&
+           aEnded.m_startedAtMs >= aAnnounced.m_startedAtMs;
+  };
+  if (std::any_of(aWorker.m_endedIncarnations.begin(),
+                  aWorker.m_endedIncarnations.end(),
+                  isOfAnnounced)) {
+    return true;
+  }
   if (aAnnounced.m_sequence == 0 ||
       aAnnounced.m_incarnation != aWorker.m_announcedBy) {
     return false;
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -2,6 +2,7 @@
 
 #include "core/types/messages.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -72,6 +73,14 @@
   Instant m_runsEndBy;
 };
 
+/** One start of an incarnation of a worker. */
+struct WorkerStart
+{
+  std::string m_incarnation;
+  /** See WorkerAnnounced::m_startedAtMs. */
+  std::uint64_t m_startedAtMs = 0;
+};
+
 /** A worker managed by this agent. */
 struct Worker
 {
@@ -80,6 +89,9 @@
   /** The most of each resource that was announced. WorkerInfo::m_capacity may
    * be lower for a while. */
   Resources m_largestCapacity;
+  /** The starts of incarnations that are known to have ended, the latest last.
+   * Their announcements may still arrive. */
+  std::deque<WorkerStart> m_endedIncarnations;
   /** The incarnation, start and number of the last announcement. */
   std::string m_announcedBy;
   std::uint64_t m_announcedStartMs = 0;
--- a/packages/core/internal/agent/workerusage.cpp
+++ b/packages/core/internal/agent/workerusage.cpp
@@ -85,10 +85,13 @@
   if (!IsLive(aBoard, aWorker) || breaker.m_state == BreakerState::Open) {
     return {};
   }
-  // Free capacity is unknown until the runs on the worker are known.
-  if (aWorker.m_leasedRuns && (!aWorker.m_leasedRuns->m_observed ||
-                               !aWorker.m_leasedRuns->m_responsive ||
-                               aWorker.m_leasedRuns->m_hasForeignRuns)) {
+  // Free capacity is unknown until the runs on the worker are known, and if the
+  // announcement may describe another incarnation.
+  if (aWorker.m_leasedRuns &&
+      (aWorker.m_announcedBy != aWorker.m_leasedRuns->m_incarnation ||
+       !aWorker.m_leasedRuns->m_observed ||
+       !aWorker.m_leasedRuns->m_responsive ||
+       aWorker.m_leasedRuns->m_hasForeignRuns)) {
     return {};
   }
   const Resources& capacity = aWorker.m_info.m_capacity;
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(LeasesOfAnUnresponsiveWorkerAreNotRenewed);
   CPPUNIT_TEST(AnotherIncarnationEndsAllRuns);
   CPPUNIT_TEST(AnnouncementOfAnOldIncarnationEndsNoRun);
+  CPPUNIT_TEST(LateAnnouncementOfADeadIncarnationChangesNothing);
+  CPPUNIT_TEST(TaskWaitsWhileAnotherIncarnationIsAnnounced);
   CPPUNIT_TEST(StoppedRunKeepsItsCapacityUntilItsEnd);
   CPPUNIT_TEST(RunsOfAnUnresponsiveEntryAreStopped);
   CPPUNIT_TEST(DelayedMessagesDoNotExtendTheEntryTimeout);
@@ -235,6 +237,31 @@
                          fixture.Observations().back().m_target.m_incarnation);
   }
 
+  void LateAnnouncementOfADeadIncarnationChangesNothing()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    fixture.AnnounceLeasedWorker("life-2", false, kLeasedTaskNeed);
+    fixture.AnswerObservation({});
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    fixture.SendOffers({ fixture.NamedOffer(1, "a") });
+    fixture.SendOffers({ fixture.NamedOffer(2, "b") });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("life-2"),
+                         fixture.Starts().back().m_target.m_incarnation);
+  }
+
+  void TaskWaitsWhileAnotherIncarnationIsAnnounced()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    fixture.AnnounceLeasedWorker("life-0");
+    fixture.SendOffers({ fixture.NamedOffer(1, "a") });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
   void StoppedRunKeepsItsCapacityUntilItsEnd()
   {
     LeaseFixture fixture;
