--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -77,6 +77,8 @@
   /** Ends the runs of the tracked incarnation, then tracks the announced
    * incarnation if it differs; otherwise marks the worker as leaving. */
   void EndIncarnation(Worker& aWorker);
+  /** Notes that @p aIncarnation no longer exists, so that announcements of it
+   * which are still in transit change nothing. */
   static void RecordEnded(Worker& aWorker, const std::string& aIncarnation);
   void Finish(RunId aRun, RunOutcome aOutcome);
   std::vector<Attempt*> RunsOn(const Worker& aWorker);
--- a/packages/daemon/settings/processfields.cpp
+++ b/packages/daemon/settings/processfields.cpp
@@ -137,8 +137,8 @@
                   return Millis(aS.m_adapter.m_settleTime, 0, 1000);
                 },
                 "time from the reading of a caller's request to its handling, "
-                "with one HTTP "
-                "thread: the longest way of a reset from a caller" },
+                "with one HTTP thread: the longest way of a reset from a "
+                "caller" },
   SettingField{
     "adapter.worker_url",
     kAgent,
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -24,6 +24,7 @@
    * ", ". */
   std::map<std::string, std::string, std::less<>> m_headers;
   std::string m_body;
+  /** When the whole request had been read from the connection. */
   std::chrono::steady_clock::time_point m_readAt =
     std::chrono::steady_clock::now();
 };
