A client's reset during accept doesn't end the process

The server now uses a socket that states an empty address in that case; the connection then ends by its first read.

--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "network/ihttpserver.h"
 
 #include "network/errorresponse.h"
+#include "network/internal/clientsocket.h"
 #include "network/internal/connectionregistry.h"
 #include "network/internal/delayedcalls.h"
 #include "network/internal/httprequestreader.h"
@@ -93,6 +94,7 @@
   // NOLINTBEGIN(readability-identifier-naming)
   using connection_state_listener_t = ConnectionStateListener;
   using ip_blocker_t = ConnectionLimiter;
+  using stream_socket_t = ClientSocket;
   // NOLINTEND(readability-identifier-naming)
 };
 
