--- a/packages/network/internal/delayedcalls.h
+++ b/packages/network/internal/delayedcalls.h
@@ -9,15 +9,15 @@
 
 namespace mulberrysail::network {
 
-/** Makes calls after a delay, in the order in which they were added. May be used
- * on the thread of its I/O context only. */
+/** Makes calls after a delay, in the order in which they were added. May be
+ * used on the thread of its I/O context only. */
 class DelayedCalls
 {
 public:
   DelayedCalls(asio::io_context& aIoContext, std::chrono::milliseconds aDelay);
 
-  /** Calls @p aFunction when the delay has passed, and after all I/O events that
-   * were there by then. */
+  /** Calls @p aFunction when the delay has passed, and after all I/O events
+   * that were there by then. */
   void Add(std::function<void()> aFunction);
 
 private:
