Deeply nested JSON by another writer ends no process

An operator's configuration with one field nested 200,000 deep ended every entry, and every entry that started later, as the value stays in the store. Cause: the JSON library copies, compares and writes a value by recursion, one level of stack for each level of nesting, though it parses without. Class: input is trusted because it parsed. The same holds for a patch of the configuration, the stored configuration, responses of the store and the configuration that peers pass on.

A new package, input, checks size, depth and number of values where bytes become a document, and stops at the first value over a limit; all decoders use it. The checked readers of fields and text forms, which were in the daemon, moved there. A factor over 1000 in a configuration, a version over 63 bits, a drained zone whose key is no name and a drain's time after 2100 are refused as well: each overflowed, or stood in the way of all later values, further down its path.

CodecTest::DeeplyNestedConfigurationDoesNotOverflowTheStack ended with a segmentation fault on the code before. FuzzTest now nests values, too; its mutations moved to input/tests for the other decoders.

--- a/packages/core/internal/configuration.cpp
+++ b/packages/core/internal/configuration.cpp
@@ -1,5 +1,7 @@
 #include "core/types/configuration.h"
 
+#include "input/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -17,6 +19,8 @@
 /** One day; a longer time is rejected as a probable mistake. */
 constexpr std::uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
 constexpr std::size_t kMaxNameLength = 64;
+/** A larger factor is rejected as a probable mistake. */
+constexpr double kMaxFactor = 1000;
 
 using Faults = std::vector<std::string>;
 
@@ -107,10 +111,11 @@
     if (value == nullptr) {
       return;
     }
-    if (value->is_number() && value->get<double>() > 0) {
-      aTarget = value->get<double>();
+    const double number = value->is_number() ? value->get<double>() : 0;
+    if (number > 0 && number <= kMaxFactor) {
+      aTarget = number;
     } else {
-      AddFault(aName, "a positive number is expected");
+      AddFault(aName, "a positive number of at most 1000 is expected");
     }
   }
 
@@ -332,17 +337,17 @@
 Result<Configuration>
 ParseConfiguration(ConfigVersion aVersion, std::string_view aDocument)
 {
-  json root;
-  try {
-    root = json::parse(aDocument.begin(), aDocument.end(), nullptr, true, true);
-  } catch (const json::exception& error) {
-    return Fail(ErrorKind::InvalidPatch, error.what());
+  const input::JsonResult root =
+    input::ParseJson(aDocument, { .m_allowsComments = true });
+  if (root.has_error()) {
+    return Fail(ErrorKind::InvalidPatch,
+                "the document: " + root.error().m_detail);
   }
-  if (!root.is_object()) {
+  if (!root.value().is_object()) {
     return Fail(ErrorKind::InvalidPatch, "the document: an object is expected");
   }
   Faults faults;
-  Configuration configuration = ReadDocument(root, faults);
+  Configuration configuration = ReadDocument(root.value(), faults);
   if (!faults.empty()) {
     return Fail(ErrorKind::InvalidPatch, Join(faults));
   }
--- a/packages/daemon/internal/announcementcodec.cpp
+++ b/packages/daemon/internal/announcementcodec.cpp
@@ -32,7 +32,7 @@
 ReadName(JsonFields& aFields, std::string_view aField)
 {
   std::string name = aFields.RequiredText(aField, kMaxNameBytes);
-  if (!HasForm(name, TextForm::Name)) {
+  if (!input::HasForm(name, TextForm::Name)) {
     aFields.AddError(aField, "expected letters, digits, '.', '_' or '-'");
   }
   return name;
@@ -42,7 +42,7 @@
 ReadUrl(JsonFields& aFields)
 {
   std::string url = aFields.RequiredText("url", kMaxUrlBytes);
-  if (!HasForm(url, TextForm::HttpUrl)) {
+  if (!input::HasForm(url, TextForm::HttpUrl)) {
     aFields.AddError("url", "expected http://HOST:PORT");
   }
   return url;
--- a/packages/daemon/internal/drainapi.cpp
+++ b/packages/daemon/internal/drainapi.cpp
@@ -132,7 +132,7 @@
                  bool aDrained,
                  HttpResponder aResponder)
 {
-  if (!HasForm(aZone, TextForm::Name)) {
+  if (!input::HasForm(aZone, TextForm::Name)) {
     aResponder(network::MakeErrorResponse(
       ErrorKind::MalformedRequest,
       { "zone: expected 1 to 64 letters, digits, '.', '_' or '-'" }));
--- a/packages/daemon/internal/submissioncodec.cpp
+++ b/packages/daemon/internal/submissioncodec.cpp
@@ -119,7 +119,7 @@
 {
   network::HttpResponse response;
   response.m_status = aStatus;
-  response.m_body = aBody.dump();
+  response.m_body = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
   return response;
 }
 
--- a/packages/daemon/settings/settingfield.h
+++ b/packages/daemon/settings/settingfield.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/settings/settings.h"
+#include "input/textform.h"
 
 #include <span>
 #include <string>
@@ -9,21 +10,7 @@
 
 namespace mulberrysail::daemon {
 
-/** The format that a string value must have. */
-enum class TextForm : std::uint8_t
-{
-  Any,
-  /** 1 to 64 letters, digits, dots, underscores and hyphens. */
-  Name,
-  /** A numeric IP address. */
-  Address,
-  /** IP:PORT */
-  ListenAddress,
-  /** http://HOST:PORT */
-  HttpUrl,
-  /** tcp://IP:PORT */
-  MessageUrl,
-};
+using input::TextForm;
 
 /** A string of a given form. */
 struct TextBinding
@@ -124,8 +111,4 @@
 std::string
 DescribeForm(const FieldBinding& aBinding);
 
-/** @return whether @p aText has the form @p aForm. */
-bool
-HasForm(std::string_view aText, TextForm aForm);
-
 } // namespace mulberrysail::daemon
--- a/packages/daemon/settings/settingsreader.cpp
+++ b/packages/daemon/settings/settingsreader.cpp
@@ -1,6 +1,7 @@
 #include "daemon/settings/settingsreader.h"
 
 #include "daemon/settings/settingfield.h"
+#include "input/boundedjson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -123,7 +124,7 @@
   static bool IsText(const json& aValue, TextForm aForm)
   {
     return aValue.is_string() &&
-           HasForm(aValue.get_ref<const std::string&>(), aForm);
+           input::HasForm(aValue.get_ref<const std::string&>(), aForm);
   }
 
   std::optional<std::uint64_t> WholeNumber(std::uint64_t aMin,
@@ -430,17 +431,17 @@
 core::Result<Settings>
 ParseSettings(std::string_view aText)
 {
-  json document;
-  try {
-    document = json::parse(aText, nullptr, true, true);
-  } catch (const json::exception& error) {
-    return core::Fail(core::ErrorKind::InvalidSettings, error.what());
+  const input::JsonResult document =
+    input::ParseJson(aText, { .m_allowsComments = true });
+  if (document.has_error()) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      document.error().m_detail);
   }
-  if (!document.is_object()) {
+  if (!document.value().is_object()) {
     return core::Fail(core::ErrorKind::InvalidSettings,
                       "the settings must be one JSON object");
   }
-  return SettingsReader(document).Read();
+  return SettingsReader(document.value()).Read();
 }
 
 core::Result<Settings>
--- a/packages/store/internal/etcdjson.cpp
+++ b/packages/store/internal/etcdjson.cpp
@@ -1,5 +1,6 @@
 #include "store/internal/etcdjson.h"
 
+#include "input/boundedjson.h"
 #include "store/base64.h"
 
 #include <nlohmann/json.hpp>
@@ -102,8 +103,14 @@
 core::Result<T>
 ParseWith(std::string_view aText, Reader aRead)
 {
+  const input::JsonResult root = input::ParseJson(aText);
+  if (root.has_error()) {
+    return core::Fail(core::ErrorKind::StoreUnavailable,
+                      "the store's answer can't be read: " +
+                        root.error().m_detail);
+  }
   try {
-    return aRead(json::parse(aText));
+    return aRead(root.value());
   } catch (const std::exception& error) {
     return core::Fail(core::ErrorKind::StoreUnavailable,
                       std::string("the store's answer can't be read: ") +
--- a/packages/store/internal/storedconfig.cpp
+++ b/packages/store/internal/storedconfig.cpp
@@ -2,20 +2,35 @@
 
 #include "core/types/configuration.h"
 
+#include "input/boundedjson.h"
+#include "input/jsonfields.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace mulberrysail::store {
 
 namespace {
 
+using input::JsonFields;
 using nlohmann::json;
 
 /** Maximum length of the history; the oldest patch is removed first. */
 constexpr std::size_t kMaxHistoryRecords = 64;
 /** The store accepts values of up to one megabyte. */
 constexpr std::size_t kMaxValueBytes = 1'000'000;
+constexpr std::size_t kMaxPatchIdBytes = 128;
+/** Patches only count up, so that a higher version is taken for malformed. */
+constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
+
+auto
+Unreadable(const std::string& aDetail)
+{
+  return core::Fail(core::ErrorKind::Internal,
+                    "the stored configuration can't be read: " + aDetail);
+}
 
 } // namespace
 
@@ -26,22 +41,30 @@
   if (aValue.m_modRevision == 0) {
     return config;
   }
+  const input::JsonResult root = input::ParseJson(aValue.m_value);
+  if (root.has_error()) {
+    return Unreadable(root.error().m_detail);
+  }
+  JsonFields fields(root.value(), "");
   config.m_modRevision = aValue.m_modRevision;
-  try {
-    const json root = json::parse(aValue.m_value);
-    config.m_version.m_value = root.at("version").get<std::uint64_t>();
-    config.m_document = root.at("document").dump();
-    for (const json& record : root.at("history")) {
-      config.m_history.push_back(
-        { record.at("id").get<std::string>(),
-          { record.at("version").get<std::uint64_t>() } });
+  config.m_version = { fields.RequiredWholeNumber("version", 0, kMaxVersion) };
+  const json* const document = fields.Object("document");
+  const json* const history = fields.List("history");
+  if (document == nullptr || history == nullptr || fields.FirstError()) {
+    return Unreadable(fields.FirstError().value_or(
+      "expected an object \"document\" and a list \"history\""));
+  }
+  config.m_document = document->dump();
+  for (const json& record : *history) {
+    JsonFields recordFields(record, "history.");
+    config.m_history.push_back(
+      { recordFields.RequiredText("id", kMaxPatchIdBytes),
+        { recordFields.RequiredWholeNumber("version", 0, kMaxVersion) } });
+    if (recordFields.FirstError()) {
+      return Unreadable(*recordFields.FirstError());
     }
-    return config;
-  } catch (const json::exception& error) {
-    return core::Fail(core::ErrorKind::Internal,
-                      std::string("the stored configuration can't be read: ") +
-                        error.what());
   }
+  return config;
 }
 
 std::string
@@ -66,13 +89,15 @@
 {
   StoredConfig next = aConfig;
   ++next.m_version.m_value;
-  try {
-    json document = json::parse(aConfig.m_document);
-    document.merge_patch(json::parse(aPatch));
-    next.m_document = document.dump();
-  } catch (const json::exception& error) {
-    return core::Fail(core::ErrorKind::InvalidPatch, error.what());
+  input::JsonResult document = input::ParseJson(aConfig.m_document);
+  const input::JsonResult patch = input::ParseJson(aPatch);
+  if (document.has_error() || patch.has_error()) {
+    return core::Fail(core::ErrorKind::InvalidPatch,
+                      document.has_error() ? document.error().m_detail
+                                           : patch.error().m_detail);
   }
+  document.value().merge_patch(patch.value());
+  next.m_document = document.value().dump();
   const core::Result<core::Configuration> parsed =
     core::ParseConfiguration(next.m_version, next.m_document);
   if (parsed.has_error()) {
--- a/packages/store/internal/zonedraintracker.cpp
+++ b/packages/store/internal/zonedraintracker.cpp
@@ -1,5 +1,8 @@
 #include "store/internal/zonedraintracker.h"
 
+#include "input/boundedjson.h"
+#include "input/textform.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -7,12 +10,21 @@
 
 namespace mulberrysail::store {
 
+namespace {
+
+using nlohmann::json;
+
+/** The year 2100, as a Unix time; a later one is taken for malformed. */
+constexpr std::int64_t kMaxUnixMs = 4'102'444'800'000;
+
+} // namespace
+
 ZoneDrainTracker::ZoneDrainTracker(std::string aPrefix,
                                    DrainValueFormat aFormat,
-                                   UnreadableHook aOnUnreadable)
+                                   UnreadableValues::Hook aOnUnreadable)
   : m_prefix(std::move(aPrefix))
   , m_format(aFormat)
-  , m_onUnreadable(std::move(aOnUnreadable))
+  , m_unreadable(std::move(aOnUnreadable))
 {
 }
 
@@ -70,11 +82,14 @@
   const std::string zone = aValue.m_key.substr(m_prefix.size());
   if (aValue.m_modRevision == 0) {
     m_zones.erase(zone);
-    m_reportedRevisions.erase(aValue.m_key);
+    m_unreadable.Remove(aValue.m_key);
     return;
   }
-  if (zone.empty()) {
-    ReportUnreadable(aValue, "the key names no zone");
+  if (!input::HasForm(zone, input::TextForm::Name)) {
+    m_unreadable.Report(aValue,
+                        "expected a zone of " +
+                          input::DescribeForm(input::TextForm::Name) +
+                          " in the key");
     return;
   }
   m_zones[zone] = ParseSince(aValue);
@@ -86,32 +101,19 @@
   if (m_format == DrainValueFormat::Any) {
     return std::nullopt;
   }
-  const nlohmann::json value =
-    nlohmann::json::parse(aValue.m_value, nullptr, false);
+  const input::JsonResult parsed = input::ParseJson(aValue.m_value);
+  const json value = parsed.has_error() ? json() : parsed.value();
   const auto since = value.is_object() ? value.find("since_ms") : value.end();
-  if (since == value.end() || !since->is_number_unsigned()) {
-    ReportUnreadable(aValue,
-                     "expected {\"since_ms\": <Unix time>}; the zone is "
-                     "drained since an unknown time");
+  if (since == value.end() || !since->is_number_unsigned() ||
+      *since > kMaxUnixMs) {
+    m_unreadable.Report(aValue,
+                        "expected {\"since_ms\": <Unix time>}; the zone is "
+                        "drained since an unknown time");
     return std::nullopt;
   }
   return std::chrono::milliseconds(since->get<std::int64_t>());
 }
 
-void
-ZoneDrainTracker::ReportUnreadable(const StoredValue& aValue,
-                                   std::string_view aReason)
-{
-  constexpr std::size_t kMaxValueBytes = 100;
-  std::int64_t& reported = m_reportedRevisions[aValue.m_key];
-  if (reported == aValue.m_modRevision) {
-    return;
-  }
-  reported = aValue.m_modRevision;
-  m_onUnreadable(aValue.m_key + ": " + std::string(aReason) + "; found \"" +
-                 aValue.m_value.substr(0, kMaxValueBytes) + "\"");
-}
-
 bool
 ZoneDrainTracker::UpdateList()
 {
--- a/packages/store/internal/zonedraintracker.h
+++ b/packages/store/internal/zonedraintracker.h
@@ -1,15 +1,14 @@
 #pragma once
 
 #include "core/types/zonedrains.h"
+#include "store/internal/unreadablevalues.h"
 #include "store/istore.h"
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace mulberrysail::store {
 
@@ -33,14 +32,12 @@
 class ZoneDrainTracker
 {
 public:
-  using UnreadableHook = std::function<void(const std::string& aDetail)>;
-
   /** @param aPrefix the drain keys begin with this; the rest is the zone.
    * @param aOnUnreadable called once for each write of a key without a zone, or
    * with a value that cannot be parsed. */
   ZoneDrainTracker(std::string aPrefix,
                    DrainValueFormat aFormat,
-                   UnreadableHook aOnUnreadable);
+                   UnreadableValues::Hook aOnUnreadable);
 
   /** Replaces the state by a read of the watched prefix. The read may have been
    * made in pages, so that values may be newer than its revision.
@@ -63,13 +60,10 @@
   /** Applies the value of a drain key, or its deletion. */
   void ApplyDrainKey(const StoredValue& aValue);
   Since ParseSince(const StoredValue& aValue);
-  /** Calls the hook unless this write of the key was already reported. */
-  void ReportUnreadable(const StoredValue& aValue, std::string_view aReason);
   bool UpdateList();
 
   const std::string m_prefix;
   const DrainValueFormat m_format;
-  const UnreadableHook m_onUnreadable;
   /** The revision up to which all changes are applied; 0 before the first
    * read. */
   std::int64_t m_revision = 0;
@@ -77,7 +71,7 @@
    * revision, the zones may be those of no single revision. */
   std::int64_t m_newestRead = 0;
   std::map<std::string, Since> m_zones;
-  std::map<std::string, std::int64_t> m_reportedRevisions;
+  UnreadableValues m_unreadable;
   std::optional<core::ZoneDrains> m_drains;
 };
 
