A worker's malformed announcement is refused, logged and counted

A refused announcement changes nothing of what was announced before. The new event announcement-rejected names the field, and the new metric events_total counts every event by name, so that refused input of any kind can be watched.

--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -70,6 +70,7 @@
   ZoneDrainStarted = 426,
   ZoneDrainEnded = 427,
   WorkerCrashed = 428,
+  AnnouncementRejected = 429,
 
   KeyFenced = 500,
   KeyHeld = 501,
@@ -87,6 +88,7 @@
   ZoneDrainRejected = 615,
   ZoneDrainsRead = 616,
   ZoneDrainUnreadable = 617,
+  EntryUnreadable = 618,
 
   MessageRejected = 700,
   MessageDropped = 701,
--- a/packages/daemon/iadapter.h
+++ b/packages/daemon/iadapter.h
@@ -57,6 +57,10 @@
 
 using AgentEventSink = std::function<void(core::AgentEvent)>;
 
+/** Called when input that another process wrote was refused. */
+using RejectionHook =
+  std::function<void(std::string_view aSource, const core::Error& aError)>;
+
 /** The adapter of one platform. */
 class IAdapter
 {
@@ -75,10 +79,12 @@
   virtual network::HttpHandler MakeCallerHandler(IJobGateway& aJobs) const = 0;
 
   /** @param aWorkerUrl the URL at which the worker receives commands.
+   * @param aOnRejected called for each announcement that was refused.
    * @return the handler of workers' announcements. */
   virtual network::HttpHandler MakeWorkerHandler(
     std::string aWorkerUrl,
-    AgentEventSink aSink) const = 0;
+    AgentEventSink aSink,
+    RejectionHook aOnRejected) const = 0;
 
   /** @param aClient must outlive the runner.
    * @return the client of the workers. */
--- a/packages/daemon/internal/agentapi.cpp
+++ b/packages/daemon/internal/agentapi.cpp
@@ -23,16 +23,13 @@
   return MakeJsonResponse(kOk, { { "lease_ms", lease.count() } });
 }
 
-HttpResponse
-MakeError(const core::Error& aError)
-{
-  return network::MakeErrorResponse(aError.m_kind, { aError.m_detail });
-}
-
 } // namespace
 
-AgentApi::AgentApi(AgentHost& aHost, const core::AgentPolicy& aPolicy)
+AgentApi::AgentApi(AgentHost& aHost,
+                   const core::AgentPolicy& aPolicy,
+                   RejectionHook aOnRejected)
   : m_host(aHost)
+  , m_onRejected(std::move(aOnRejected))
   , m_endpointLease(aPolicy.m_endpointLease)
   , m_workerLease(aPolicy.m_workerLease)
 {
@@ -52,13 +49,20 @@
     });
 }
 
+HttpResponse
+AgentApi::Reject(const HttpRequest& aRequest, const core::Error& aError) const
+{
+  m_onRejected(aRequest.m_path, aError);
+  return network::MakeErrorResponse(aError.m_kind, { aError.m_detail });
+}
+
 HttpResponse
 AgentApi::HandleEndpoint(const HttpRequest& aRequest)
 {
   core::Result<core::EndpointAnnounced> announced =
     ParseEndpointBody(aRequest.m_body);
   if (!announced) {
-    return MakeError(announced.error());
+    return Reject(aRequest, announced.error());
   }
   m_host.Handle(std::move(announced).value());
   return MakeLeaseResponse(m_endpointLease);
@@ -70,7 +74,7 @@
   core::Result<core::WorkerAnnounced> announced =
     ParseWorkerBody(aRequest.m_body);
   if (!announced) {
-    return MakeError(announced.error());
+    return Reject(aRequest, announced.error());
   }
   m_host.Handle(std::move(announced).value());
   return MakeLeaseResponse(m_workerLease);
--- a/packages/daemon/internal/agentapi.h
+++ b/packages/daemon/internal/agentapi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/iadapter.h"
 #include "daemon/internal/agenthost.h"
 #include "daemon/internal/router.h"
 
@@ -10,7 +11,10 @@
 class AgentApi
 {
 public:
-  AgentApi(AgentHost& aHost, const core::AgentPolicy& aPolicy);
+  /** @param aOnRejected called for each announcement that was refused. */
+  AgentApi(AgentHost& aHost,
+           const core::AgentPolicy& aPolicy,
+           RejectionHook aOnRejected);
 
   /** Adds the routes to @p aRouter, which must not outlive this object. */
   void AddRoutes(Router& aRouter);
@@ -18,8 +22,11 @@
 private:
   network::HttpResponse HandleEndpoint(const network::HttpRequest& aRequest);
   network::HttpResponse HandleWorker(const network::HttpRequest& aRequest);
+  network::HttpResponse Reject(const network::HttpRequest& aRequest,
+                               const core::Error& aError) const;
 
   AgentHost& m_host;
+  const RejectionHook m_onRejected;
   core::Duration m_endpointLease;
   core::Duration m_workerLease;
 };
--- a/packages/daemon/internal/agentrole.cpp
+++ b/packages/daemon/internal/agentrole.cpp
@@ -57,7 +57,10 @@
   }
   m_workerServer.SetHandler(m_adapter->MakeWorkerHandler(
     m_settings.m_adapter.m_workerUrl,
-    [this](core::AgentEvent aEvent) { m_host->Handle(std::move(aEvent)); }));
+    [this](core::AgentEvent aEvent) { m_host->Handle(std::move(aEvent)); },
+    [this](std::string_view aSource, const core::Error& aError) {
+      RecordRejection(aSource, aError);
+    }));
   return m_workerServer.ListenAt(m_settings.m_adapter.m_listen,
                                  m_settings.m_http);
 }
@@ -88,7 +91,11 @@
     core::MakeAgent(m_self, policy, DeriveSeed(m_settings.m_seed, m_self)),
     *m_events,
     *m_runner);
-  m_api.emplace(*m_host, policy);
+  m_api.emplace(*m_host,
+                policy,
+                [this](std::string_view aSource, const core::Error& aError) {
+                  RecordRejection(aSource, aError);
+                });
   std::optional<core::Error> error = m_host->StartTransport([this] {
     network::TransportOptions options;
     options.m_self = m_self;
@@ -103,7 +110,8 @@
   if (!m_settings.m_storeUrls.empty()) {
     m_storeLink.emplace(m_settings.m_storeUrls, m_adapter);
   }
-  m_peers = std::make_shared<AgentPeers>(*m_host, m_settings.m_entries);
+  m_peers =
+    std::make_shared<AgentPeers>(*m_host, m_settings.m_entries);
   m_peers->Start(m_storeLink ? &*m_storeLink : nullptr);
 }
 
@@ -125,6 +133,14 @@
   return hooks;
 }
 
+void
+AgentRole::RecordRejection(std::string_view aSource, const core::Error& aError)
+{
+  m_events->Record(
+    core::EventCode::AnnouncementRejected,
+    core::EventDetail().Add("source", aSource).Add("cause", aError.m_detail));
+}
+
 void
 AgentRole::AddRoutes()
 {
@@ -149,6 +165,7 @@
                         m_storeLink ? m_storeLink->Store().Calls() : 0);
     aMetrics.AddProcess();
     aMetrics.AddLog(m_events->Log());
+    aMetrics.AddEvents(m_events->Counts());
     aMetrics.Append(m_httpServer.Metrics().Collect());
   };
   AddOperatorRoutes(m_httpServer.Routes(), m_self, *m_events, std::move(hooks));
--- a/packages/daemon/internal/agentrole.h
+++ b/packages/daemon/internal/agentrole.h
@@ -39,6 +39,7 @@
   std::optional<core::Error> ListenForAdapter();
   std::unique_ptr<IRunner> MakeRunner();
   std::optional<core::Error> StartHost();
+  void RecordRejection(std::string_view aSource, const core::Error& aError);
   void AddRoutes();
   void StartPeers();
   network::TransportHooks MakeHooks();
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -355,6 +355,7 @@
   m_drainApi->AddMetrics(aMetrics);
   aMetrics.AddProcess();
   aMetrics.AddLog(m_events->Log());
+  aMetrics.AddEvents(m_events->Counts());
   aMetrics.Append(m_httpServer.Metrics().Collect());
 }
 
--- a/packages/daemon/internal/metriclist.cpp
+++ b/packages/daemon/internal/metriclist.cpp
@@ -14,6 +14,26 @@
 
 constexpr std::string_view kPrefix = "mulberrysail_";
 
+prometheus::MetricFamily
+MakeCounterFamily(std::string_view aName, std::string_view aHelp)
+{
+  return { std::string(kPrefix) + std::string(aName) + "_total",
+           std::string(aHelp),
+           prometheus::MetricType::Counter,
+           {} };
+}
+
+prometheus::ClientMetric
+MakeLabelledCounter(std::string_view aLabel,
+                    std::string_view aLabelValue,
+                    std::uint64_t aValue)
+{
+  prometheus::ClientMetric metric;
+  metric.label.push_back({ std::string(aLabel), std::string(aLabelValue) });
+  metric.counter.value = static_cast<double>(aValue);
+  return metric;
+}
+
 } // namespace
 
 void
@@ -44,20 +64,26 @@
   AddCounter("message_bytes_sent", "Bytes to peers.", aCounters.m_bytesSent);
   AddCounter(
     "message_bytes_received", "Bytes from peers.", aCounters.m_bytesReceived);
-  prometheus::MetricFamily byType{ std::string(kPrefix) +
-                                     "message_type_bytes_sent_total",
-                                   "Bytes to peers by type of message.",
-                                   prometheus::MetricType::Counter,
-                                   {} };
+  prometheus::MetricFamily byType = MakeCounterFamily(
+    "message_type_bytes_sent", "Bytes to peers by type of message.");
   for (const auto& [type, bytes] : aCounters.m_bytesSentByType) {
-    prometheus::ClientMetric metric;
-    metric.label.push_back({ "type", type });
-    metric.counter.value = static_cast<double>(bytes);
-    byType.metric.push_back(std::move(metric));
+    byType.metric.push_back(MakeLabelledCounter("type", type, bytes));
   }
   m_families.push_back(std::move(byType));
 }
 
+void
+MetricList::AddEvents(const telemetry::EventCounts& aCounts)
+{
+  prometheus::MetricFamily events =
+    MakeCounterFamily("events", "Events by name.");
+  for (const auto& [code, count] : aCounts) {
+    events.metric.push_back(
+      MakeLabelledCounter("event", core::EventName(code), count));
+  }
+  m_families.push_back(std::move(events));
+}
+
 void
 MetricList::AddProcess()
 {
--- a/packages/daemon/internal/metriclist.h
+++ b/packages/daemon/internal/metriclist.h
@@ -2,6 +2,7 @@
 
 #include "daemon/internal/counterrows.h"
 #include "network/imessagetransport.h"
+#include "telemetry/ieventlog.h"
 #include "telemetry/logoutput.h"
 
 #include <prometheus/metric_family.h>
@@ -48,6 +49,9 @@
   void AddTransport(const network::TransportCounters& aCounters);
   void AddLog(const telemetry::LogCounters& aCounters);
 
+  /** Adds a counter with the name of the event as its label. */
+  void AddEvents(const telemetry::EventCounts& aCounts);
+
   void Append(std::vector<prometheus::MetricFamily> aFamilies);
 
   /** @return all metrics in the Prometheus text format. */
--- a/packages/daemon/tests/fakes.h
+++ b/packages/daemon/tests/fakes.h
@@ -119,6 +119,14 @@
     return m_events;
   }
   telemetry::LogCounters Log() const override { return {}; }
+  telemetry::EventCounts Counts() const override
+  {
+    telemetry::EventCounts counts;
+    for (const telemetry::TimelineEvent& event : m_events) {
+      ++counts[event.m_code];
+    }
+    return counts;
+  }
 
 private:
   std::uint64_t m_stamp = 0;
--- a/packages/telemetry/ieventlog.h
+++ b/packages/telemetry/ieventlog.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -29,6 +30,9 @@
   std::string m_id = {};
 };
 
+/** Number of events of each code. */
+using EventCounts = std::map<core::EventCode, std::uint64_t>;
+
 /** Records the events of one process: writes one log line for each and keeps
  * the newest in a bounded ring buffer. Thread-safe. */
 class IEventLog
@@ -57,6 +61,10 @@
 
   /** @return how many log lines were written, suppressed and dropped. */
   virtual LogCounters Log() const = 0;
+
+  /** @return how often each event was recorded; without events that never were.
+   */
+  virtual EventCounts Counts() const = 0;
 };
 
 /** Limits on the events kept and the lines written by an event log. */
--- a/packages/telemetry/internal/eventlevel.cpp
+++ b/packages/telemetry/internal/eventlevel.cpp
@@ -29,6 +29,7 @@
   EventCode::ConfigUnreadable,     EventCode::MessageRejected,
   EventCode::MessageDropped,       EventCode::DrainedZoneUnknown,
   EventCode::ZoneDrainRejected,    EventCode::ZoneDrainUnreadable,
+  EventCode::AnnouncementRejected, EventCode::EntryUnreadable,
 };
 
 template<std::size_t Size>
--- a/packages/telemetry/internal/eventlog.cpp
+++ b/packages/telemetry/internal/eventlog.cpp
@@ -68,6 +68,7 @@
 {
   const std::uint64_t now = WallMs();
   const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_counts[aEvent.m_code];
   Write(aEvent, now / kMsPerSecond);
   m_ring.push_back({ m_clock.Next(now), std::move(aEvent) });
 }
@@ -145,6 +146,13 @@
   return counters;
 }
 
+EventCounts
+EventLog::Counts() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_counts;
+}
+
 std::unique_ptr<IEventLog>
 MakeEventLog(core::ProcessId aSelf, EventLogLimits aLimits, ILogOutput* aOutput)
 {
--- a/packages/telemetry/internal/eventlog.h
+++ b/packages/telemetry/internal/eventlog.h
@@ -26,6 +26,7 @@
   void Merge(std::uint64_t aStamp) override;
   std::vector<TimelineEvent> Events(std::uint64_t aSince) const override;
   LogCounters Log() const override;
+  EventCounts Counts() const override;
 
 private:
   /** An event without the fields that are the same for the whole process. */
@@ -47,6 +48,7 @@
   mutable std::mutex m_mutex;
   LogRateLimiter m_rateLimiter;
   std::uint64_t m_suppressed = 0;
+  EventCounts m_counts;
   boost::circular_buffer<Entry> m_ring;
 };
 
