A malformed record in the list of entries names no entry and is reported

A record that parsed was taken for an entry whatever its fields held: an address of another form, a port out of range, no name, or the name of another entry. It was connected to and counted in the division of quotas, so that it lowered what the true entries admit; and nothing told operators why. A record that another writer wrote over an entry's own removed this entry from the list until its lease ended.

A refused record is reported once for each write, by entry-unreadable, and the others hold. An entry whose record was replaced or deleted writes it again with the next renewal of its lease.

EntryDirectoryTest::OddRecordsNameNoEntry and MutatedRecordsAreHandled fail without the check of the name; EntryRestoresARecordThatAnotherWriterReplaced fails without the new write.

--- a/packages/daemon/internal/agentpeers.cpp
+++ b/packages/daemon/internal/agentpeers.cpp
@@ -6,8 +6,11 @@
 
 namespace mulberrysail::daemon {
 
-AgentPeers::AgentPeers(AgentHost& aHost, std::vector<std::string> aStaticUrls)
+AgentPeers::AgentPeers(AgentHost& aHost,
+                       telemetry::IEventLog& aEvents,
+                       std::vector<std::string> aStaticUrls)
   : m_host(aHost)
+  , m_events(aEvents)
   , m_peerSelector(std::move(aStaticUrls))
 {
 }
@@ -22,6 +25,7 @@
   }
   store::DirectoryOptions options;
   options.m_seed = static_cast<std::uint32_t>(MakeRandomSeed());
+  options.m_onUnreadable = MakeUnreadableEntryHook(m_events);
   m_directory = store::StartEntryDirectory(
     m_storeLink->Store(),
     m_storeLink->Timer(),
--- a/packages/daemon/internal/agentpeers.h
+++ b/packages/daemon/internal/agentpeers.h
@@ -4,6 +4,7 @@
 #include "daemon/internal/peerselector.h"
 #include "daemon/internal/storelink.h"
 #include "store/ientrydirectory.h"
+#include "telemetry/ieventlog.h"
 
 #include <memory>
 #include <mutex>
@@ -20,7 +21,9 @@
 public:
   /** @param aStaticUrls URLs of entries to connect to even if the store does
    * not list them. */
-  AgentPeers(AgentHost& aHost, std::vector<std::string> aStaticUrls);
+  AgentPeers(AgentHost& aHost,
+             telemetry::IEventLog& aEvents,
+             std::vector<std::string> aStaticUrls);
 
   /** Starts to connect, and to watch the entries in the store.
    * @param aStoreLink null without a store. */
@@ -32,6 +35,7 @@
   void UpdateConnections();
 
   AgentHost& m_host;
+  telemetry::IEventLog& m_events;
   StoreLink* m_storeLink = nullptr;
   std::mutex m_mutex;
   std::vector<store::EntryRecord> m_listed;
--- a/packages/daemon/internal/agentrole.cpp
+++ b/packages/daemon/internal/agentrole.cpp
@@ -111,7 +111,7 @@
     m_storeLink.emplace(m_settings.m_storeUrls, m_adapter);
   }
   m_peers =
-    std::make_shared<AgentPeers>(*m_host, m_settings.m_entries);
+    std::make_shared<AgentPeers>(*m_host, *m_events, m_settings.m_entries);
   m_peers->Start(m_storeLink ? &*m_storeLink : nullptr);
 }
 
--- a/packages/daemon/internal/entrypeers.cpp
+++ b/packages/daemon/internal/entrypeers.cpp
@@ -1,6 +1,7 @@
 #include "daemon/internal/entrypeers.h"
 
 #include "daemon/internal/clock.h"
+#include "daemon/internal/peerselector.h"
 
 #include <algorithm>
 #include <iterator>
@@ -24,9 +25,12 @@
 
 } // namespace
 
-EntryPeers::EntryPeers(ShardSet& aShards, StoreLink& aStoreLink)
+EntryPeers::EntryPeers(ShardSet& aShards,
+                       StoreLink& aStoreLink,
+                       telemetry::IEventLog& aEvents)
   : m_shards(aShards)
   , m_storeLink(aStoreLink)
+  , m_events(aEvents)
 {
 }
 
@@ -54,6 +58,7 @@
           self->OnEntries(std::move(aEntries));
         }
       };
+      options.m_onUnreadable = MakeUnreadableEntryHook(m_events);
     } else {
       hook = [](const std::vector<store::EntryRecord>&) {};
     }
--- a/packages/daemon/internal/entrypeers.h
+++ b/packages/daemon/internal/entrypeers.h
@@ -4,6 +4,7 @@
 #include "daemon/internal/shardset.h"
 #include "daemon/internal/storelink.h"
 #include "store/ientrydirectory.h"
+#include "telemetry/ieventlog.h"
 
 #include <memory>
 #include <mutex>
@@ -18,7 +19,9 @@
 class EntryPeers : public std::enable_shared_from_this<EntryPeers>
 {
 public:
-  EntryPeers(ShardSet& aShards, StoreLink& aStoreLink);
+  EntryPeers(ShardSet& aShards,
+             StoreLink& aStoreLink,
+             telemetry::IEventLog& aEvents);
 
   /**
    * Registers the shards and starts to connect.
@@ -43,6 +46,7 @@
 
   ShardSet& m_shards;
   StoreLink& m_storeLink;
+  telemetry::IEventLog& m_events;
   std::mutex m_mutex;
   std::vector<store::EntryRecord> m_listed;
   std::vector<PeerSelector> m_peerSelectors;
--- a/packages/daemon/internal/entryrole.cpp
+++ b/packages/daemon/internal/entryrole.cpp
@@ -56,7 +56,7 @@
       [this](core::ConfigChanged aConfig) { OnConfig(std::move(aConfig)); })
   , m_shards(m_self, aSettings.m_shards, *m_events, MakeCoreFactory(m_settings))
   , m_storeLink(aSettings.m_storeUrls, aAdapter)
-  , m_peers(std::make_shared<EntryPeers>(m_shards, m_storeLink))
+  , m_peers(std::make_shared<EntryPeers>(m_shards, m_storeLink, *m_events))
   , m_api(m_shards, m_config, m_httpServer.Metrics(), aSettings.m_limits)
   , m_adapter(aAdapter)
   , m_jobGateway(m_shards, m_config, m_httpServer.Metrics(), *m_events)
--- a/packages/daemon/internal/peerselector.cpp
+++ b/packages/daemon/internal/peerselector.cpp
@@ -61,4 +61,13 @@
   return ids;
 }
 
+std::function<void(const std::string&)>
+MakeUnreadableEntryHook(telemetry::IEventLog& aEvents)
+{
+  return [&aEvents](const std::string& aDetail) {
+    aEvents.Record(core::EventCode::EntryUnreadable,
+                   core::EventDetail().Add("cause", aDetail));
+  };
+}
+
 } // namespace mulberrysail::daemon
--- a/packages/daemon/internal/peerselector.h
+++ b/packages/daemon/internal/peerselector.h
@@ -3,7 +3,9 @@
 #include "core/types/time.h"
 #include "network/imessagetransport.h"
 #include "store/ientrydirectory.h"
+#include "telemetry/ieventlog.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -57,4 +59,9 @@
 IdsExceptSelf(const std::vector<store::EntryRecord>& aListed,
               std::string_view aSelf);
 
+/** @return a hook of the entry directory that records records that can't be
+ * read. @p aEvents must outlive it. */
+std::function<void(const std::string&)>
+MakeUnreadableEntryHook(telemetry::IEventLog& aEvents);
+
 } // namespace mulberrysail::daemon
--- a/packages/store/ientrydirectory.h
+++ b/packages/store/ientrydirectory.h
@@ -55,6 +55,9 @@
   std::vector<EntryRecord> m_fallback;
   /** The registration expires if it is not renewed for this time. */
   std::chrono::seconds m_leaseTtl{ 10 };
+  /** Receives the key and the fault of a record that can't be read, once for
+   * each write; may be empty. */
+  std::function<void(const std::string& aDetail)> m_onUnreadable;
   /** Seed of the random retry delays; should differ between processes, so that
    * they do not retry at the same time. */
   std::uint32_t m_seed = 0;
--- a/packages/store/internal/registration.cpp
+++ b/packages/store/internal/registration.cpp
@@ -40,6 +40,12 @@
   }
 }
 
+void
+Registration::SetListed(bool aListed)
+{
+  m_listed = aListed;
+}
+
 void
 Registration::Leave()
 {
@@ -109,7 +115,7 @@
         self->ScheduleRetry();
       } else if (!aExists.value()) {
         self->Grant();
-      } else if (!self->m_keyWritten) {
+      } else if (!self->m_keyWritten || !self->m_listed) {
         self->Put();
       } else {
         self->ScheduleRenewal();
--- a/packages/store/internal/registration.h
+++ b/packages/store/internal/registration.h
@@ -4,6 +4,7 @@
 #include "store/istore.h"
 #include "store/itimer.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,10 @@
   /** Registers the key, or renews the lease if there already is one. */
   void Start();
 
+  /** States whether the store was last seen to hold this registration under its
+   * key. If not, the key is written again with the next renewal. */
+  void SetListed(bool aListed);
+
   /** Revokes the lease, which deletes the key. */
   void Leave();
 
@@ -61,6 +66,7 @@
   Backoff m_backoff;
   /** Whether the key is known to be written under the current lease. */
   bool m_keyWritten = false;
+  std::atomic<bool> m_listed{ true };
 
   mutable std::mutex m_mutex;
   std::optional<std::int64_t> m_lease;
--- a/packages/store/tests/entrydirectory_test.cpp
+++ b/packages/store/tests/entrydirectory_test.cpp
@@ -1,5 +1,6 @@
 #include "store/ientrydirectory.h"
 
+#include "input/tests/jsonmutator.h"
 #include "store/tests/fakestore.h"
 #include "store/tests/faketimer.h"
 
@@ -13,6 +14,8 @@
 using tests::FakeTimer;
 using tests::WriteFault;
 
+const std::string kEntriesPrefix = "/mulberrysail/entries/";
+
 EntryRecord
 Record(const std::string& aName)
 {
@@ -31,6 +34,9 @@
   CPPUNIT_TEST(FallbackIsUsedUntilTheStoreAnswers);
   CPPUNIT_TEST(OutageKeepsTheLastList);
   CPPUNIT_TEST(RenewalTakesThreeCallsPerLease);
+  CPPUNIT_TEST(OddRecordsNameNoEntry);
+  CPPUNIT_TEST(MutatedRecordsAreHandled);
+  CPPUNIT_TEST(EntryRestoresARecordThatAnotherWriterReplaced);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +45,7 @@
     m_store = std::make_unique<FakeStore>();
     m_timer = std::make_unique<FakeTimer>();
     m_notifiedCounts.clear();
+    m_unreadable.clear();
   }
 
   void RegisteredEntriesAreInEveryDirectory()
@@ -116,23 +123,106 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, m_store->m_writtenValues.size());
   }
 
+  void OddRecordsNameNoEntry()
+  {
+    const std::shared_ptr<IEntryDirectory> agent = Watch({});
+    const std::shared_ptr<IEntryDirectory> one = Register("one");
+    const std::string deep(200'000, '[');
+    std::size_t reports = 0;
+    for (const std::string& value :
+         { deep,
+           R"({"name":"odd","incarnation":)" + deep + "}",
+           Json("odd", "1", "tcp://127.0.0.1:99999"),
+           Json("odd", "1", "tcp://127.0.0.1:0"),
+           Json("odd", "1", "ipc:///tmp/x"),
+           Json("odd", "1", "tcp://host:1"),
+           Json("odd", "1", ""),
+           Json("odd", "-1", "tcp://127.0.0.1:1"),
+           Json("odd", "0", "tcp://127.0.0.1:1"),
+           Json("odd", "1e30", "tcp://127.0.0.1:1"),
+           Json("odd", "18446744073709551616", "tcp://127.0.0.1:1"),
+           Json("", "1", "tcp://127.0.0.1:1"),
+           Json("one", "1", "tcp://127.0.0.1:1"),
+           std::string("\xff\xfe") }) {
+      WriteAsAnother("odd", value);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, agent->Entries().size());
+      CPPUNIT_ASSERT_EQUAL(++reports, m_unreadable.size());
+    }
+    WriteAsAnother("", Json("", "1", "tcp://127.0.0.1:1"));
+    WriteAsAnother("o d", Json("o d", "1", "tcp://127.0.0.1:1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, agent->Entries().size());
+    const std::shared_ptr<IEntryDirectory> two = Register("two");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, agent->Entries().size());
+    WriteAsAnother("odd", Json("odd", "1", "tcp://127.0.0.1:1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, agent->Entries().size());
+  }
+
+  void MutatedRecordsAreHandled()
+  {
+    const std::shared_ptr<IEntryDirectory> agent = Watch({});
+    const std::string valid = Json("odd", "1", "tcp://127.0.0.1:1");
+    input::tests::FuzzDecoder(valid, [&](const std::string& aText) {
+      WriteAsAnother("odd", aText);
+      const std::vector<EntryRecord> entries = agent->Entries();
+      CPPUNIT_ASSERT(entries.empty() || entries[0].m_id.m_name == "odd");
+    });
+  }
+
+  void EntryRestoresARecordThatAnotherWriterReplaced()
+  {
+    const std::shared_ptr<IEntryDirectory> one = Register("one");
+    const std::vector<EntryRecord> expected = { Record("one") };
+    WriteAsAnother("one", "[]");
+    CPPUNIT_ASSERT(one->Entries().empty());
+    m_timer->Advance(std::chrono::seconds(4));
+    CPPUNIT_ASSERT(one->Entries() == expected);
+    m_store->Delete(kEntriesPrefix + "one", [](WriteOutcome /*aOutcome*/) {});
+    CPPUNIT_ASSERT(one->Entries().empty());
+    m_timer->Advance(std::chrono::seconds(4));
+    CPPUNIT_ASSERT(one->Entries() == expected);
+  }
+
 private:
+  static std::string Json(const std::string& aName,
+                          const std::string& aIncarnation,
+                          const std::string& aMessageUrl)
+  {
+    return R"({"name":")" + aName + R"(","incarnation":)" + aIncarnation +
+           R"(,"message_url":")" + aMessageUrl +
+           R"(","http_url":"http://127.0.0.1:2"})";
+  }
+
+  void WriteAsAnother(const std::string& aName, const std::string& aValue)
+  {
+    m_store->Put(kEntriesPrefix + aName,
+                 aValue,
+                 std::nullopt,
+                 [](WriteOutcome /*aOutcome*/) {});
+  }
+
   std::shared_ptr<IEntryDirectory> Register(const std::string& aName)
   {
+    DirectoryOptions options;
+    options.m_self = Record(aName);
     return StartEntryDirectory(
       *m_store,
       *m_timer,
-      { .m_self = Record(aName), .m_fallback = {} },
+      std::move(options),
       [](const std::vector<EntryRecord>& /*aEntries*/) {});
   }
 
   std::shared_ptr<IEntryDirectory> Watch(
     const std::vector<EntryRecord>& aFallback)
   {
+    DirectoryOptions options;
+    options.m_fallback = aFallback;
+    options.m_onUnreadable = [this](const std::string& aDetail) {
+      m_unreadable.push_back(aDetail);
+    };
     return StartEntryDirectory(
       *m_store,
       *m_timer,
-      { .m_self = std::nullopt, .m_fallback = aFallback },
+      std::move(options),
       [this](const std::vector<EntryRecord>& aEntries) {
         m_notifiedCounts.push_back(aEntries.size());
       });
@@ -141,6 +231,7 @@
   std::unique_ptr<FakeStore> m_store;
   std::unique_ptr<FakeTimer> m_timer;
   std::vector<std::size_t> m_notifiedCounts;
+  std::vector<std::string> m_unreadable;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryDirectoryTest);
