--- a/packages/protocol/tests/codec_test.cpp
+++ b/packages/protocol/tests/codec_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 namespace mulberrysail::protocol {
@@ -42,6 +43,9 @@
   CPPUNIT_TEST(PayloadOfAJobsTasksIsSentOnce);
   CPPUNIT_TEST(RepeatedPayloadWithoutAFirstOneIsRejected);
   CPPUNIT_TEST(RepeatedPayloadsAreLimited);
+  CPPUNIT_TEST(ForwardedStepsOutOfRangeAreRejected);
+  CPPUNIT_TEST(TimesAndCoresOutOfRangeAreRejected);
+  CPPUNIT_TEST(TextThatIsNotUtf8IsRejected);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +106,50 @@
     CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
   }
 
+  void ForwardedStepsOutOfRangeAreRejected()
+  {
+    core::ForwardJob job;
+    job.m_tasks.resize(2);
+    job.m_steps.resize(2);
+    job.m_tasks[1].m_step = 1;
+    job.m_steps[1].m_prerequisites = { 0 };
+    CPPUNIT_ASSERT(Decode(Encode(kHead, job)));
+    job.m_tasks[1].m_step = 2;
+    CPPUNIT_ASSERT(!Decode(Encode(kHead, job)));
+    job.m_tasks[1].m_step = 1;
+    job.m_steps[1].m_prerequisites = { 1 };
+    CPPUNIT_ASSERT(!Decode(Encode(kHead, job)));
+    job.m_steps[1].m_prerequisites = { 4'000'000'000 };
+    CPPUNIT_ASSERT(!Decode(Encode(kHead, job)));
+    job.m_steps.clear();
+    CPPUNIT_ASSERT(!Decode(Encode(kHead, job)));
+  }
+
+  void TimesAndCoresOutOfRangeAreRejected()
+  {
+    constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+    wire::Envelope envelope = EnvelopeWithBatch();
+    wire::Offer& offer = *envelope.mutable_offer_batch()->mutable_offers(0);
+    for (const std::int64_t time : { kMax - 1, -kMax }) {
+      offer.set_deadline(time);
+      CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+    }
+    offer.set_deadline(0);
+    offer.mutable_need()->set_milli_cores(200'000'000);
+    CPPUNIT_ASSERT(!Decode(envelope.SerializeAsString()));
+  }
+
+  void TextThatIsNotUtf8IsRejected()
+  {
+    core::OfferBatch batch = BatchOf({ "payload \xff" });
+    batch.m_offers[0].m_name = "task";
+    CPPUNIT_ASSERT(Decode(Encode(kHead, batch)));
+    for (const char* text : { "\xff", "\xc0\x80", "\xe2\x82" }) {
+      batch.m_offers[0].m_name = text;
+      CPPUNIT_ASSERT(!Decode(Encode(kHead, batch)));
+    }
+  }
+
   void EveryMessageSurvivesRoundTrip()
   {
     const std::vector<core::Message> samples = SampleMessages();
