Index of agents, and incarnations of workers, in modules of their own

How agents and pools are derived from announcements is AgentIndex; which start of a worker an announcement or answer comes from is incarnations.h, which also holds the rule that membership.cpp had.

--- /dev/null
+++ b/packages/core/internal/agent/incarnations.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/internal/agent/workersection.h"
+#include "core/types/events.h"
+
+#include <cstdint>
+#include <string>
+
+/** Which start of a worker an announcement or an answer comes from. */
+namespace mulberrysail::core::agent {
+
+/** @return whether the announcement was sent before the last one that was
+ * received, or by an incarnation that has ended, and so may state a capacity or
+ * labels that the worker no longer has. */
+bool
+IsOutdated(const Worker& aWorker, const WorkerAnnounced& aAnnounced);
+
+/** Notes that @p aIncarnation no longer exists, so that announcements of it
+ * which are still in transit change nothing. */
+void
+RecordEnded(Worker& aWorker, const std::string& aIncarnation);
+
+/** Begins to number ends anew if the tracked incarnation has started again. The
+ * next observation tells which of its runs have ended with the earlier start.
+ */
+void
+CheckRestart(LeasedRunState& aState, std::uint64_t aStartedAtMs);
+
+} // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -2,6 +2,7 @@
 
 #include "core/internal/agent/breakers.h"
 #include "core/internal/agent/crashlog.h"
+#include "core/internal/agent/incarnations.h"
 #include "core/internal/agent/runs.h"
 
 #include <algorithm>
@@ -18,8 +19,6 @@
 /** Minimum time before an unanswered observation or an unconfirmed stop command
  * is sent again. */
 constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
-/** Announcements are late by few restarts of their worker. */
-constexpr std::size_t kMaxEndedIncarnations = 16;
 /** Maximum time a worker takes to end a run after its lease expires or it is
  * stopped. */
 constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
@@ -68,18 +67,6 @@
   }
 }
 
-void
-LeasedRuns::CheckRestart(LeasedRunState& aState, std::uint64_t aStartedAtMs)
-{
-  if (aStartedAtMs <= aState.m_startedAtMs) {
-    return;
-  }
-  aState.m_hasRestarted = aState.m_startedAtMs != 0;
-  aState.m_startedAtMs = aStartedAtMs;
-  aState.m_lastEnd = 0;
-  aState.m_acknowledgedRun = 0;
-}
-
 void
 LeasedRuns::ExtendRunsEndBy(Worker& aWorker)
 {
@@ -368,21 +355,6 @@
   }
 }
 
-void
-LeasedRuns::RecordEnded(Worker& aWorker, const std::string& aIncarnation)
-{
-  if (aIncarnation.empty()) {
-    return;
-  }
-  const std::uint64_t startedAtMs = aWorker.m_announcedBy == aIncarnation
-                                      ? aWorker.m_announcedStartMs
-                                      : aWorker.m_leasedRuns->m_startedAtMs;
-  aWorker.m_endedIncarnations.push_back({ aIncarnation, startedAtMs });
-  if (aWorker.m_endedIncarnations.size() > kMaxEndedIncarnations) {
-    aWorker.m_endedIncarnations.pop_front();
-  }
-}
-
 void
 LeasedRuns::EndIncarnation(Worker& aWorker)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -58,10 +58,6 @@
   /** Sends an observation, and renews the run leases if all runs on the worker
    * are known to be of this agent incarnation. */
   void Observe(Worker& aWorker, const std::string& aIncarnation);
-  /** Begins to number ends anew if the tracked incarnation has started again.
-   * The next observation tells which of its runs have ended with the earlier
-   * start. */
-  static void CheckRestart(LeasedRunState& aState, std::uint64_t aStartedAtMs);
   void SetResponsive(Worker& aWorker, bool aResponsive);
   void ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved);
   void ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved);
@@ -77,9 +73,6 @@
   /** Ends the runs of the tracked incarnation, then tracks the announced
    * incarnation if it differs; otherwise marks the worker as leaving. */
   void EndIncarnation(Worker& aWorker);
-  /** Notes that @p aIncarnation no longer exists, so that announcements of it
-   * which are still in transit change nothing. */
-  static void RecordEnded(Worker& aWorker, const std::string& aIncarnation);
   void Finish(RunId aRun, RunOutcome aOutcome);
   std::vector<Attempt*> RunsOn(const Worker& aWorker);
 
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -1,12 +1,12 @@
 #include "core/internal/agent/membership.h"
 
+#include "core/internal/agent/incarnations.h"
 #include "core/internal/agent/leasedruns.h"
 #include "core/internal/agent/outcomes.h"
 #include "core/internal/agent/reconciler.h"
 #include "core/internal/agent/workerusage.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace mulberrysail::core::agent {
 
@@ -16,28 +16,6 @@
 constexpr int kInverseClockDrift = 1000;
 constexpr std::size_t kMaxWorkers = 1024;
 
-/** @return whether the announcement was sent before the last one that was
- * received, and may state a capacity that the worker no longer has. */
-bool
-IsOutdated(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
-{
-  const auto isOfAnnounced = [&](const WorkerStart& aEnded) {
-    return aEnded.m_incarnation == aAnnounced.m_incarnation &&
-           aEnded.m_startedAtMs >= aAnnounced.m_startedAtMs;
-  };
-  if (std::any_of(aWorker.m_endedIncarnations.begin(),
-                  aWorker.m_endedIncarnations.end(),
-                  isOfAnnounced)) {
-    return true;
-  }
-  if (aAnnounced.m_sequence == 0 ||
-      aAnnounced.m_incarnation != aWorker.m_announcedBy) {
-    return false;
-  }
-  return std::tie(aAnnounced.m_startedAtMs, aAnnounced.m_sequence) <=
-         std::tie(aWorker.m_announcedStartMs, aWorker.m_lastSequence);
-}
-
 /** How long the breaker state of an expired worker is retained. */
 constexpr Duration kBreakerRetention = std::chrono::seconds(60);
 
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -16,10 +16,6 @@
  * agents, so that the next one is accepted. */
 constexpr Duration kIncarnationTimeout = std::chrono::seconds(1);
 
-/** Share of a warming-up worker's cores that counts for admission, as its tasks
- * take longer and it gets them only if no other capacity is free. */
-constexpr double kWarmingUpShare = 0.5;
-
 bool
 SameMembership(const Announce& aLeft, const Announce& aRight)
 {
@@ -61,25 +57,6 @@
   return departures;
 }
 
-/** @return the cores of the worker that count for admission. */
-double
-UsableCores(const WorkerInfo& aWorker)
-{
-  const double cores = aWorker.m_capacity.m_milliCores / 1000.0;
-  if (aWorker.m_quarantined) {
-    return 0;
-  }
-  return aWorker.m_warmingUp ? cores * kWarmingUpShare : cores;
-}
-
-std::string
-ServiceOf(const AgentRecord& aAgent)
-{
-  return aAgent.m_announced.m_endpoint
-           ? aAgent.m_announced.m_endpoint->m_service
-           : std::string();
-}
-
 } // namespace
 
 bool
@@ -143,7 +120,7 @@
   if (isolationChanged) {
     OnIsolationChanged(aContext);
   } else if (changed) {
-    RebuildIndex();
+    m_index.Rebuild();
   }
   OnLoadReport(aContext, aFrom, agent.m_announced.m_load);
   if (isNewService) {
@@ -207,7 +184,7 @@
   m_claims.FailClaimsPendingOn(aContext, aAgent.m_id);
   m_outcomes.OnAgentRemoved(aContext, aAgent);
   m_board.m_agents.erase(ProcessId(aAgent.m_id));
-  RebuildIndex();
+  m_index.Rebuild();
   m_dispatch.DispatchAll(aContext);
 }
 
@@ -224,7 +201,7 @@
   agent.m_heartbeatPendingSince.reset();
   if (!agent.m_reachable) {
     agent.m_reachable = true;
-    RebuildIndex();
+    m_index.Rebuild();
   }
 }
 
@@ -274,7 +251,7 @@
     return;
   }
   m_outcomes.OnAgentUnreachable(aContext, found->second);
-  RebuildIndex();
+  m_index.Rebuild();
 }
 
 void
@@ -327,7 +304,7 @@
     m_board.m_timers.Add(aContext.m_now + interval / 2, HeartbeatTimer{});
   }
   if (changed) {
-    RebuildIndex();
+    m_index.Rebuild();
   }
   if (changed || retried) {
     m_dispatch.DispatchAll(aContext);
@@ -449,7 +426,7 @@
     return;
   }
   NotifyPeers(aContext);
-  RebuildIndex();
+  m_index.Rebuild();
   m_dispatch.DispatchAll(aContext);
 }
 
@@ -476,60 +453,9 @@
 void
 MembershipController::OnIsolationChanged(EntryEventContext& aContext)
 {
-  RebuildIndex();
+  m_index.Rebuild();
   m_crashes.MoveWaitingTasks();
   m_dispatch.DispatchAll(aContext);
 }
 
-void
-MembershipController::AddToTaskPools(AgentRecord& aAgent)
-{
-  double cores = 0;
-  for (const WorkerInfo& worker : aAgent.m_announced.m_workers) {
-    cores += UsableCores(worker);
-  }
-  const bool isReserved =
-    aAgent.m_takesIsolated && !m_board.m_isolation.Empty();
-  if (!isReserved) {
-    m_board.m_taskPool.m_agents.push_back(&aAgent);
-    m_board.m_taskPool.m_parallelism += cores;
-  }
-  if (aAgent.m_takesIsolated) {
-    m_board.m_isolatedPool.m_agents.push_back(&aAgent);
-    m_board.m_isolatedPool.m_parallelism += cores;
-  }
-}
-
-void
-MembershipController::RebuildIndex()
-{
-  for (auto& [name, service] : m_board.m_services) {
-    service.m_agents.clear();
-    service.m_requestPool.m_parallelism = 0;
-  }
-  for (WaitPool* const pool :
-       { &m_board.m_taskPool, &m_board.m_isolatedPool }) {
-    pool->m_agents.clear();
-    pool->m_parallelism = 0;
-  }
-  m_board.m_taskSpeeds.Clear();
-  for (auto& [id, agent] : m_board.m_agents) {
-    agent.m_isZoneDrained = m_board.m_drains.Contains(agent.m_announced.m_zone);
-  }
-  m_crashes.SelectAgents();
-  for (auto& [id, agent] : m_board.m_agents) {
-    m_board.m_taskSpeeds.Add(agent.m_taskSlowdown);
-    const std::string name = ServiceOf(agent);
-    if (!name.empty() && agent.ServesRequests(name)) {
-      ServiceState& service = m_board.Service(name);
-      service.m_agents.push_back(&agent);
-      service.m_requestPool.m_parallelism += agent.EndpointSlots();
-    }
-    if (agent.ServesTasks()) {
-      AddToTaskPools(agent);
-    }
-  }
-  m_configs.SelectHolders();
-}
-
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/membershipcontroller.h
+++ b/packages/core/internal/entry/membershipcontroller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/entry/agentindex.h"
 #include "core/internal/entry/claimcontroller.h"
 #include "core/internal/entry/configcontroller.h"
 #include "core/internal/entry/crashcontroller.h"
@@ -29,6 +30,7 @@
     , m_configs(aConfigs)
     , m_drains(aDrains)
     , m_crashes(aCrashes)
+    , m_index(aBoard, aConfigs, aCrashes)
   {
   }
 
@@ -63,7 +65,6 @@
   PeerHello MakePeerHello(EntryEventContext& aContext) const;
   /** Assigns agents and waiting tasks to their pools again. */
   void OnIsolationChanged(EntryEventContext& aContext);
-  void AddToTaskPools(AgentRecord& aAgent);
   /** @return whether another incarnation of the agent has taken its place. */
   bool IsSuperseded(const EntryEventContext& aContext,
                     const ProcessId& aAgent) const;
@@ -72,8 +73,6 @@
   /** Removes the agent, fails the claims pending on it and closes its open
    * attempts. */
   void RemoveAgent(EntryEventContext& aContext, AgentRecord& aAgent);
-  /** Recomputes the agents and slots of each service and of the workers. */
-  void RebuildIndex();
 
   EntryBoard& m_board;
   DispatchController& m_dispatch;
@@ -82,6 +81,7 @@
   ConfigController& m_configs;
   ZoneDrainController& m_drains;
   CrashController& m_crashes;
+  AgentIndex m_index;
 };
 
 } // namespace mulberrysail::core
