A process that ends answers requests that wait to be handled

Since a request is handled only once a reset that may follow it has arrived, a request may have been read and not yet handled when a process that was asked to end finds itself idle: it ended, and the caller's connection broke without an answer. Found by reading, while looking for a cause of the known failure of DrainTest::RollingReplacement, which is older and isn't explained by it.

The server counts such requests, and a process is drained only without any.

--- a/packages/daemon/internal/routedhttpserver.cpp
+++ b/packages/daemon/internal/routedhttpserver.cpp
@@ -80,7 +80,8 @@
 bool
 RoutedHttpServer::AllResponsesWritten() const
 {
-  return !m_server || m_server->UnwrittenResponses() == 0;
+  return !m_server || (m_server->UnhandledRequests() == 0 &&
+                       m_server->UnwrittenResponses() == 0);
 }
 
 void
--- a/packages/daemon/internal/routedhttpserver.h
+++ b/packages/daemon/internal/routedhttpserver.h
@@ -77,7 +77,8 @@
 
   /** Stops accepting connections. */
   void StopAccepting();
-  /** @return whether all responses were written. */
+  /** @return whether all requests that were read have been handled, and all
+   * responses that were given are written. */
   bool AllResponsesWritten() const;
   void Stop();
 
--- a/packages/network/ihttpserver.h
+++ b/packages/network/ihttpserver.h
@@ -135,6 +135,10 @@
    * their connections, without streams. */
   virtual std::size_t UnwrittenResponses() const = 0;
 
+  /** @return the number of requests that were read but not yet passed to the
+   * handler, see HttpServerOptions::m_settleTime. */
+  virtual std::size_t UnhandledRequests() const = 0;
+
   /** Ends all threads. Responses not yet written are lost and no hook is
    * called afterwards. Must not be called from a server thread. */
   virtual void Stop() = 0;
--- a/packages/network/internal/httpserver.cpp
+++ b/packages/network/internal/httpserver.cpp
@@ -56,6 +56,8 @@
    * operations, which the I/O context owns. */
   std::shared_ptr<std::atomic<std::size_t>> m_unwrittenResponses =
     std::make_shared<std::atomic<std::size_t>>(0);
+  /** Number of requests that were read and wait to be handled. */
+  std::atomic<std::size_t> m_unhandledRequests{ 0 };
 };
 
 using ContextPtr = std::shared_ptr<ServerContext>;
@@ -273,10 +275,15 @@
   const std::weak_ptr<ServerContext> weakContext = aContext;
   const auto handle = [=] {
     const ContextPtr context = weakContext.lock();
-    if (context && context->m_registry->IsOpen(RequestIdOf(*aRequest))) {
+    if (!context) {
+      return;
+    }
+    if (context->m_registry->IsOpen(RequestIdOf(*aRequest))) {
       HandleRequest(aOptions, aHandler, context, aRequest, readAt);
     }
+    --context->m_unhandledRequests;
   };
+  ++aContext->m_unhandledRequests;
   if (aOptions.m_settleTime > std::chrono::milliseconds::zero()) {
     aContext->m_settling.Add(handle);
     return;
@@ -343,6 +350,11 @@
     return *m_context->m_unwrittenResponses;
   }
 
+  std::size_t UnhandledRequests() const override
+  {
+    return m_context->m_unhandledRequests;
+  }
+
   void Stop() override
   {
     if (m_stopped.exchange(true)) {
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(ResponseDropsTheHook);
   CPPUNIT_TEST(RequestOfAClientThatHasLeftIsNotHandled);
   CPPUNIT_TEST(RequestThatIsFollowedByAResetIsNotHandled);
+  CPPUNIT_TEST(RequestThatWaitsToBeHandledIsCounted);
   CPPUNIT_TEST(SlowClientIsDisconnected);
   CPPUNIT_TEST(StreamsParts);
   CPPUNIT_TEST(StreamEndsWithItsConnection);
@@ -234,6 +235,26 @@
     CPPUNIT_ASSERT(handled == expected);
   }
 
+  /** A process that ends meanwhile would drop the request unanswered. */
+  void RequestThatWaitsToBeHandledIsCounted()
+  {
+    m_options.m_threads = 1;
+    m_options.m_settleTime = std::chrono::milliseconds(200);
+    Start([](const HttpRequest& /*aRequest*/, const HttpResponder& aResponder) {
+      aResponder({});
+      return DisconnectHook();
+    });
+    RawSocket socket = Open();
+    socket.Send(Get("/"));
+    while (m_server->UnhandledRequests() != 1) {
+      std::this_thread::yield();
+    }
+    CPPUNIT_ASSERT(socket.ReadUntil(kHeadEnd).starts_with("HTTP/1.1 200 "));
+    while (m_server->UnhandledRequests() != 0) {
+      std::this_thread::yield();
+    }
+  }
+
   void ClosedShareAnswersItsOpenRequests()
   {
     StartCapturing();
