--- a/packages/protocol/internal/decode.cpp
+++ b/packages/protocol/internal/decode.cpp
@@ -27,8 +27,8 @@
 core::Result<DecodedEnvelope>
 Decode(std::string_view aBytes)
 {
-  static const bool sIsSilent = SilenceLibrary();
-  static_cast<void>(sIsSilent);
+  static const bool kIsSilent = SilenceLibrary();
+  static_cast<void>(kIsSilent);
   wire::Envelope envelope;
   if (aBytes.size() > std::numeric_limits<int>::max() ||
       !envelope.ParseFromArray(aBytes.data(),
