A job is refused while its offers would leave the entry too late

Cause: callers are read on a thread of their own, which keeps up. The messages to agents, one for each task, wait in the transport's outbox for 0.5 to 1.1 s, so most offers arrive after their latest start. Nothing told admission. The class: work is accepted by a stage that is not the one that is behind.

Change: the transport states up to when it has handled all messages; the entry adds that delay to the expected wait of a job.

Ruled out: lateness in reading callers, which stays below 130 ms.

--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -300,6 +300,12 @@
   m_board.m_callersReadUntil = aEvent.m_until;
 }
 
+void
+Entry::On(EntryEventContext& aContext, const MessagesHandled& aEvent)
+{
+  m_board.m_messageProgress.Add(aContext.m_now, aEvent.m_until);
+}
+
 Instant
 Entry::NextWake() const
 {
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -54,6 +54,7 @@
   void On(EntryEventContext& aContext, const ZoneDrainsChanged& aEvent);
   void On(EntryEventContext& aContext, const ProcessorSampled& aEvent);
   void On(EntryEventContext& aContext, const CallersRead& aEvent);
+  void On(EntryEventContext& aContext, const MessagesHandled& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
 
   EntryBoard m_board;
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -6,6 +6,7 @@
 #include "core/internal/entry/crashledger.h"
 #include "core/internal/entry/fairsharetracker.h"
 #include "core/internal/entry/forwardstate.h"
+#include "core/internal/entry/messageprogress.h"
 #include "core/internal/entry/queueisolation.h"
 #include "core/internal/entry/retrybudget.h"
 #include "core/internal/entry/revocations.h"
@@ -199,6 +200,7 @@
 
   /** CallersRead::m_until; absent if the process does not state it. */
   std::optional<Instant> m_callersReadUntil;
+  MessageProgress m_messageProgress;
 
   // Work
   std::uint64_t m_nextId = 1;
--- a/packages/core/internal/entry/jobpolicy.cpp
+++ b/packages/core/internal/entry/jobpolicy.cpp
@@ -105,7 +105,9 @@
     load.m_others = DemandView(aBoard).OthersUpTo(aNow, aJob.m_priority);
     waiting = ahead + static_cast<double>(load.m_others->m_coreTime.count());
   }
-  load.m_wait = FromMicros((waiting + offered) / cores);
+  // The offers of the job wait behind those that are not sent yet.
+  load.m_messageDelay = aBoard.m_messageProgress.Delay();
+  load.m_wait = FromMicros((waiting + offered) / cores) + load.m_messageDelay;
   const Duration slack =
     std::max(aJob.m_due - aNow - LongestChainOf(aJob), Duration::zero());
   load.m_maxWait =
@@ -119,6 +121,7 @@
   EventDetail detail;
   detail.Add("wait_ms", aLoad.m_wait)
     .Add("most_ms", aLoad.m_maxWait)
+    .Add("message_delay_ms", aLoad.m_messageDelay)
     .Add("ahead_core_ms", aLoad.m_coreTimeAhead);
   if (aLoad.m_others) {
     detail.Add("others_core_ms", aLoad.m_others->m_coreTime);
--- a/packages/core/internal/entry/jobpolicy.h
+++ b/packages/core/internal/entry/jobpolicy.h
@@ -34,6 +34,8 @@
 /** The load ahead of a job on its arrival. */
 struct JobLoad
 {
+  /** How far this entry's messages are behind; part of m_wait. */
+  Duration m_messageDelay{};
   /** Expected wait, and the longest wait with which the job is admitted. */
   Duration m_wait{};
   Duration m_maxWait{};
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -136,6 +136,15 @@
   Instant m_until;
 };
 
+/** The entry's transport has handled all messages up to m_until: those that
+ * were queued before it have been sent, and those that had arrived were passed
+ * on.
+ */
+struct MessagesHandled
+{
+  Instant m_until;
+};
+
 using EntryEvent = std::variant<MessageReceived,
                                 SendFailed,
                                 LinkReset,
@@ -150,7 +159,8 @@
                                 NoPriorSubmissions,
                                 ZoneDrainsChanged,
                                 ProcessorSampled,
-                                CallersRead>;
+                                CallersRead,
+                                MessagesHandled>;
 
 // ---- agent ----
 
--- a/packages/daemon/internal/entryshard.cpp
+++ b/packages/daemon/internal/entryshard.cpp
@@ -122,6 +122,9 @@
   PendingCalls pending;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
+    if (std::holds_alternative<core::TimerFired>(aEvent)) {
+      StateMessageProgress();
+    }
     HandleInCore(std::move(aEvent));
     pending = ExecuteCommands();
   }
@@ -151,6 +154,7 @@
     token = NextToken();
     m_answerSinks.emplace(token, std::move(aSink));
     aSubmission.m_caller = token;
+    StateMessageProgress();
     HandleInCore(std::move(aSubmission));
     pending = ExecuteCommands();
   }
@@ -240,6 +244,12 @@
   return m_answerSinks.empty() && m_core->Idle();
 }
 
+void
+EntryShard::StateMessageProgress()
+{
+  HandleInCore(core::MessagesHandled{ m_transport->HandledUntil() });
+}
+
 void
 EntryShard::HandleInCore(core::EntryEvent aEvent)
 {
--- a/packages/daemon/internal/entryshard.h
+++ b/packages/daemon/internal/entryshard.h
@@ -100,6 +100,9 @@
   template<typename Submission>
   core::CallerToken SubmitAndRegister(Submission aSubmission, AnswerSink aSink);
 
+  /** States to the core how far the transport has come with its messages. The
+   * lock must be held. */
+  void StateMessageProgress();
   /** Passes an event to the core, which adds to m_commands. The lock must be
    * held. */
   void HandleInCore(core::EntryEvent aEvent);
--- a/packages/daemon/tests/fakes.h
+++ b/packages/daemon/tests/fakes.h
@@ -89,6 +89,7 @@
   {
     m_sent.emplace_back(std::move(aTo), std::move(aMessage));
   }
+  core::Instant HandledUntil() const override { return core::kNever; }
   network::TransportCounters Counters() const override { return {}; }
   void Stop() override {}
 
--- a/packages/network/imessagetransport.h
+++ b/packages/network/imessagetransport.h
@@ -79,6 +79,12 @@
    * by one thread are sent in order. */
   virtual void Send(core::ProcessId aTo, core::Message aMessage) = 0;
 
+  /** @return the instant up to which the transport has handled all messages:
+   * those queued before it have been sent, or returned as failed, and those
+   * that had arrived by then were passed on. The present while it is idle, and
+   * earlier the further it is behind. Thread-safe. */
+  virtual core::Instant HandledUntil() const = 0;
+
   virtual TransportCounters Counters() const = 0;
 
   /** Sends the queued messages, for at most 200 ms, and ends the thread. */
--- a/packages/network/internal/messageoutbox.cpp
+++ b/packages/network/internal/messageoutbox.cpp
@@ -3,6 +3,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <system_error>
 #include <utility>
 
@@ -22,9 +23,10 @@
 }
 
 void
-MessageOutbox::Push(OutgoingMessage aMessage)
+MessageOutbox::Push(OutgoingMessage aMessage, core::Instant aNow)
 {
   const std::lock_guard<std::mutex> lock(m_mutex);
+  m_contents.m_oldestAt = std::min(m_contents.m_oldestAt, aNow);
   m_contents.m_messages.push_back(std::move(aMessage));
   WakeReader();
 }
@@ -51,6 +53,7 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_readerWaits =
     m_contents.m_messages.empty() && !m_contents.m_peers && !m_contents.m_stop;
+  m_oldestTakenAt = core::kNever;
   return m_readerWaits;
 }
 
@@ -63,9 +66,17 @@
     eventfd_t count = 0;
     static_cast<void>(eventfd_read(m_descriptor, &count));
   }
+  m_oldestTakenAt = m_contents.m_oldestAt;
   return std::exchange(m_contents, {});
 }
 
+core::Instant
+MessageOutbox::OldestUnsentAt() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return std::min(m_oldestTakenAt, m_contents.m_oldestAt);
+}
+
 void
 MessageOutbox::WakeReader()
 {
--- a/packages/network/internal/messagetransport.cpp
+++ b/packages/network/internal/messagetransport.cpp
@@ -117,7 +117,15 @@
 void
 MessageTransport::Send(core::ProcessId aTo, core::Message aMessage)
 {
-  m_outbox.Push({ std::move(aTo), std::move(aMessage) });
+  m_outbox.Push({ std::move(aTo), std::move(aMessage) }, Now());
+}
+
+core::Instant
+MessageTransport::HandledUntil() const
+{
+  const core::Instant now = Now();
+  return std::min(
+    { now, m_inputHandledUntil.load(), m_outbox.OldestUnsentAt() });
 }
 
 TransportCounters
@@ -160,9 +168,7 @@
 void
 MessageTransport::Poll()
 {
-  for (const DescriptorPoller::Key key : m_poller.Wait(PollTimeout())) {
-    MarkReadable(key);
-  }
+  WaitForInput();
   HandleInput();
   HandleOutbox();
   // A socket's descriptor signals once for all that has arrived, and sending
@@ -171,11 +177,32 @@
   RemoveIdleLinks();
 }
 
+void
+MessageTransport::WaitForInput()
+{
+  const std::chrono::milliseconds timeout = PollTimeout();
+  const bool waits = timeout > 0ms;
+  if (waits) {
+    m_inputHandledUntil = core::kNever;
+  }
+  for (const DescriptorPoller::Key key : m_poller.Wait(timeout)) {
+    MarkReadable(key);
+  }
+  if (waits) {
+    m_inputHandledUntil = Now();
+  }
+}
+
+bool
+MessageTransport::MayHaveInput() const
+{
+  return m_listenerMayHaveInput || m_outgoing.AnyMayHaveInput();
+}
+
 std::chrono::milliseconds
 MessageTransport::PollTimeout()
 {
-  if (!m_outbox.PrepareToWait() || m_listenerMayHaveInput ||
-      m_outgoing.AnyMayHaveInput()) {
+  if (!m_outbox.PrepareToWait() || MayHaveInput()) {
     return 0ms;
   }
   return m_outgoing.AnyGreetingPending() ? kGreetingRetryDelay
@@ -195,6 +222,7 @@
 void
 MessageTransport::HandleInput()
 {
+  const core::Instant begin = Now();
   for (auto& [id, outgoing] : m_outgoing.All()) {
     if (outgoing.m_mayHaveInput || outgoing.m_greetingPending) {
       HandleConnection(id, outgoing);
@@ -203,6 +231,9 @@
   if (m_listener && m_listenerMayHaveInput) {
     HandleListener();
   }
+  if (!MayHaveInput()) {
+    m_inputHandledUntil = begin;
+  }
 }
 
 void
--- a/packages/network/internal/messagetransport.h
+++ b/packages/network/internal/messagetransport.h
@@ -27,6 +27,7 @@
   std::uint16_t Port() const override { return m_port; }
   void SetPeers(std::vector<PeerAddress> aPeers) override;
   void Send(core::ProcessId aTo, core::Message aMessage) override;
+  core::Instant HandledUntil() const override;
   TransportCounters Counters() const override;
   void Stop() override;
 
@@ -39,6 +40,9 @@
   /** @return how long to wait for readable descriptors. */
   std::chrono::milliseconds PollTimeout();
   void MarkReadable(DescriptorPoller::Key aKey);
+  /** Waits for readable descriptors, if there is nothing else to handle. */
+  void WaitForInput();
+  bool MayHaveInput() const;
   /** Handles the events and messages of the sockets that may have any. */
   void HandleInput();
   void HandleOutbox();
@@ -74,6 +78,9 @@
   MessageLinks m_links;
   core::Instant m_nextIdleCheck = core::Instant::min();
   bool m_stopped = false;
+  /** All messages that had arrived by this instant were passed on; kNever while
+   * the thread waits for more. */
+  std::atomic<core::Instant> m_inputHandledUntil{ core::kNever };
   std::atomic<std::uint64_t> m_messagesSent = 0;
   std::atomic<std::uint64_t> m_messagesReceived = 0;
   std::atomic<std::uint64_t> m_bytesSent = 0;
