An entry that is behind doesn't take its agents for silent

What callers saw: work of agents that answered in time was given up or started elsewhere; 50 agent-silent in two seconds at an entry of 60 agents.

Cause: silence counted from the decision to send a heartbeat to now, though the heartbeat may wait in the entry's own outbox and the answer unread in its sockets. The class: a decision about a peer by a process that is itself late.

Change: the silence ends with the last instant up to which everything that arrived was read, and doesn't include the longest delay stated since the heartbeat was queued.

Two of the tests fail without it.

--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -269,7 +269,8 @@
     anyOpen = true;
     const Duration unanswered =
       agent.m_heartbeatPendingSince
-        ? aContext.m_now - *agent.m_heartbeatPendingSince
+        ? m_board.m_messageProgress.UnansweredFor(
+            aContext.m_now, *agent.m_heartbeatPendingSince)
         : Duration::zero();
     if (unanswered < m_board.m_policy.m_agentTimeout) {
       const bool due = aContext.m_now - agent.m_lastReceivedAt >= interval ||
--- a/packages/core/tests/entry_messagedelay_test.cpp
+++ b/packages/core/tests/entry_messagedelay_test.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST_SUITE(EntryMessageDelayTest);
   CPPUNIT_TEST(JobIsRefusedWhileItsOffersWouldLeaveTooLate);
   CPPUNIT_TEST(JobIsAdmittedOnceTheMessagesHaveLeft);
+  CPPUNIT_TEST(AgentIsNotSilentWhileTheEntryIsBehind);
+  CPPUNIT_TEST(SilentAgentIsNoticedByAnEntryThatIsNotBehind);
+  CPPUNIT_TEST(SilenceCountsOnceTheHeartbeatHasLeft);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -39,6 +42,54 @@
     fixture.Submit("job", 1);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Offers().size());
   }
+
+  void AgentIsNotSilentWhileTheEntryIsBehind()
+  {
+    QueueFixture fixture;
+    const ProcessId agent = fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const CallerToken caller = fixture.Submit("job", 1, milliseconds(1900));
+    const Instant handledUntil = fixture.m_now;
+    AdvanceInSteps(fixture, milliseconds(800), [&] { return handledUntil; });
+    CPPUNIT_ASSERT(!fixture.AnswerTo(caller));
+    fixture.ReportFate(fixture.Offers().at(0), AttemptFate::Completed);
+    CPPUNIT_ASSERT(fixture.AnswerTo(caller)->m_kind == ErrorKind::None);
+  }
+
+  void SilentAgentIsNoticedByAnEntryThatIsNotBehind()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const CallerToken caller = fixture.Submit("job", 1, milliseconds(1200));
+    AdvanceInSteps(fixture, milliseconds(800), [&] { return fixture.m_now; });
+    CPPUNIT_ASSERT(fixture.AnswerTo(caller));
+  }
+
+  void SilenceCountsOnceTheHeartbeatHasLeft()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const CallerToken caller = fixture.Submit("job", 1, milliseconds(1900));
+    const Instant handledUntil = fixture.m_now;
+    AdvanceInSteps(fixture, milliseconds(600), [&] { return handledUntil; });
+    AdvanceInSteps(fixture, milliseconds(300), [&] { return fixture.m_now; });
+    CPPUNIT_ASSERT(!fixture.AnswerTo(caller));
+    AdvanceInSteps(fixture, milliseconds(600), [&] { return fixture.m_now; });
+    CPPUNIT_ASSERT(fixture.AnswerTo(caller));
+  }
+
+private:
+  /** Advances the clock; every 10 ms the transport states its progress. */
+  template<typename HandledUntil>
+  static void AdvanceInSteps(QueueFixture& aFixture,
+                             Duration aBy,
+                             HandledUntil aHandledUntil)
+  {
+    constexpr Duration kStep = milliseconds(10);
+    for (Duration passed{}; passed < aBy; passed += kStep) {
+      aFixture.Advance(kStep);
+      aFixture.HandleEvent(MessagesHandled{ aHandledUntil() });
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryMessageDelayTest);
