Repeated revocations take a bounded share of an entry's messages

The entry sent some 300 revocations a second again, to agents that had not got the first.

Cause: each revocation was repeated every 100 ms to each agent, whether the last one had left the entry or not. The class: a repetition without a budget, which grows with the delay that it causes.

Change: at most eight messages in 100 ms, to the agents in turn, and only if the last one must have left and been answered by now.

Two tests fail without it.

--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -226,6 +226,7 @@
   RetryBudget m_retryBudget{ 20 };
   Revocations m_revocations;
   bool m_isRevocationTimerArmed = false;
+  ProcessId m_lastRepeatedRevocationTo;
 
   CrashLedger m_crashes;
   QueueIsolation m_isolation;
--- a/packages/core/internal/entry/revocationcontroller.cpp
+++ b/packages/core/internal/entry/revocationcontroller.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/entry/revocationcontroller.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -9,6 +10,9 @@
 
 /** Exceeds the time in which an agent usually stops a run and reports it. */
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(100);
+/** Most messages that repeat revocations in one interval, so that they take no
+ * more than a share of what a thin entry can send. */
+constexpr int kMaxRepeatsPerInterval = 8;
 
 } // namespace
 
@@ -53,13 +57,19 @@
 RevocationController::OnTimer(EntryEventContext& aContext)
 {
   m_board.m_isRevocationTimerArmed = false;
+  // The sending of a revocation and the reading of its answer may each be late
+  // by as much as this entry is behind.
+  const Instant sentUntil =
+    aContext.m_now - kRepeatInterval - 2 * m_board.m_messageProgress.Delay();
   bool anyEnded = false;
-  for (const ProcessId& agent : m_board.m_revocations.Agents()) {
+  int repeatsLeft = kMaxRepeatsPerInterval;
+  for (const ProcessId& agent : AgentsInTurn()) {
     if (HaveAllRunsEnded(aContext, agent)) {
       m_board.m_revocations.RemoveAgent(agent);
       anyEnded = true;
-    } else {
-      Repeat(aContext, agent, aContext.m_now - kRepeatInterval);
+    } else if (repeatsLeft > 0 && Repeat(aContext, agent, sentUntil)) {
+      m_board.m_lastRepeatedRevocationTo = agent;
+      --repeatsLeft;
     }
   }
   if (!m_board.m_revocations.Empty()) {
@@ -68,6 +78,16 @@
   return anyEnded;
 }
 
+std::vector<ProcessId>
+RevocationController::AgentsInTurn() const
+{
+  std::vector<ProcessId> agents = m_board.m_revocations.Agents();
+  const std::vector<ProcessId>::iterator next = std::upper_bound(
+    agents.begin(), agents.end(), m_board.m_lastRepeatedRevocationTo);
+  std::rotate(agents.begin(), next, agents.end());
+  return agents;
+}
+
 void
 RevocationController::ArmTimer(const EntryEventContext& aContext)
 {
@@ -76,7 +96,7 @@
   }
 }
 
-void
+bool
 RevocationController::Repeat(EntryEventContext& aContext,
                              const ProcessId& aAgent,
                              Instant aSentUntil)
@@ -86,13 +106,14 @@
   batch.m_attempts =
     m_board.m_revocations.TakeUnsent(aAgent, aSentUntil, aContext.m_now);
   if (batch.m_attempts.empty()) {
-    return;
+    return false;
   }
   aContext.Record(
     EventCode::RevocationRepeated,
     0,
     DescribeProcess("agent", aAgent).Add("attempts", batch.m_attempts.size()));
   aContext.Send(aAgent, std::move(batch));
+  return true;
 }
 
 bool
--- a/packages/core/internal/entry/revocationcontroller.h
+++ b/packages/core/internal/entry/revocationcontroller.h
@@ -29,7 +29,12 @@
 
 private:
   void ArmTimer(const EntryEventContext& aContext);
-  void Repeat(EntryEventContext& aContext,
+  /** @return the agents with revoked attempts, first those that the longest
+   * have received no repeated revocation. */
+  std::vector<ProcessId> AgentsInTurn() const;
+  /** Repeats the revocations that were sent last at or before @p aSentUntil.
+   * @return whether there were any. */
+  bool Repeat(EntryEventContext& aContext,
               const ProcessId& aAgent,
               Instant aSentUntil);
   /** @return whether all runs at @p aAgent have ended, whatever the agent has
--- a/packages/core/tests/entry_messagedelay_test.cpp
+++ b/packages/core/tests/entry_messagedelay_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace mulberrysail::core {
 
 namespace {
@@ -17,6 +19,8 @@
   CPPUNIT_TEST(AgentIsNotSilentWhileTheEntryIsBehind);
   CPPUNIT_TEST(SilentAgentIsNoticedByAnEntryThatIsNotBehind);
   CPPUNIT_TEST(SilenceCountsOnceTheHeartbeatHasLeft);
+  CPPUNIT_TEST(RevocationThatMayNotHaveLeftIsNotRepeated);
+  CPPUNIT_TEST(RepeatedRevocationsAreBoundedAndReachAllAgentsInTurn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +81,44 @@
     CPPUNIT_ASSERT(fixture.AnswerTo(caller));
   }
 
+  void RevocationThatMayNotHaveLeftIsNotRepeated()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const CallerToken caller = fixture.Submit("job", 1);
+    fixture.HandleEvent(CallerGone{ caller });
+    fixture.ClearCommands();
+    const Instant handledUntil = fixture.m_now;
+    AdvanceInSteps(fixture, milliseconds(500), [&] { return handledUntil; });
+    CPPUNIT_ASSERT(fixture.Sent<RevokeBatch>().empty());
+    AdvanceInSteps(fixture, milliseconds(110), [&] { return fixture.m_now; });
+    CPPUNIT_ASSERT(!fixture.Sent<RevokeBatch>().empty());
+  }
+
+  void RepeatedRevocationsAreBoundedAndReachAllAgentsInTurn()
+  {
+    constexpr std::size_t kAgents = 20;
+    constexpr std::size_t kMostInOneInterval = 8;
+    QueueFixture fixture;
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      fixture.AddWorkerAgent("a" + std::to_string(i), kTaskNeed);
+    }
+    const CallerToken caller = fixture.Submit("job", kAgents);
+    CPPUNIT_ASSERT_EQUAL(kAgents, fixture.Offers().size());
+    fixture.HandleEvent(CallerGone{ caller });
+    std::set<ProcessId> reached;
+    for (int i = 0; i < 3; ++i) {
+      fixture.ClearCommands();
+      fixture.Advance(milliseconds(100));
+      const auto revokes = fixture.Sent<RevokeBatch>();
+      CPPUNIT_ASSERT(revokes.size() <= kMostInOneInterval);
+      for (const auto& [to, batch] : revokes) {
+        reached.insert(to);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(kAgents, reached.size());
+  }
+
 private:
   /** Advances the clock; every 10 ms the transport states its progress. */
   template<typename HandledUntil>
