--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -6,7 +6,6 @@
 #include "core/internal/agent/runs.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -16,9 +15,6 @@
 
 /** Maximum fraction by which a worker's clock is slower than the agent's. */
 constexpr double kMaxClockDrift = 0.03;
-/** Minimum time before an unanswered observation or an unconfirmed stop command
- * is sent again. */
-constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
 /** Maximum time a worker takes to end a run after its lease expires or it is
  * stopped. */
 constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
@@ -33,12 +29,6 @@
   return aSent + aLease + drift + kMaxEndDelay;
 }
 
-RunTarget
-TargetOf(const Worker& aWorker, const std::string& aIncarnation)
-{
-  return { WorkKind::Task, aWorker.m_info.m_name, aWorker.m_url, aIncarnation };
-}
-
 bool
 ShouldStop(const AgentBoard& aBoard, const Attempt& aAttempt)
 {
@@ -48,6 +38,12 @@
 
 } // namespace
 
+RunTarget
+TargetOf(const Worker& aWorker, const std::string& aIncarnation)
+{
+  return { WorkKind::Task, aWorker.m_info.m_name, aWorker.m_url, aIncarnation };
+}
+
 void
 LeasedRuns::SetAnnouncedIncarnation(Worker& aWorker,
                                     const std::string& aIncarnation,
@@ -184,146 +180,6 @@
     aAttempt.m_runName });
 }
 
-void
-LeasedRuns::Handle(const RunsObserved& aObserved)
-{
-  const auto place = m_board.m_workers.m_workers.find(aObserved.m_worker);
-  if (place == m_board.m_workers.m_workers.end() ||
-      !place->second.m_leasedRuns) {
-    return;
-  }
-  Worker& worker = place->second;
-  LeasedRunState& state = *worker.m_leasedRuns;
-  if (aObserved.m_observationId != state.m_observationId) {
-    return;
-  }
-  state.m_observationId = 0;
-  const bool ofTrackedIncarnation =
-    aObserved.m_incarnation == state.m_incarnation;
-  switch (aObserved.m_result) {
-    case ObserveResult::Observed:
-      if (!ofTrackedIncarnation) {
-        // The answer is from another incarnation than the tracked one.
-        FinishAsCrashed(worker, "another incarnation answered", true);
-        RecordEnded(worker, state.m_incarnation);
-        const Instant sentAt = state.m_observationSentAt;
-        state = LeasedRunState{};
-        state.m_incarnation = aObserved.m_incarnation;
-        state.m_announcedIncarnation = aObserved.m_incarnation;
-        state.m_observationSentAt = sentAt;
-      }
-      if (aObserved.m_startedAtMs < state.m_startedAtMs &&
-          aObserved.m_startedAtMs != 0) {
-        // The answer was sent before the worker started again.
-        return;
-      }
-      CheckRestart(state, aObserved.m_startedAtMs);
-      SetResponsive(worker, true);
-      ProcessEndedRuns(worker, aObserved);
-      ProcessActiveRuns(worker, aObserved);
-      state.m_lastAnswerAt = m_board.m_now;
-      state.m_observed = true;
-      return;
-    case ObserveResult::OtherIncarnation:
-      RecordEnded(worker, aObserved.m_incarnation);
-      if (ofTrackedIncarnation) {
-        EndIncarnation(worker);
-      } else {
-        // The announced incarnation no longer exists, so the tracked one stays.
-        state.m_announcedIncarnation = state.m_incarnation;
-      }
-      return;
-    case ObserveResult::NoAnswer:
-      SetResponsive(worker, false);
-      state.m_nextObservation = m_board.m_now + kRetryInterval;
-      return;
-  }
-}
-
-void
-LeasedRuns::SetResponsive(Worker& aWorker, bool aResponsive)
-{
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  if (state.m_responsive == aResponsive) {
-    return;
-  }
-  state.m_responsive = aResponsive;
-  // Entries must not count on the capacity of an unresponsive worker.
-  aWorker.m_info.m_quarantined =
-    !aResponsive || aWorker.m_breaker.m_state == BreakerState::Open;
-  ScheduleAnnounceToAll(m_board);
-}
-
-void
-LeasedRuns::ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved)
-{
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  std::map<RunName, RunId> known;
-  for (const Attempt* attempt : RunsOn(aWorker)) {
-    known.emplace(attempt->m_runName, attempt->m_run);
-  }
-  for (const EndedRun& ended : aObserved.m_ended) {
-    if (ended.m_number <= state.m_lastEnd) {
-      continue;
-    }
-    state.m_lastEnd = ended.m_number;
-    const auto run = known.find(ended.m_name);
-    if (run == known.end()) {
-      continue;
-    }
-    switch (ended.m_end) {
-      case RunEnd::Completed:
-        Finish(run->second, RunOutcome::Completed);
-        break;
-      case RunEnd::Failed:
-        Finish(run->second, RunOutcome::Failed);
-        break;
-      case RunEnd::Interrupted:
-        Finish(run->second, RunOutcome::Interrupted);
-        break;
-    }
-  }
-}
-
-void
-LeasedRuns::ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved)
-{
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  std::set<RunName> running(aObserved.m_running.begin(),
-                            aObserved.m_running.end());
-  if (std::exchange(state.m_hasRestarted, false)) {
-    RecordRestart(aWorker, running);
-  }
-  for (Attempt* attempt : RunsOn(aWorker)) {
-    if (running.erase(attempt->m_runName) != 0) {
-      attempt->m_acceptedAt =
-        attempt->m_acceptedAt.value_or(state.m_observationSentAt);
-      continue;
-    }
-    if (attempt->m_stopConfirmedAt &&
-        *attempt->m_stopConfirmedAt <= state.m_observationSentAt) {
-      Finish(attempt->m_run,
-             attempt->m_acceptedAt ? RunOutcome::Interrupted
-                                   : RunOutcome::NotStarted);
-    } else if (attempt->m_acceptedAt &&
-               *attempt->m_acceptedAt < state.m_observationSentAt) {
-      Finish(attempt->m_run, RunOutcome::Interrupted);
-    }
-  }
-  state.m_hasForeignRuns = !running.empty();
-  for (const RunName& foreign : running) {
-    Record(m_board,
-           EventCode::ForeignRunStopped,
-           0,
-           EventDetail()
-             .Add("worker", aWorker.m_info.m_name)
-             .Add("start", foreign.m_startNumber),
-           foreign.m_task);
-    m_board.m_commands->push_back(
-      StopRun{ {}, TargetOf(aWorker, state.m_incarnation), foreign });
-  }
-}
-
 void
 LeasedRuns::RecordRestart(const Worker& aWorker,
                           const std::set<RunName>& aRunning)
@@ -423,43 +279,6 @@
   }
 }
 
-bool
-LeasedRuns::NeedsNewObservation(const Worker& aWorker)
-{
-  const std::vector<Attempt*> runs = RunsOn(aWorker);
-  return std::any_of(runs.begin(), runs.end(), [&](const Attempt* aAttempt) {
-    return aAttempt->m_stopConfirmedAt &&
-           *aAttempt->m_stopConfirmedAt >
-             aWorker.m_leasedRuns->m_observationSentAt;
-  });
-}
-
-void
-LeasedRuns::Observe(Worker& aWorker, const std::string& aIncarnation)
-{
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  ObserveRuns observe;
-  observe.m_target = TargetOf(aWorker, aIncarnation);
-  observe.m_observationId = m_board.m_workers.m_nextTicket++;
-  if (aIncarnation == state.m_incarnation) {
-    observe.m_acknowledgedRun = state.m_lastEnd;
-    state.m_acknowledgedRun = state.m_lastEnd;
-    // A renewal extends all runs on the worker, so it is sent only after an
-    // observation has shown that all of them are of this agent incarnation.
-    const bool onlyOwnRuns = state.m_responsive && !state.m_hasForeignRuns;
-    if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
-      observe.m_renewFor = m_board.m_policy.m_runLease;
-      observe.m_wait = NeedsNewObservation(aWorker)
-                         ? Duration::zero()
-                         : m_board.m_policy.m_observeWait;
-      ExtendRunsEndBy(aWorker);
-    }
-  }
-  state.m_observationId = observe.m_observationId;
-  state.m_observationSentAt = m_board.m_now;
-  m_board.m_commands->push_back(std::move(observe));
-}
-
 Instant
 LeasedRuns::NextDue(const AgentBoard& aBoard)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -8,6 +8,14 @@
 
 namespace mulberrysail::core::agent {
 
+/** Minimum time before an unanswered observation or an unconfirmed stop command
+ * is sent again. */
+inline constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+
+/** @return how to address a task run of @p aIncarnation of the worker. */
+RunTarget
+TargetOf(const Worker& aWorker, const std::string& aIncarnation);
+
 /**
  * Renews run leases and determines the outcome of each run from observations,
  * in which the worker lists its runs. A run ends only if the worker rejected
