A silent worker is observed until it answers, also without runs

Cause: an unanswered observation takes a worker out of use until one is answered, and observations were sent only while the worker had runs. Once the runs had lapsed or were reported, none was sent.

A worker that comes back gets leases again, and a lease counts for all that runs there. So each run that lapsed before its start or stop was confirmed is stopped first. A start that is carried out late then finds its run stopped, and doesn't rely on its own deadline.

Tests, on the code before: a silent worker without runs is sent no observation (assertion); the test of the unclear start ends at the same place.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -3,6 +3,7 @@
 #include "core/internal/agent/breakers.h"
 #include "core/internal/agent/crashlog.h"
 #include "core/internal/agent/incarnations.h"
+#include "core/internal/agent/membership.h"
 #include "core/internal/agent/runs.h"
 
 #include <algorithm>
@@ -154,8 +155,16 @@
 void
 LeasedRuns::Handle(const StopAnswered& aAnswer)
 {
+  if (!aAnswer.m_confirmed) {
+    return;
+  }
   const auto run = m_board.m_attempts.m_byRun.find(aAnswer.m_run);
-  if (run == m_board.m_attempts.m_byRun.end() || !aAnswer.m_confirmed) {
+  if (run == m_board.m_attempts.m_byRun.end()) {
+    for (auto& [name, worker] : m_board.m_workers.m_workers) {
+      if (worker.m_leasedRuns) {
+        worker.m_leasedRuns->m_unclearRuns.erase(aAnswer.m_run);
+      }
+    }
     return;
   }
   Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
@@ -252,15 +261,9 @@
   LeasedRunState& state = *aWorker.m_leasedRuns;
   if (!state.m_responsive && state.m_observed &&
       state.m_runsEndBy <= m_board.m_now && aWorker.m_runningTasks > 0) {
-    Record(m_board,
-           EventCode::RunsLapsed,
-           0,
-           EventDetail()
-             .Add("worker", aWorker.m_info.m_name)
-             .Add("runs", aWorker.m_runningTasks)
-             .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
-    FinishAsCrashed(aWorker, "the run leases have expired", false);
+    FinishLapsed(aWorker);
   }
+  StopUnclearRuns(aWorker);
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (ShouldStop(m_board, *attempt) && !attempt->m_stopConfirmedAt) {
       Stop(*attempt);
@@ -272,13 +275,59 @@
   }
   if (state.m_announcedIncarnation != state.m_incarnation) {
     Observe(aWorker, state.m_announcedIncarnation);
-  } else if (!state.m_observed || state.m_hasForeignRuns ||
-             aWorker.m_runningTasks > 0 ||
-             state.m_acknowledgedRun < state.m_lastEnd) {
+  } else if (MustObserve(aWorker)) {
     Observe(aWorker, state.m_incarnation);
   }
 }
 
+void
+LeasedRuns::FinishLapsed(Worker& aWorker)
+{
+  LeasedRunState& state = *aWorker.m_leasedRuns;
+  Record(m_board,
+         EventCode::RunsLapsed,
+         0,
+         EventDetail()
+           .Add("worker", aWorker.m_info.m_name)
+           .Add("runs", aWorker.m_runningTasks)
+           .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
+  for (const Attempt* const attempt : RunsOn(aWorker)) {
+    if (!attempt->m_acceptedAt && !attempt->m_stopConfirmedAt) {
+      state.m_unclearRuns.emplace(attempt->m_run,
+                                  UnclearRun{ attempt->m_runName, {} });
+    }
+  }
+  FinishAsCrashed(aWorker, "the run leases have expired", false);
+}
+
+void
+LeasedRuns::StopUnclearRuns(Worker& aWorker)
+{
+  LeasedRunState& state = *aWorker.m_leasedRuns;
+  if (!state.m_responsive) {
+    return;
+  }
+  for (auto& [run, unclear] : state.m_unclearRuns) {
+    if (!unclear.m_stopSentAt ||
+        *unclear.m_stopSentAt + kRetryInterval <= m_board.m_now) {
+      unclear.m_stopSentAt = m_board.m_now;
+      m_board.m_commands->push_back(
+        StopRun{ run, TargetOf(aWorker, state.m_incarnation), unclear.m_name });
+    }
+  }
+}
+
+bool
+LeasedRuns::MustObserve(const Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  // Only an answer makes a worker responsive again, also one without runs.
+  const bool isSilent = !state.m_responsive && IsLive(m_board, aWorker);
+  return !state.m_observed || state.m_hasForeignRuns || isSilent ||
+         aWorker.m_runningTasks > 0 ||
+         state.m_acknowledgedRun < state.m_lastEnd;
+}
+
 Instant
 LeasedRuns::NextDue(const AgentBoard& aBoard)
 {
@@ -295,6 +344,11 @@
         state.m_runsEndBy > aBoard.m_now) {
       due = std::min(due, state.m_runsEndBy);
     }
+    for (const auto& [run, unclear] : state.m_unclearRuns) {
+      if (state.m_responsive && unclear.m_stopSentAt) {
+        due = std::min(due, *unclear.m_stopSentAt + kRetryInterval);
+      }
+    }
   }
   for (const auto& [run, key] : aBoard.m_attempts.m_byRun) {
     const Attempt& attempt = aBoard.m_attempts.m_open.at(key);
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -60,6 +60,12 @@
                          const Attempt& aAttempt,
                          const StartAnswered& aAnswer);
   void ProcessWorker(Worker& aWorker);
+  /** Ends the runs of a worker whose run leases have expired. */
+  void FinishLapsed(Worker& aWorker);
+  /** Sends the stop commands for LeasedRunState::m_unclearRuns that are due. */
+  void StopUnclearRuns(Worker& aWorker);
+  /** @return whether the runs on the worker have to be known anew. */
+  bool MustObserve(const Worker& aWorker);
   /** @return whether a stop was confirmed after the last observation was sent;
    * its answer may predate the stop, so a new observation is needed. */
   bool NeedsNewObservation(const Worker& aWorker);
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -174,7 +174,8 @@
     state.m_acknowledgedRun = state.m_lastEnd;
     // A renewal extends all runs on the worker, so it is sent only after an
     // observation has shown that all of them are of this agent incarnation.
-    const bool onlyOwnRuns = state.m_responsive && !state.m_hasForeignRuns;
+    const bool onlyOwnRuns = state.m_responsive && !state.m_hasForeignRuns &&
+                             state.m_unclearRuns.empty();
     if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
       observe.m_renewFor = m_board.m_policy.m_runLease;
       observe.m_wait = NeedsNewObservation(aWorker)
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/types/commands.h"
 #include "core/types/messages.h"
 
 #include <deque>
@@ -37,6 +38,14 @@
   std::uint32_t m_capacityPercent = 100;
 };
 
+/** A run that ended by the expiry of its lease before the worker confirmed its
+ * start or its stop, so that its start may still be carried out. */
+struct UnclearRun
+{
+  RunName m_name;
+  std::optional<Instant> m_stopSentAt;
+};
+
 /** State of the runs on a worker with run leases. */
 struct LeasedRunState
 {
@@ -71,6 +80,8 @@
   /** Time by which all runs on the worker have ended if their leases are not
    * renewed. */
   Instant m_runsEndBy;
+  /** The worker has to confirm the stop of each before it gets a lease. */
+  std::map<RunId, UnclearRun> m_unclearRuns;
 };
 
 /** One start of an incarnation of a worker. */
--- a/packages/core/internal/agent/workerusage.cpp
+++ b/packages/core/internal/agent/workerusage.cpp
@@ -91,7 +91,8 @@
       (aWorker.m_announcedBy != aWorker.m_leasedRuns->m_incarnation ||
        !aWorker.m_leasedRuns->m_observed ||
        !aWorker.m_leasedRuns->m_responsive ||
-       aWorker.m_leasedRuns->m_hasForeignRuns)) {
+       aWorker.m_leasedRuns->m_hasForeignRuns ||
+       !aWorker.m_leasedRuns->m_unclearRuns.empty())) {
     return {};
   }
   const Resources& capacity = aWorker.m_info.m_capacity;
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(RunStartedDuringTheObservationIsNotInterrupted);
   CPPUNIT_TEST(LeasesExpireOnAnUnresponsiveWorker);
   CPPUNIT_TEST(LeasesOfAnUnresponsiveWorkerAreNotRenewed);
+  CPPUNIT_TEST(SilentWorkerIsObservedUntilItAnswersAlsoWithoutRuns);
+  CPPUNIT_TEST(NoLeaseIsGivenBeforeAnUnclearStartThatLapsedIsStopped);
   CPPUNIT_TEST(AnotherIncarnationEndsAllRuns);
   CPPUNIT_TEST(AnnouncementOfAnOldIncarnationEndsNoRun);
   CPPUNIT_TEST(LateAnnouncementOfADeadIncarnationChangesNothing);
@@ -38,6 +40,17 @@
   CPPUNIT_TEST(LeavingWorkerGetsNoNewRunButItsLeasesAreRenewed);
   CPPUNIT_TEST_SUITE_END();
 
+  /** Leaves observations unanswered until @p aAttempt has ended. */
+  static void LetLeasesLapse(LeaseFixture& aFixture, std::uint64_t aAttempt)
+  {
+    while (!aFixture.ReportOn(aAttempt)) {
+      aFixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+      // The entry stays responsive, so only the expired lease can end the run.
+      aFixture.Receive(aFixture.m_entry, EntryHello{});
+      aFixture.Advance(milliseconds(50));
+    }
+  }
+
 public:
   void NothingStartsBeforeTheWorkerWasObserved()
   {
@@ -208,6 +221,45 @@
     CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
   }
 
+  void SilentWorkerIsObservedUntilItAnswersAlsoWithoutRuns()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({ { "a", 1 } });
+    LetLeasesLapse(fixture, 1);
+    fixture.ClearCommands();
+    fixture.Advance(milliseconds(200));
+    CPPUNIT_ASSERT(!fixture.Observations().empty());
+    fixture.AnswerObservation({});
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    fixture.SendOffers({ fixture.NamedOffer(2, "b") });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
+  void NoLeaseIsGivenBeforeAnUnclearStartThatLapsedIsStopped()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    fixture.SendOffers({ fixture.NamedOffer(1, "a") });
+    const RunId run = fixture.Starts()[0].m_run;
+    LetLeasesLapse(fixture, 1);
+    fixture.ClearCommands();
+    fixture.Advance(milliseconds(200));
+    CPPUNIT_ASSERT(!fixture.Observations().empty());
+    fixture.AnswerObservation({});
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    fixture.SendOffers({ fixture.NamedOffer(2, "b") });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         fixture.Stops().back().m_name.m_task);
+    const std::size_t stopsBefore = fixture.Stops().size();
+    fixture.Advance(milliseconds(60));
+    CPPUNIT_ASSERT(fixture.Stops().size() > stopsBefore);
+    fixture.HandleEvent(StopAnswered{ run, true });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+  }
+
   void AnotherIncarnationEndsAllRuns()
   {
     LeaseFixture fixture;
