A lost observation no longer hides the ends of runs for 300 ms

Cause: observations report the ends of runs. One that was lost was given up after its wait of 150 ms and 150 ms more; the worker counted as unresponsive then, and two in a row let the leases lapse.

An observation that isn't answered 25 ms after its wait is sent again beside the first, and the answer that comes first counts. While calls are lost, an observation waits for 25 ms at most. Answers that were sent before one that has been used, or before an end that is known, are ignored.

LostObservationHidesNoEndForLong failed before: no second observation. The other three pass before; they guard what is new here.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -165,10 +165,14 @@
 LeasedRuns::RecordUnansweredStart(Worker& aWorker)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
+  state.m_lastLossAt = m_board.m_now;
   Breakers(m_board).RecordUnansweredStart(aWorker);
   if (++state.m_unansweredStarts >= m_board.m_policy.m_quarantineFailures) {
     // Nothing else was answered since, so it may be the worker.
     SetResponsive(aWorker, false);
+    if (!state.m_pending.empty()) {
+      state.m_pending.back().m_answerDueAt = m_board.m_now;
+    }
   }
 }
 
@@ -295,7 +299,7 @@
     }
   }
   if (m_board.m_now < state.m_nextObservation ||
-      (state.m_observationId != 0 && !NeedsNewObservation(aWorker))) {
+      (!state.m_pending.empty() && !MustObserveAgain(aWorker))) {
     return;
   }
   if (state.m_announcedIncarnation != state.m_incarnation) {
@@ -362,9 +366,13 @@
       continue;
     }
     const LeasedRunState& state = *worker.m_leasedRuns;
-    if (state.m_observationId == 0 && state.m_nextObservation > aBoard.m_now) {
+    if (state.m_pending.empty() && state.m_nextObservation > aBoard.m_now) {
       due = std::min(due, state.m_nextObservation);
     }
+    if (!state.m_pending.empty() &&
+        state.m_pending.back().m_answerDueAt > aBoard.m_now) {
+      due = std::min(due, state.m_pending.back().m_answerDueAt);
+    }
     if (!state.m_responsive && worker.m_runningTasks > 0 &&
         state.m_runsEndBy > aBoard.m_now) {
       due = std::min(due, state.m_runsEndBy);
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -69,6 +69,10 @@
   /** @return whether a stop was confirmed after the last observation was sent;
    * its answer may predate the stop, so a new observation is needed. */
   bool NeedsNewObservation(const Worker& aWorker);
+  /** @return whether to send an observation although others are pending. */
+  bool MustObserveAgain(const Worker& aWorker);
+  /** @return how long the worker may delay its answer to an observation. */
+  Duration MaxWait(const Worker& aWorker);
   /** Sends an observation, and renews the run leases if all runs on the worker
    * are known to be of this agent incarnation. */
   void Observe(Worker& aWorker, const std::string& aIncarnation);
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -4,6 +4,7 @@
 #include "core/internal/agent/incarnations.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -11,6 +12,36 @@
 /** The part of LeasedRuns that queries workers. */
 namespace mulberrysail::core::agent {
 
+namespace {
+
+/** Time beyond its wait in which an observation should be answered. */
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(25);
+/** How long observations wait while calls to the worker are lost, so that a
+ * lost one doesn't hide the ends of runs for long. */
+constexpr Duration kMaxWaitAfterLoss = std::chrono::milliseconds(25);
+/** How long after a lost call others are expected to be lost. */
+constexpr Duration kLossMemory = std::chrono::seconds(1);
+/** Maximum number of observations at a time that are repeated as late. */
+constexpr std::size_t kMaxPending = 16;
+
+/** @return whether the worker gave the answer before a run ended whose end is
+ * known: observations that are pending at the same time may be answered in
+ * another order than they were sent, and such a run isn't at work. */
+bool
+IsOvertaken(const LeasedRunState& aState,
+            std::uint64_t aAcknowledgedRun,
+            const RunsObserved& aObserved)
+{
+  return aAcknowledgedRun < aState.m_lastEnd &&
+         std::none_of(aObserved.m_ended.begin(),
+                      aObserved.m_ended.end(),
+                      [&](const EndedRun& aEnded) {
+                        return aEnded.m_number >= aState.m_lastEnd;
+                      });
+}
+
+} // namespace
+
 void
 LeasedRuns::Handle(const RunsObserved& aObserved)
 {
@@ -21,10 +52,27 @@
   }
   Worker& worker = place->second;
   LeasedRunState& state = *worker.m_leasedRuns;
-  if (aObserved.m_observationId != state.m_observationId) {
+  const auto pending =
+    std::find_if(state.m_pending.begin(),
+                 state.m_pending.end(),
+                 [&](const PendingObservation& aPending) {
+                   return aPending.m_id == aObserved.m_observationId;
+                 });
+  if (pending == state.m_pending.end()) {
+    return;
+  }
+  if (aObserved.m_result == ObserveResult::NoAnswer) {
+    state.m_pending.erase(pending);
+    state.m_lastLossAt = m_board.m_now;
+    SetResponsive(worker, false);
+    if (state.m_pending.empty()) {
+      state.m_nextObservation = m_board.m_now + kRetryInterval;
+    }
     return;
   }
-  state.m_observationId = 0;
+  const std::uint64_t acknowledgedRun = pending->m_acknowledgedRun;
+  state.m_observationSentAt = pending->m_sentAt;
+  state.m_pending.erase(state.m_pending.begin(), std::next(pending));
   const bool ofTrackedIncarnation =
     aObserved.m_incarnation == state.m_incarnation;
   switch (aObserved.m_result) {
@@ -46,6 +94,11 @@
       }
       CheckRestart(state, aObserved.m_startedAtMs);
       SetResponsive(worker, true);
+      if (ofTrackedIncarnation &&
+          IsOvertaken(state, acknowledgedRun, aObserved)) {
+        RecordAnswer(worker);
+        return;
+      }
       ProcessEndedRuns(worker, aObserved);
       ProcessActiveRuns(worker, aObserved);
       RecordAnswer(worker);
@@ -61,8 +114,6 @@
       }
       return;
     case ObserveResult::NoAnswer:
-      SetResponsive(worker, false);
-      state.m_nextObservation = m_board.m_now + kRetryInterval;
       return;
   }
 }
@@ -169,11 +220,34 @@
   const std::vector<Attempt*> runs = RunsOn(aWorker);
   return std::any_of(runs.begin(), runs.end(), [&](const Attempt* aAttempt) {
     return aAttempt->m_stopConfirmedAt &&
-           *aAttempt->m_stopConfirmedAt >
-             aWorker.m_leasedRuns->m_observationSentAt;
+           *aAttempt->m_stopConfirmedAt > aWorker.m_leasedRuns->m_lastSentAt;
   });
 }
 
+bool
+LeasedRuns::MustObserveAgain(const Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  const bool isLate = state.m_pending.back().m_answerDueAt <= m_board.m_now;
+  return NeedsNewObservation(aWorker) ||
+         (isLate && state.m_pending.size() < kMaxPending);
+}
+
+Duration
+LeasedRuns::MaxWait(const Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  // The ends of runs are known late if a call that waits for them is lost.
+  if (!state.m_pending.empty() || NeedsNewObservation(aWorker)) {
+    return Duration::zero();
+  }
+  const bool losesCalls =
+    state.m_lastLossAt && m_board.m_now - *state.m_lastLossAt < kLossMemory;
+  return losesCalls
+           ? std::min(kMaxWaitAfterLoss, m_board.m_policy.m_observeWait)
+           : m_board.m_policy.m_observeWait;
+}
+
 void
 LeasedRuns::Observe(Worker& aWorker, const std::string& aIncarnation)
 {
@@ -190,14 +264,20 @@
                              state.m_unclearRuns.empty();
     if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
       observe.m_renewFor = m_board.m_policy.m_runLease;
-      observe.m_wait = NeedsNewObservation(aWorker)
-                         ? Duration::zero()
-                         : m_board.m_policy.m_observeWait;
+      observe.m_wait = MaxWait(aWorker);
       ExtendRunsEndBy(aWorker);
     }
   }
-  state.m_observationId = observe.m_observationId;
-  state.m_observationSentAt = m_board.m_now;
+  if (!state.m_pending.empty() &&
+      state.m_pending.back().m_answerDueAt <= m_board.m_now) {
+    state.m_lastLossAt = m_board.m_now;
+  }
+  const Duration margin = state.m_responsive ? kAnswerMargin : kRetryInterval;
+  state.m_pending.push_back({ observe.m_observationId,
+                              m_board.m_now,
+                              m_board.m_now + observe.m_wait + margin,
+                              observe.m_acknowledgedRun });
+  state.m_lastSentAt = m_board.m_now;
   m_board.m_commands->push_back(std::move(observe));
 }
 
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -50,6 +50,17 @@
   std::optional<Instant> m_stopSentAt;
 };
 
+/** An observation without an answer so far. */
+struct PendingObservation
+{
+  std::uint64_t m_id = 0;
+  Instant m_sentAt;
+  /** Another observation is sent if this one is unanswered by then. */
+  Instant m_answerDueAt;
+  /** See ObserveRuns. */
+  std::uint64_t m_acknowledgedRun = 0;
+};
+
 /** State of the runs on a worker with run leases. */
 struct LeasedRunState
 {
@@ -68,9 +79,15 @@
   /** Whether the last observation listed runs that this incarnation of the
    * agent did not start. */
   bool m_hasForeignRuns = false;
-  /** Ticket of the unanswered observation; 0 if there is none. */
-  std::uint64_t m_observationId = 0;
+  /** In the order in which they were sent. An answer removes those before it,
+   * as their answers would be older. */
+  std::deque<PendingObservation> m_pending;
+  /** When the latest observation was sent. */
+  Instant m_lastSentAt;
+  /** When the latest observation that was answered was sent. */
   Instant m_observationSentAt;
+  /** When a call to the worker last got no answer in time. */
+  std::optional<Instant> m_lastLossAt;
   /** When the worker last answered a start, a stop or an observation. */
   Instant m_lastAnswerAt;
   /** Starts that got no answer since the worker last answered any call. */
@@ -78,7 +95,7 @@
   /** Whether the worker answers calls; only an observation shows that it does
    * so again. */
   bool m_responsive = false;
-  /** Earliest time of the next observation after an unanswered one. */
+  /** Earliest time of the next observation after all were unanswered. */
   Instant m_nextObservation;
   /** Highest number of a processed end of a run. */
   std::uint64_t m_lastEnd = 0;
