A start without an answer is sent again to the same worker

Callers saw: each unanswered start cost its time-out, a stop, an observation, a report and another offer, which fails as often again.

The same start, of the same run, is sent up to three times in all while the worker answers other calls and the run isn't to be stopped. A worker starts a run once and rejects one that was there or was stopped, so a copy that is carried out late starts nothing. Once a start was sent again, a rejection proves nothing: the run is stopped and looked for, as after no answer.

--- a/packages/core/internal/agent/attempt.h
+++ b/packages/core/internal/agent/attempt.h
@@ -49,6 +49,8 @@
   bool m_startedWarmingUp = false;
   /** Identifies the run to the worker: task name and start number. */
   RunName m_runName;
+  /** How often the start of the run was sent to the worker. */
+  std::uint32_t m_startsSent = 0;
   /** Workers with run leases only: when the worker confirmed the start, or when
    * the first observation that listed the run was sent. */
   std::optional<Instant> m_acceptedAt;
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -5,6 +5,7 @@
 #include "core/internal/agent/incarnations.h"
 #include "core/internal/agent/membership.h"
 #include "core/internal/agent/runs.h"
+#include "core/internal/agent/starter.h"
 
 #include <algorithm>
 #include <set>
@@ -16,6 +17,10 @@
 
 /** Maximum fraction by which a worker's clock is slower than the agent's. */
 constexpr double kMaxClockDrift = 0.03;
+/** How often the start of a run is sent if it gets no answer. Sent again, it
+ * costs one wait for an answer; a stop, its proof and another placement cost
+ * several. */
+constexpr std::uint32_t kMaxStartsSent = 3;
 /** Maximum time a worker takes to end a run after its lease expires or it is
  * stopped. */
 constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
@@ -131,11 +136,20 @@
       return;
     case StartResult::Rejected:
       RecordStartResult(EventCode::RunRejected, attempt, aAnswer);
+      if (attempt.m_startsSent > 1) {
+        // An earlier start of the run may have been carried out.
+        Stop(attempt);
+        return;
+      }
       Finish(aAnswer.m_run, RunOutcome::NotStarted);
       return;
     case StartResult::Unhealthy:
       RecordStartResult(EventCode::RunRejected, attempt, aAnswer);
       Breakers(m_board).RecordFailureAndCheckRetry(worker, attempt);
+      if (attempt.m_startsSent > 1) {
+        Stop(attempt);
+        return;
+      }
       Finish(aAnswer.m_run, RunOutcome::NotStarted);
       return;
     case StartResult::OtherIncarnation:
@@ -147,12 +161,35 @@
         return;
       }
       RecordStartResult(EventCode::RunUnclear, attempt, aAnswer);
-      RecordUnansweredStart(worker);
-      Stop(attempt);
+      HandleUnansweredStart(worker, attempt);
       return;
   }
 }
 
+void
+LeasedRuns::HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt)
+{
+  RecordUnansweredStart(aWorker);
+  if (!CanStartAgain(aWorker, aAttempt)) {
+    Stop(aAttempt);
+    return;
+  }
+  Starter(m_board).SendAgain(
+    aAttempt, TargetOf(aWorker, aWorker.m_leasedRuns->m_incarnation));
+  ExtendRunsEndBy(aWorker);
+}
+
+bool
+LeasedRuns::CanStartAgain(const Worker& aWorker, const Attempt& aAttempt)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  return aAttempt.m_startsSent < kMaxStartsSent && state.m_responsive &&
+         !state.m_hasForeignRuns && state.m_unclearRuns.empty() &&
+         aWorker.m_breaker.m_state != BreakerState::Open &&
+         IsLive(m_board, aWorker) && AcceptsWork(m_board) &&
+         !ShouldStop(m_board, aAttempt);
+}
+
 void
 LeasedRuns::RecordAnswer(Worker& aWorker)
 {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -80,6 +80,9 @@
   /** Notes that the worker has answered a call, whatever the answer. */
   void RecordAnswer(Worker& aWorker);
   void RecordUnansweredStart(Worker& aWorker);
+  void HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt);
+  /** @return whether the start may be sent to the worker once more. */
+  bool CanStartAgain(const Worker& aWorker, const Attempt& aAttempt);
   void ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved);
   void ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved);
   /** Records the accepted runs that @p aRunning lacks as lost in a crash. */
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -234,6 +234,7 @@
   aAttempt.m_run = RunId{ attempts.m_runPrefix | attempts.m_nextRun++ };
   aAttempt.m_runName = { aAttempt.m_offer.m_name,
                          aAttempt.m_offer.m_startNumber };
+  aAttempt.m_startsSent = 1;
   attempts.m_byRun.emplace(aAttempt.m_run, aAttempt.m_key);
   ++m_board.m_counters.m_started;
   KeyRegistry(m_board).UpdateFate(aAttempt);
@@ -254,6 +255,18 @@
               aAttempt.m_runName });
 }
 
+void
+Starter::SendAgain(Attempt& aAttempt, RunTarget aTarget)
+{
+  ++aAttempt.m_startsSent;
+  m_board.m_commands->push_back(StartRun{ aAttempt.m_run,
+                                          std::move(aTarget),
+                                          aAttempt.m_offer.m_need,
+                                          m_board.m_policy.m_runLease,
+                                          aAttempt.m_offer.m_payload,
+                                          aAttempt.m_runName });
+}
+
 void
 Starter::RecordStart(const Attempt& aAttempt, const RunTarget& aTarget)
 {
--- a/packages/core/internal/agent/starter.h
+++ b/packages/core/internal/agent/starter.h
@@ -17,6 +17,10 @@
   void StartRequests();
   void StartTasks();
 
+  /** Sends the start of a leased run again. The worker starts a run once,
+   * however often it is told to. */
+  void SendAgain(Attempt& aAttempt, RunTarget aTarget);
+
   /** Refuses queued attempts without an endpoint or suitable worker, and all
    * queued attempts while the agent is draining or its zone is drained. */
   void RefuseUnservable();
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -95,7 +95,7 @@
   EventRow{
     EventCode::RunUnclear,
     "run-unclear",
-    "a start got no answer; the run is stopped before a retry" },
+    "a start got no answer; it is sent again, or stopped before a retry" },
   EventRow{ EventCode::AttemptFailed,
             "attempt-failed",
             "an attempt ended before it was done" },
--- a/packages/core/tests/agent_lostcall_test.cpp
+++ b/packages/core/tests/agent_lostcall_test.cpp
@@ -13,10 +13,16 @@
 {
   CPPUNIT_TEST_SUITE(AgentLostCallTest);
   CPPUNIT_TEST(WorkerThatAnswersHalfOfTheStartsStaysInUse);
+  CPPUNIT_TEST(SilentWorkerIsOutOfUseAfterThreeStartsUntilItAnswers);
+  CPPUNIT_TEST(WorkerThatAnswersAllButStartsIsOutOfUseUntilAProbeIsAnswered);
+  CPPUNIT_TEST(PauseAfterUnansweredStartsDoublesWithEachUnansweredProbe);
   CPPUNIT_TEST(LostObservationHidesNoEndForLong);
   CPPUNIT_TEST(AnswerToAnEarlierObservationCounts);
   CPPUNIT_TEST(AnswerOlderThanTheLastIsIgnored);
   CPPUNIT_TEST(AnswerFromBeforeAKnownEndStopsNothing);
+  CPPUNIT_TEST(UnansweredStartIsSentAgainToAWorkerThatAnswers);
+  CPPUNIT_TEST(RejectedRepeatOfAStartProvesNothing);
+  CPPUNIT_TEST(RevokedRunIsNotSentAgain);
   CPPUNIT_TEST_SUITE_END();
 
   static RunId OfferTask(LeaseFixture& aFixture, std::uint64_t aAttempt)
@@ -55,6 +61,65 @@
     }
   }
 
+  void SilentWorkerIsOutOfUseAfterThreeStartsUntilItAnswers()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = OfferTask(fixture, 1);
+    fixture.LeaveStartUnanswered(run);
+    const RunId other = OfferTask(fixture, 2);
+    fixture.LeaveStartUnanswered(other);
+    CPPUNIT_ASSERT(fixture.IsQuarantined());
+    CPPUNIT_ASSERT(fixture.Starts().size() <= 3);
+    CPPUNIT_ASSERT(fixture.m_agent->Status().m_load.m_freeCapacity ==
+                   Resources{});
+    fixture.AnswerObservation({});
+    CPPUNIT_ASSERT(!fixture.IsQuarantined());
+  }
+
+  void WorkerThatAnswersAllButStartsIsOutOfUseUntilAProbeIsAnswered()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    std::uint64_t attempt = 0;
+    while (!fixture.IsQuarantined()) {
+      const RunId run = OfferTask(fixture, ++attempt);
+      fixture.LeaveStartUnanswered(run);
+      ProveNotStarted(fixture, run);
+      CPPUNIT_ASSERT(attempt <= 3);
+    }
+    fixture.Advance(milliseconds(250));
+    CPPUNIT_ASSERT(!fixture.IsQuarantined());
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    const RunId probe = OfferTask(fixture, 10);
+    fixture.HandleEvent(StartAnswered{ probe, StartResult::Started, {} });
+    const std::size_t startsBefore = fixture.Starts().size();
+    OfferTask(fixture, 11);
+    CPPUNIT_ASSERT_EQUAL(startsBefore + 1, fixture.Starts().size());
+  }
+
+  void PauseAfterUnansweredStartsDoublesWithEachUnansweredProbe()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    std::uint64_t attempt = 0;
+    while (!fixture.IsQuarantined()) {
+      const RunId run = OfferTask(fixture, ++attempt);
+      fixture.LeaveStartUnanswered(run);
+      ProveNotStarted(fixture, run);
+    }
+    fixture.Advance(milliseconds(250));
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    const RunId probe = OfferTask(fixture, 10);
+    fixture.LeaveStartUnanswered(probe);
+    ProveNotStarted(fixture, probe);
+    CPPUNIT_ASSERT(fixture.IsQuarantined());
+    fixture.Advance(milliseconds(450));
+    CPPUNIT_ASSERT(fixture.IsQuarantined());
+    fixture.Advance(milliseconds(50));
+    CPPUNIT_ASSERT(!fixture.IsQuarantined());
+  }
+
   void LostObservationHidesNoEndForLong()
   {
     LeaseFixture fixture;
@@ -114,6 +179,50 @@
     fixture.SendOffers({ fixture.NamedOffer(2, "b") });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
   }
+
+  void UnansweredStartIsSentAgainToAWorkerThatAnswers()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = OfferTask(fixture, 1);
+    fixture.HandleEvent(StartAnswered{ run, StartResult::NoAnswer, "timeout" });
+    CPPUNIT_ASSERT(fixture.Stops().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+    CPPUNIT_ASSERT(fixture.Starts()[1].m_run == run);
+    CPPUNIT_ASSERT(fixture.Starts()[1].m_name == fixture.Starts()[0].m_name);
+    CPPUNIT_ASSERT_EQUAL(fixture.Starts()[0].m_payload,
+                         fixture.Starts()[1].m_payload);
+    fixture.HandleEvent(StartAnswered{ run, StartResult::Started, {} });
+    fixture.AnswerObservation({ { "task1", 1 } });
+    CPPUNIT_ASSERT(!fixture.ReportOn(1));
+    CPPUNIT_ASSERT(fixture.Stops().empty());
+  }
+
+  void RejectedRepeatOfAStartProvesNothing()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = OfferTask(fixture, 1);
+    fixture.HandleEvent(StartAnswered{ run, StartResult::NoAnswer, "timeout" });
+    fixture.HandleEvent(StartAnswered{ run, StartResult::Rejected, "old" });
+    CPPUNIT_ASSERT(!fixture.ReportOn(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
+    fixture.Advance(milliseconds(1));
+    fixture.HandleEvent(StopAnswered{ run, true });
+    fixture.AnswerObservation({}, { { 1, { "task1", 1 }, RunEnd::Completed } });
+    CPPUNIT_ASSERT(fixture.ReportOn(1)->m_fate == AttemptFate::Completed);
+  }
+
+  void RevokedRunIsNotSentAgain()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = OfferTask(fixture, 1);
+    fixture.Receive(fixture.m_entry, RevokeBatch{ { AttemptId{ 1 } }, true });
+    fixture.HandleEvent(StartAnswered{ run, StartResult::NoAnswer, "timeout" });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLostCallTest);
