--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -3,10 +3,11 @@
 #include "core/internal/agent/breakers.h"
 #include "core/internal/agent/crashlog.h"
 #include "core/internal/agent/incarnations.h"
+#include "core/internal/agent/membership.h"
 #include "core/internal/agent/runs.h"
+#include "core/internal/agent/starter.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -16,9 +17,10 @@
 
 /** Maximum fraction by which a worker's clock is slower than the agent's. */
 constexpr double kMaxClockDrift = 0.03;
-/** Minimum time before an unanswered observation or an unconfirmed stop command
- * is sent again. */
-constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+/** How often the start of a run is sent if it gets no answer. Sent again, it
+ * costs one wait for an answer; a stop, its proof and another placement cost
+ * several. */
+constexpr std::uint32_t kMaxStartsSent = 3;
 /** Maximum time a worker takes to end a run after its lease expires or it is
  * stopped. */
 constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
@@ -33,12 +35,6 @@
   return aSent + aLease + drift + kMaxEndDelay;
 }
 
-RunTarget
-TargetOf(const Worker& aWorker, const std::string& aIncarnation)
-{
-  return { WorkKind::Task, aWorker.m_info.m_name, aWorker.m_url, aIncarnation };
-}
-
 bool
 ShouldStop(const AgentBoard& aBoard, const Attempt& aAttempt)
 {
@@ -48,6 +44,12 @@
 
 } // namespace
 
+RunTarget
+TargetOf(const Worker& aWorker, const std::string& aIncarnation)
+{
+  return { WorkKind::Task, aWorker.m_info.m_name, aWorker.m_url, aIncarnation };
+}
+
 void
 LeasedRuns::SetAnnouncedIncarnation(Worker& aWorker,
                                     const std::string& aIncarnation,
@@ -125,7 +127,8 @@
   Worker& worker = m_board.m_workers.m_workers.at(attempt.m_worker);
   if (aAnswer.m_result != StartResult::NoAnswer &&
       aAnswer.m_result != StartResult::OtherIncarnation) {
-    worker.m_leasedRuns->m_lastAnswerAt = m_board.m_now;
+    RecordAnswer(worker);
+    Breakers(m_board).RecordAnsweredStart(worker);
   }
   switch (aAnswer.m_result) {
     case StartResult::Started:
@@ -133,11 +136,20 @@
       return;
     case StartResult::Rejected:
       RecordStartResult(EventCode::RunRejected, attempt, aAnswer);
+      if (attempt.m_startsSent > 1) {
+        // An earlier start of the run may have been carried out.
+        Stop(attempt);
+        return;
+      }
       Finish(aAnswer.m_run, RunOutcome::NotStarted);
       return;
     case StartResult::Unhealthy:
       RecordStartResult(EventCode::RunRejected, attempt, aAnswer);
       Breakers(m_board).RecordFailureAndCheckRetry(worker, attempt);
+      if (attempt.m_startsSent > 1) {
+        Stop(attempt);
+        return;
+      }
       Finish(aAnswer.m_run, RunOutcome::NotStarted);
       return;
     case StartResult::OtherIncarnation:
@@ -149,179 +161,98 @@
         return;
       }
       RecordStartResult(EventCode::RunUnclear, attempt, aAnswer);
-      Breakers(m_board).RecordFailureAndCheckRetry(worker, attempt);
-      Stop(attempt);
+      HandleUnansweredStart(worker, attempt);
       return;
   }
 }
 
 void
-LeasedRuns::Handle(const StopAnswered& aAnswer)
+LeasedRuns::HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt)
 {
-  const auto run = m_board.m_attempts.m_byRun.find(aAnswer.m_run);
-  if (run == m_board.m_attempts.m_byRun.end() || !aAnswer.m_confirmed) {
+  RecordUnansweredStart(aWorker);
+  if (!CanStartAgain(aWorker, aAttempt)) {
+    Stop(aAttempt);
     return;
   }
-  Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
-  attempt.m_stopConfirmedAt = attempt.m_stopConfirmedAt.value_or(m_board.m_now);
+  Starter(m_board).SendAgain(
+    aAttempt, TargetOf(aWorker, aWorker.m_leasedRuns->m_incarnation));
+  ExtendRunsEndBy(aWorker);
 }
 
-void
-LeasedRuns::Stop(Attempt& aAttempt)
+bool
+LeasedRuns::CanStartAgain(const Worker& aWorker, const Attempt& aAttempt)
 {
-  const auto worker = m_board.m_workers.m_workers.find(aAttempt.m_worker);
-  const bool sentLately =
-    aAttempt.m_stopSentAt &&
-    m_board.m_now - *aAttempt.m_stopSentAt < kRetryInterval;
-  if (worker == m_board.m_workers.m_workers.end() || sentLately) {
-    return;
-  }
-  aAttempt.m_stopRequested = true;
-  aAttempt.m_stopSentAt = m_board.m_now;
-  m_board.m_commands->push_back(StopRun{
-    aAttempt.m_run,
-    TargetOf(worker->second, worker->second.m_leasedRuns->m_incarnation),
-    aAttempt.m_runName });
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  return aAttempt.m_startsSent < kMaxStartsSent && state.m_responsive &&
+         !state.m_hasForeignRuns && state.m_unclearRuns.empty() &&
+         aWorker.m_breaker.m_state != BreakerState::Open &&
+         IsLive(m_board, aWorker) && AcceptsWork(m_board) &&
+         !ShouldStop(m_board, aAttempt);
 }
 
 void
-LeasedRuns::Handle(const RunsObserved& aObserved)
+LeasedRuns::RecordAnswer(Worker& aWorker)
 {
-  const auto place = m_board.m_workers.m_workers.find(aObserved.m_worker);
-  if (place == m_board.m_workers.m_workers.end() ||
-      !place->second.m_leasedRuns) {
-    return;
-  }
-  Worker& worker = place->second;
-  LeasedRunState& state = *worker.m_leasedRuns;
-  if (aObserved.m_observationId != state.m_observationId) {
-    return;
-  }
-  state.m_observationId = 0;
-  const bool ofTrackedIncarnation =
-    aObserved.m_incarnation == state.m_incarnation;
-  switch (aObserved.m_result) {
-    case ObserveResult::Observed:
-      if (!ofTrackedIncarnation) {
-        // The answer is from another incarnation than the tracked one.
-        FinishAsCrashed(worker, "another incarnation answered", true);
-        RecordEnded(worker, state.m_incarnation);
-        const Instant sentAt = state.m_observationSentAt;
-        state = LeasedRunState{};
-        state.m_incarnation = aObserved.m_incarnation;
-        state.m_announcedIncarnation = aObserved.m_incarnation;
-        state.m_observationSentAt = sentAt;
-      }
-      if (aObserved.m_startedAtMs < state.m_startedAtMs &&
-          aObserved.m_startedAtMs != 0) {
-        // The answer was sent before the worker started again.
-        return;
-      }
-      CheckRestart(state, aObserved.m_startedAtMs);
-      SetResponsive(worker, true);
-      ProcessEndedRuns(worker, aObserved);
-      ProcessActiveRuns(worker, aObserved);
-      state.m_lastAnswerAt = m_board.m_now;
-      state.m_observed = true;
-      return;
-    case ObserveResult::OtherIncarnation:
-      RecordEnded(worker, aObserved.m_incarnation);
-      if (ofTrackedIncarnation) {
-        EndIncarnation(worker);
-      } else {
-        // The announced incarnation no longer exists, so the tracked one stays.
-        state.m_announcedIncarnation = state.m_incarnation;
-      }
-      return;
-    case ObserveResult::NoAnswer:
-      SetResponsive(worker, false);
-      state.m_nextObservation = m_board.m_now + kRetryInterval;
-      return;
-  }
+  LeasedRunState& state = *aWorker.m_leasedRuns;
+  state.m_lastAnswerAt = m_board.m_now;
+  state.m_unansweredStarts = 0;
 }
 
 void
-LeasedRuns::SetResponsive(Worker& aWorker, bool aResponsive)
+LeasedRuns::RecordUnansweredStart(Worker& aWorker)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  if (state.m_responsive == aResponsive) {
-    return;
+  state.m_lastLossAt = m_board.m_now;
+  Breakers(m_board).RecordUnansweredStart(aWorker);
+  if (++state.m_unansweredStarts >= m_board.m_policy.m_quarantineFailures) {
+    // Nothing else was answered since, so it may be the worker.
+    SetResponsive(aWorker, false);
+    if (!state.m_pending.empty()) {
+      state.m_pending.back().m_answerDueAt = m_board.m_now;
+    }
   }
-  state.m_responsive = aResponsive;
-  // Entries must not count on the capacity of an unresponsive worker.
-  aWorker.m_info.m_quarantined =
-    !aResponsive || aWorker.m_breaker.m_state == BreakerState::Open;
-  ScheduleAnnounceToAll(m_board);
 }
 
 void
-LeasedRuns::ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved)
+LeasedRuns::Handle(const StopAnswered& aAnswer)
 {
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  std::map<RunName, RunId> known;
-  for (const Attempt* attempt : RunsOn(aWorker)) {
-    known.emplace(attempt->m_runName, attempt->m_run);
+  if (!aAnswer.m_confirmed) {
+    return;
   }
-  for (const EndedRun& ended : aObserved.m_ended) {
-    if (ended.m_number <= state.m_lastEnd) {
-      continue;
-    }
-    state.m_lastEnd = ended.m_number;
-    const auto run = known.find(ended.m_name);
-    if (run == known.end()) {
-      continue;
-    }
-    switch (ended.m_end) {
-      case RunEnd::Completed:
-        Finish(run->second, RunOutcome::Completed);
-        break;
-      case RunEnd::Failed:
-        Finish(run->second, RunOutcome::Failed);
-        break;
-      case RunEnd::Interrupted:
-        Finish(run->second, RunOutcome::Interrupted);
-        break;
+  const auto run = m_board.m_attempts.m_byRun.find(aAnswer.m_run);
+  if (run == m_board.m_attempts.m_byRun.end()) {
+    for (auto& [name, worker] : m_board.m_workers.m_workers) {
+      if (worker.m_leasedRuns) {
+        worker.m_leasedRuns->m_unclearRuns.erase(aAnswer.m_run);
+      }
     }
+    return;
   }
+  Attempt& attempt = m_board.m_attempts.m_open.at(run->second);
+  const auto worker = m_board.m_workers.m_workers.find(attempt.m_worker);
+  if (worker != m_board.m_workers.m_workers.end() &&
+      worker->second.m_leasedRuns) {
+    RecordAnswer(worker->second);
+  }
+  attempt.m_stopConfirmedAt = attempt.m_stopConfirmedAt.value_or(m_board.m_now);
 }
 
 void
-LeasedRuns::ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved)
+LeasedRuns::Stop(Attempt& aAttempt)
 {
-  LeasedRunState& state = *aWorker.m_leasedRuns;
-  std::set<RunName> running(aObserved.m_running.begin(),
-                            aObserved.m_running.end());
-  if (std::exchange(state.m_hasRestarted, false)) {
-    RecordRestart(aWorker, running);
-  }
-  for (Attempt* attempt : RunsOn(aWorker)) {
-    if (running.erase(attempt->m_runName) != 0) {
-      attempt->m_acceptedAt =
-        attempt->m_acceptedAt.value_or(state.m_observationSentAt);
-      continue;
-    }
-    if (attempt->m_stopConfirmedAt &&
-        *attempt->m_stopConfirmedAt <= state.m_observationSentAt) {
-      Finish(attempt->m_run,
-             attempt->m_acceptedAt ? RunOutcome::Interrupted
-                                   : RunOutcome::NotStarted);
-    } else if (attempt->m_acceptedAt &&
-               *attempt->m_acceptedAt < state.m_observationSentAt) {
-      Finish(attempt->m_run, RunOutcome::Interrupted);
-    }
-  }
-  state.m_hasForeignRuns = !running.empty();
-  for (const RunName& foreign : running) {
-    Record(m_board,
-           EventCode::ForeignRunStopped,
-           0,
-           EventDetail()
-             .Add("worker", aWorker.m_info.m_name)
-             .Add("start", foreign.m_startNumber),
-           foreign.m_task);
-    m_board.m_commands->push_back(
-      StopRun{ {}, TargetOf(aWorker, state.m_incarnation), foreign });
+  const auto worker = m_board.m_workers.m_workers.find(aAttempt.m_worker);
+  const bool sentLately =
+    aAttempt.m_stopSentAt &&
+    m_board.m_now - *aAttempt.m_stopSentAt < kRetryInterval;
+  if (worker == m_board.m_workers.m_workers.end() || sentLately) {
+    return;
   }
+  aAttempt.m_stopRequested = true;
+  aAttempt.m_stopSentAt = m_board.m_now;
+  m_board.m_commands->push_back(StopRun{
+    aAttempt.m_run,
+    TargetOf(worker->second, worker->second.m_leasedRuns->m_incarnation),
+    aAttempt.m_runName });
 }
 
 void
@@ -396,68 +327,71 @@
   LeasedRunState& state = *aWorker.m_leasedRuns;
   if (!state.m_responsive && state.m_observed &&
       state.m_runsEndBy <= m_board.m_now && aWorker.m_runningTasks > 0) {
-    Record(m_board,
-           EventCode::RunsLapsed,
-           0,
-           EventDetail()
-             .Add("worker", aWorker.m_info.m_name)
-             .Add("runs", aWorker.m_runningTasks)
-             .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
-    FinishAsCrashed(aWorker, "the run leases have expired", false);
+    FinishLapsed(aWorker);
   }
+  StopUnclearRuns(aWorker);
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (ShouldStop(m_board, *attempt) && !attempt->m_stopConfirmedAt) {
       Stop(*attempt);
     }
   }
   if (m_board.m_now < state.m_nextObservation ||
-      (state.m_observationId != 0 && !NeedsNewObservation(aWorker))) {
+      (!state.m_pending.empty() && !MustObserveAgain(aWorker))) {
     return;
   }
   if (state.m_announcedIncarnation != state.m_incarnation) {
     Observe(aWorker, state.m_announcedIncarnation);
-  } else if (!state.m_observed || state.m_hasForeignRuns ||
-             aWorker.m_runningTasks > 0 ||
-             state.m_acknowledgedRun < state.m_lastEnd) {
+  } else if (MustObserve(aWorker)) {
     Observe(aWorker, state.m_incarnation);
   }
 }
 
-bool
-LeasedRuns::NeedsNewObservation(const Worker& aWorker)
+void
+LeasedRuns::FinishLapsed(Worker& aWorker)
 {
-  const std::vector<Attempt*> runs = RunsOn(aWorker);
-  return std::any_of(runs.begin(), runs.end(), [&](const Attempt* aAttempt) {
-    return aAttempt->m_stopConfirmedAt &&
-           *aAttempt->m_stopConfirmedAt >
-             aWorker.m_leasedRuns->m_observationSentAt;
-  });
+  LeasedRunState& state = *aWorker.m_leasedRuns;
+  Record(m_board,
+         EventCode::RunsLapsed,
+         0,
+         EventDetail()
+           .Add("worker", aWorker.m_info.m_name)
+           .Add("runs", aWorker.m_runningTasks)
+           .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
+  for (const Attempt* const attempt : RunsOn(aWorker)) {
+    if (!attempt->m_acceptedAt && !attempt->m_stopConfirmedAt) {
+      state.m_unclearRuns.emplace(attempt->m_run,
+                                  UnclearRun{ attempt->m_runName, {} });
+    }
+  }
+  FinishAsCrashed(aWorker, "the run leases have expired", false);
 }
 
 void
-LeasedRuns::Observe(Worker& aWorker, const std::string& aIncarnation)
+LeasedRuns::StopUnclearRuns(Worker& aWorker)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  ObserveRuns observe;
-  observe.m_target = TargetOf(aWorker, aIncarnation);
-  observe.m_observationId = m_board.m_workers.m_nextTicket++;
-  if (aIncarnation == state.m_incarnation) {
-    observe.m_acknowledgedRun = state.m_lastEnd;
-    state.m_acknowledgedRun = state.m_lastEnd;
-    // A renewal extends all runs on the worker, so it is sent only after an
-    // observation has shown that all of them are of this agent incarnation.
-    const bool onlyOwnRuns = state.m_responsive && !state.m_hasForeignRuns;
-    if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
-      observe.m_renewFor = m_board.m_policy.m_runLease;
-      observe.m_wait = NeedsNewObservation(aWorker)
-                         ? Duration::zero()
-                         : m_board.m_policy.m_observeWait;
-      ExtendRunsEndBy(aWorker);
+  if (!state.m_responsive) {
+    return;
+  }
+  for (auto& [run, unclear] : state.m_unclearRuns) {
+    if (!unclear.m_stopSentAt ||
+        *unclear.m_stopSentAt + kRetryInterval <= m_board.m_now) {
+      unclear.m_stopSentAt = m_board.m_now;
+      m_board.m_commands->push_back(
+        StopRun{ run, TargetOf(aWorker, state.m_incarnation), unclear.m_name });
     }
   }
-  state.m_observationId = observe.m_observationId;
-  state.m_observationSentAt = m_board.m_now;
-  m_board.m_commands->push_back(std::move(observe));
+}
+
+bool
+LeasedRuns::MustObserve(const Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  // Only an answer makes a worker responsive again, also one without runs.
+  const bool isSilent = !state.m_responsive && IsLive(m_board, aWorker);
+  return !state.m_observed || state.m_hasForeignRuns || isSilent ||
+         aWorker.m_runningTasks > 0 ||
+         state.m_acknowledgedRun < state.m_lastEnd;
 }
 
 Instant
@@ -469,13 +403,22 @@
       continue;
     }
     const LeasedRunState& state = *worker.m_leasedRuns;
-    if (state.m_observationId == 0 && state.m_nextObservation > aBoard.m_now) {
+    if (state.m_pending.empty() && state.m_nextObservation > aBoard.m_now) {
       due = std::min(due, state.m_nextObservation);
     }
+    if (!state.m_pending.empty() &&
+        state.m_pending.back().m_answerDueAt > aBoard.m_now) {
+      due = std::min(due, state.m_pending.back().m_answerDueAt);
+    }
     if (!state.m_responsive && worker.m_runningTasks > 0 &&
         state.m_runsEndBy > aBoard.m_now) {
       due = std::min(due, state.m_runsEndBy);
     }
+    for (const auto& [run, unclear] : state.m_unclearRuns) {
+      if (state.m_responsive && unclear.m_stopSentAt) {
+        due = std::min(due, *unclear.m_stopSentAt + kRetryInterval);
+      }
+    }
   }
   for (const auto& [run, key] : aBoard.m_attempts.m_byRun) {
     const Attempt& attempt = aBoard.m_attempts.m_open.at(key);
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -8,6 +8,14 @@
 
 namespace mulberrysail::core::agent {
 
+/** Minimum time before an unanswered observation or an unconfirmed stop command
+ * is sent again. */
+inline constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+
+/** @return how to address a task run of @p aIncarnation of the worker. */
+RunTarget
+TargetOf(const Worker& aWorker, const std::string& aIncarnation);
+
 /**
  * Renews run leases and determines the outcome of each run from observations,
  * in which the worker lists its runs. A run ends only if the worker rejected
@@ -52,13 +60,29 @@
                          const Attempt& aAttempt,
                          const StartAnswered& aAnswer);
   void ProcessWorker(Worker& aWorker);
+  /** Ends the runs of a worker whose run leases have expired. */
+  void FinishLapsed(Worker& aWorker);
+  /** Sends the stop commands for LeasedRunState::m_unclearRuns that are due. */
+  void StopUnclearRuns(Worker& aWorker);
+  /** @return whether the runs on the worker have to be known anew. */
+  bool MustObserve(const Worker& aWorker);
   /** @return whether a stop was confirmed after the last observation was sent;
    * its answer may predate the stop, so a new observation is needed. */
   bool NeedsNewObservation(const Worker& aWorker);
+  /** @return whether to send an observation although others are pending. */
+  bool MustObserveAgain(const Worker& aWorker);
+  /** @return how long the worker may delay its answer to an observation. */
+  Duration MaxWait(const Worker& aWorker);
   /** Sends an observation, and renews the run leases if all runs on the worker
    * are known to be of this agent incarnation. */
   void Observe(Worker& aWorker, const std::string& aIncarnation);
   void SetResponsive(Worker& aWorker, bool aResponsive);
+  /** Notes that the worker has answered a call, whatever the answer. */
+  void RecordAnswer(Worker& aWorker);
+  void RecordUnansweredStart(Worker& aWorker);
+  void HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt);
+  /** @return whether the start may be sent to the worker once more. */
+  bool CanStartAgain(const Worker& aWorker, const Attempt& aAttempt);
   void ProcessEndedRuns(Worker& aWorker, const RunsObserved& aObserved);
   void ProcessActiveRuns(Worker& aWorker, const RunsObserved& aObserved);
   /** Records the accepted runs that @p aRunning lacks as lost in a crash. */
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/types/commands.h"
 #include "core/types/messages.h"
 
 #include <deque>
@@ -27,6 +28,10 @@
   BreakerState m_state = BreakerState::Closed;
   /** Consecutive failures. */
   std::uint32_t m_failures = 0;
+  /** Consecutive starts without an answer. */
+  std::uint32_t m_unansweredStarts = 0;
+  /** Whether unanswered starts, and not failures, opened the breaker. */
+  bool m_openForStarts = false;
   /** Entry and job of the first consecutive failure. */
   std::pair<std::uint32_t, SubmissionId> m_firstJob;
   /** Whether the consecutive failures are of more than one job. */
@@ -37,6 +42,25 @@
   std::uint32_t m_capacityPercent = 100;
 };
 
+/** A run that ended by the expiry of its lease before the worker confirmed its
+ * start or its stop, so that its start may still be carried out. */
+struct UnclearRun
+{
+  RunName m_name;
+  std::optional<Instant> m_stopSentAt;
+};
+
+/** An observation without an answer so far. */
+struct PendingObservation
+{
+  std::uint64_t m_id = 0;
+  Instant m_sentAt;
+  /** Another observation is sent if this one is unanswered by then. */
+  Instant m_answerDueAt;
+  /** See ObserveRuns. */
+  std::uint64_t m_acknowledgedRun = 0;
+};
+
 /** State of the runs on a worker with run leases. */
 struct LeasedRunState
 {
@@ -55,14 +79,23 @@
   /** Whether the last observation listed runs that this incarnation of the
    * agent did not start. */
   bool m_hasForeignRuns = false;
-  /** Ticket of the unanswered observation; 0 if there is none. */
-  std::uint64_t m_observationId = 0;
+  /** In the order in which they were sent. An answer removes those before it,
+   * as their answers would be older. */
+  std::deque<PendingObservation> m_pending;
+  /** When the latest observation was sent. */
+  Instant m_lastSentAt;
+  /** When the latest observation that was answered was sent. */
   Instant m_observationSentAt;
+  /** When a call to the worker last got no answer in time. */
+  std::optional<Instant> m_lastLossAt;
   /** When the worker last answered a start, a stop or an observation. */
   Instant m_lastAnswerAt;
-  /** Whether the last observation was answered. */
+  /** Starts that got no answer since the worker last answered any call. */
+  std::uint32_t m_unansweredStarts = 0;
+  /** Whether the worker answers calls; only an observation shows that it does
+   * so again. */
   bool m_responsive = false;
-  /** Earliest time of the next observation after an unanswered one. */
+  /** Earliest time of the next observation after all were unanswered. */
   Instant m_nextObservation;
   /** Highest number of a processed end of a run. */
   std::uint64_t m_lastEnd = 0;
@@ -71,6 +104,8 @@
   /** Time by which all runs on the worker have ended if their leases are not
    * renewed. */
   Instant m_runsEndBy;
+  /** The worker has to confirm the stop of each before it gets a lease. */
+  std::map<RunId, UnclearRun> m_unclearRuns;
 };
 
 /** One start of an incarnation of a worker. */
