No wake-up for timers of work that is done

An entry was woken for the latest start, the overdue outcome and the deadline of work that had long ended, and for each status that expired. Timers that no longer apply are dropped once they are the next ones, and statuses expire at multiples of 100 ms.

--- a/packages/core/internal/entry/answercontroller.cpp
+++ b/packages/core/internal/entry/answercontroller.cpp
@@ -17,6 +17,19 @@
  * this value. */
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(500);
 
+/** Retention ends at multiples of this, so that statuses that expire at about
+ * the same time share one wake-up. */
+constexpr Duration kRetentionResolution = std::chrono::milliseconds(100);
+
+Instant
+NextRetentionCheck(Instant aEnd)
+{
+  const Duration sinceCheck = aEnd.time_since_epoch() % kRetentionResolution;
+  return sinceCheck == Duration::zero()
+           ? aEnd
+           : aEnd - sinceCheck + kRetentionResolution;
+}
+
 /** @return the execution of the error kind, or MayHaveRun if the kind says
  * NotRun but an item may have run. */
 Execution
@@ -293,8 +306,9 @@
   if (job) {
     status.m_answer = aAnswer;
     m_board.m_finished[id] = { std::move(status), name };
-    m_board.m_timers.Add(aContext.m_now + m_board.m_policy.m_statusRetention,
-                         RetentionTimer{ id });
+    m_board.m_timers.Add(
+      NextRetentionCheck(aContext.m_now + m_board.m_policy.m_statusRetention),
+      RetentionTimer{ id });
   }
   for (const CallerToken caller : callers) {
     if (caller.m_value != 0) {
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -70,6 +70,26 @@
   std::visit([&](auto& aAny) { On(context, std::move(aAny)); }, aEvent);
   m_dispatch.FlushOffers(context);
   m_forwardReceiver.SendResults(context, firstCommand);
+  m_board.m_timers.DropObsolete(
+    [this](const Timer& aTimer) { return IsObsolete(aTimer); });
+}
+
+bool
+Entry::IsObsolete(const Timer& aTimer)
+{
+  return std::visit(
+    Overloaded{ [&](const DeadlineTimer& aDeadline) {
+                 return m_board.Find(aDeadline.m_submission) == nullptr;
+               },
+                [&](const StartByTimer& aStartBy) {
+                  const WorkItem* const item = m_board.Find(aStartBy.m_work);
+                  return item == nullptr || item->m_state != WorkState::Waiting;
+                },
+                [&](const OverdueTimer& aOverdue) {
+                  return !m_board.m_attempts.contains(aOverdue.m_attempt);
+                },
+                [](const auto&) { return false; } },
+    aTimer);
 }
 
 void
--- a/packages/core/internal/entry/entry.h
+++ b/packages/core/internal/entry/entry.h
@@ -55,6 +55,9 @@
   void On(EntryEventContext& aContext, const ProcessorSampled& aEvent);
   void On(EntryEventContext& aContext, const CallersRead& aEvent);
   void HandleTimer(EntryEventContext& aContext, const Timer& aTimer);
+  /** @return whether HandleTimer() would do nothing for the timer, now and
+   * later. */
+  bool IsObsolete(const Timer& aTimer);
 
   EntryBoard m_board;
   AnswerController m_answers;
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -113,6 +113,16 @@
 
   Instant Next() const { return m_queue.empty() ? kNever : m_queue.top().m_at; }
 
+  /** Removes timers from the front as long as @p aIsObsolete applies to them,
+   * so that no one is woken for them. */
+  template<typename Predicate>
+  void DropObsolete(Predicate aIsObsolete)
+  {
+    while (!m_queue.empty() && aIsObsolete(m_queue.top().m_timer)) {
+      m_queue.pop();
+    }
+  }
+
   /** Removes and returns the first timer. The queue must not be empty. */
   Timer Pop()
   {
