--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(LeasesExpireOnAnUnresponsiveWorker);
   CPPUNIT_TEST(LeasesOfAnUnresponsiveWorkerAreNotRenewed);
   CPPUNIT_TEST(SilentWorkerIsObservedUntilItAnswersAlsoWithoutRuns);
+  CPPUNIT_TEST(SilentWorkerThatLeavesIsNotObserved);
   CPPUNIT_TEST(NoLeaseIsGivenBeforeAnUnclearStartThatLapsedIsStopped);
   CPPUNIT_TEST(AnotherIncarnationEndsAllRuns);
   CPPUNIT_TEST(AnnouncementOfAnOldIncarnationEndsNoRun);
@@ -236,6 +237,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
   }
 
+  void SilentWorkerThatLeavesIsNotObserved()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "a");
+    fixture.AnswerObservation({ { "a", 1 } });
+    LetLeasesLapse(fixture, 1);
+    fixture.AnnounceLeasedWorker(kFirstIncarnation, true);
+    fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+    const std::size_t observations = fixture.Observations().size();
+    fixture.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(observations, fixture.Observations().size());
+  }
+
   void NoLeaseIsGivenBeforeAnUnclearStartThatLapsedIsStopped()
   {
     LeaseFixture fixture;
