--- a/packages/network/internal/messageoutbox.cpp
+++ b/packages/network/internal/messageoutbox.cpp
@@ -1,43 +1,13 @@
 #include "network/internal/messageoutbox.h"
 
-#include "core/messagemerging.h"
-
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include <string_view>
 #include <system_error>
-#include <unordered_map>
 #include <utility>
 
 namespace mulberrysail::network {
 
-void
-MergeMessages(std::vector<OutgoingMessage>& aMessages)
-{
-  if (aMessages.size() < 2) {
-    return;
-  }
-  std::vector<OutgoingMessage> merged;
-  // The names of the recipients are referenced, so elements must not move.
-  merged.reserve(aMessages.size());
-  std::unordered_map<std::string_view, std::size_t> lastByRecipient;
-  for (OutgoingMessage& message : aMessages) {
-    const auto last = lastByRecipient.find(message.m_to.m_name);
-    if (last != lastByRecipient.end()) {
-      OutgoingMessage& earlier = merged[last->second];
-      if (earlier.m_to == message.m_to &&
-          core::MergeInto(earlier.m_message, message.m_message)) {
-        continue;
-      }
-    }
-    merged.push_back(std::move(message));
-    lastByRecipient.insert_or_assign(merged.back().m_to.m_name,
-                                     merged.size() - 1);
-  }
-  aMessages = std::move(merged);
-}
-
 MessageOutbox::MessageOutbox()
   : m_descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
@@ -87,18 +57,13 @@
 MessageOutbox::Contents
 MessageOutbox::TakeAll()
 {
-  Contents contents;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_readerWaits = false;
-    if (std::exchange(m_wakeIsPending, false)) {
-      eventfd_t count = 0;
-      static_cast<void>(eventfd_read(m_descriptor, &count));
-    }
-    contents = std::exchange(m_contents, {});
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_readerWaits = false;
+  if (std::exchange(m_wakeIsPending, false)) {
+    eventfd_t count = 0;
+    static_cast<void>(eventfd_read(m_descriptor, &count));
   }
-  MergeMessages(contents.m_messages);
-  return contents;
+  return std::exchange(m_contents, {});
 }
 
 void
--- a/packages/network/internal/messageoutbox.h
+++ b/packages/network/internal/messageoutbox.h
@@ -15,12 +15,6 @@
   core::Message m_message;
 };
 
-/** Merges each message into the one before it to the same recipient where that
- * is possible; see core::MergeInto(). Keeps the order of the messages to each
- * recipient. */
-void
-MergeMessages(std::vector<OutgoingMessage>& aMessages);
-
 /** Queue of requests from other threads to the transport's thread, which is
  * woken through a file descriptor. Thread-safe. */
 class MessageOutbox
@@ -51,8 +45,7 @@
   void SetPeers(std::vector<PeerAddress> aPeers);
   void RequestStop();
 
-  /** Removes and returns the contents; messages are in the order of Push(), and
-   * merged. */
+  /** Removes and returns the contents; messages are in the order of Push(). */
   Contents TakeAll();
 
 private:
