The lease of a run counts from the agent's decision, not from its sending

The bound of the attempt leases takes the last start or renewal of an agent as over 515 ms after the agent decided on it. But the deadline for the worker was reckoned when the call was made, after the core had handled the event and the commands before it had been executed. If the agent stands still in between, for example while it sends the starts of a batch, it begins the rest when it wakes, with a full lease, though the entry has taken them as ended and has placed the tasks elsewhere: two runs of one task.

--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -264,6 +264,7 @@
                              state.m_unclearRuns.empty();
     if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
       observe.m_renewFor = m_board.m_policy.m_runLease;
+      observe.m_decidedAt = m_board.m_now;
       observe.m_wait = MaxWait(aWorker);
       ExtendRunsEndBy(aWorker);
     }
