An entry that stood still doesn't take its agents for silent

Found by review: after a pause, the timer that looks for silent agents may fire before the answers that arrived meanwhile are read, and the transport, which has read nothing yet, states that nothing is behind. The class: a decision about a peer by a process that is itself late.

A gap of more than 300 ms between two statements counts as delay. EntryMessageDelayTest::AgentIsNotSilentAfterTheEntryStoodStill fails without it.

--- a/packages/core/internal/entry/messageprogress.cpp
+++ b/packages/core/internal/entry/messageprogress.cpp
@@ -9,6 +9,9 @@
 
 /** Exceeds the time for which peers may leave messages unanswered. */
 constexpr Duration kRetention = std::chrono::seconds(5);
+/** Longest interval between two statements while a message is unanswered; after
+ * a longer one, the process stood still. */
+constexpr Duration kMaxInterval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -17,10 +20,14 @@
 {
   m_handledUntil = std::min(aHandledUntil, aNow);
   m_delay = aNow - *m_handledUntil;
-  while (!m_delays.empty() && m_delays.back().m_delay <= m_delay) {
+  const Duration interval =
+    m_delays.empty() ? Duration::zero() : aNow - m_delays.back().m_at;
+  const Duration delay =
+    interval > kMaxInterval ? std::max(interval, m_delay) : m_delay;
+  while (!m_delays.empty() && m_delays.back().m_delay <= delay) {
     m_delays.pop_back();
   }
-  m_delays.push_back({ aNow, m_delay });
+  m_delays.push_back({ aNow, delay });
   while (m_delays.front().m_at < aNow - kRetention) {
     m_delays.pop_front();
   }
--- a/packages/core/tests/entry_messagedelay_test.cpp
+++ b/packages/core/tests/entry_messagedelay_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(JobIsRefusedWhileItsOffersWouldLeaveTooLate);
   CPPUNIT_TEST(JobIsAdmittedOnceTheMessagesHaveLeft);
   CPPUNIT_TEST(AgentIsNotSilentWhileTheEntryIsBehind);
+  CPPUNIT_TEST(AgentIsNotSilentAfterTheEntryStoodStill);
   CPPUNIT_TEST(SilentAgentIsNoticedByAnEntryThatIsNotBehind);
   CPPUNIT_TEST(SilenceCountsOnceTheHeartbeatHasLeft);
   CPPUNIT_TEST(RevocationThatMayNotHaveLeftIsNotRepeated);
@@ -56,7 +57,25 @@
     AdvanceInSteps(fixture, milliseconds(800), [&] { return handledUntil; });
     CPPUNIT_ASSERT(!fixture.AnswerTo(caller));
     fixture.ReportFate(fixture.Offers().at(0), AttemptFate::Completed);
-    CPPUNIT_ASSERT(fixture.AnswerTo(caller)->m_kind == ErrorKind::None);
+    const std::optional<Answer> answer = fixture.AnswerTo(caller);
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT(answer->m_kind == ErrorKind::None);
+  }
+
+  void AgentIsNotSilentAfterTheEntryStoodStill()
+  {
+    QueueFixture fixture;
+    fixture.AddWorkerAgent("a1", kWorkerCapacity);
+    const CallerToken caller = fixture.Submit("job", 1, milliseconds(1900));
+    AdvanceInSteps(fixture, milliseconds(250), [&] { return fixture.m_now; });
+    fixture.m_now += milliseconds(1300);
+    // The timer fires before the answers that arrived meanwhile are read.
+    fixture.HandleEvent(MessagesHandled{ fixture.m_now });
+    fixture.HandleEvent(TimerFired{});
+    fixture.ReportFate(fixture.Offers().at(0), AttemptFate::Completed);
+    const std::optional<Answer> answer = fixture.AnswerTo(caller);
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT(answer->m_kind == ErrorKind::None);
   }
 
   void SilentAgentIsNoticedByAnEntryThatIsNotBehind()
