Starts that may still be carried out: three gaps closed, found by review

- Two observations may be answered in another order than they were sent.
A run counted as accepted when the observation that lists it was sent, so a later one that was answered before its start ended it as interrupted while it ran.
It counts as accepted when the answer arrives.
- The record of a worker was erased when its announcement expired, and with it the starts that must be stopped before it gets a lease again.
- A start was sent again without a look at a capacity that has shrunk.

Each has a test in AgentLostCallTest that fails without its change.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -186,6 +186,8 @@
   return aAttempt.m_startsSent < kMaxStartsSent && state.m_responsive &&
          !state.m_hasForeignRuns && state.m_unclearRuns.empty() &&
          aWorker.m_breaker.m_state != BreakerState::Open &&
+         aWorker.m_announcedBy == state.m_incarnation &&
+         aWorker.m_info.m_capacity.Fits(aWorker.m_reserved) &&
          IsLive(m_board, aWorker) && AcceptsWork(m_board) &&
          !ShouldStop(m_board, aAttempt);
 }
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -16,8 +16,10 @@
 constexpr int kInverseClockDrift = 1000;
 constexpr std::size_t kMaxWorkers = 1024;
 
-/** How long the breaker state of an expired worker is retained. */
-constexpr Duration kBreakerRetention = std::chrono::seconds(60);
+/** How long the state of an expired worker is retained that its next
+ * announcement must not reset: its breaker, and starts that may still be
+ * carried out. */
+constexpr Duration kWorkerRetention = std::chrono::seconds(60);
 
 } // namespace
 
@@ -373,10 +375,13 @@
     }
     const bool hasForeignRuns =
       worker.m_leasedRuns && worker.m_leasedRuns->m_hasForeignRuns;
+    const bool hasUnclearRuns =
+      worker.m_leasedRuns && !worker.m_leasedRuns->m_unclearRuns.empty();
+    const bool mustBeKept =
+      hasUnclearRuns || worker.m_breaker.m_state != BreakerState::Closed;
     const bool remove =
       worker.m_runningTasks == 0 && !hasForeignRuns &&
-      (worker.m_breaker.m_state == BreakerState::Closed ||
-       m_board.m_now - worker.m_leaseEnds > kBreakerRetention);
+      (!mustBeKept || m_board.m_now - worker.m_leaseEnds > kWorkerRetention);
     place = remove ? workers.erase(place) : std::next(place);
   }
 }
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -186,8 +186,8 @@
   }
   for (Attempt* attempt : RunsOn(aWorker)) {
     if (running.erase(attempt->m_runName) != 0) {
-      attempt->m_acceptedAt =
-        attempt->m_acceptedAt.value_or(state.m_observationSentAt);
+      // Observations that are pending may have been answered before the start.
+      attempt->m_acceptedAt = attempt->m_acceptedAt.value_or(m_board.m_now);
       continue;
     }
     if (attempt->m_stopConfirmedAt &&
--- a/packages/core/tests/agent_lostcall_test.cpp
+++ b/packages/core/tests/agent_lostcall_test.cpp
@@ -23,6 +23,9 @@
   CPPUNIT_TEST(UnansweredStartIsSentAgainToAWorkerThatAnswers);
   CPPUNIT_TEST(RejectedRepeatOfAStartProvesNothing);
   CPPUNIT_TEST(RevokedRunIsNotSentAgain);
+  CPPUNIT_TEST(StartIsNotSentAgainAboveAShrunkenCapacity);
+  CPPUNIT_TEST(RunThatALaterObservationLacksIsNotInterrupted);
+  CPPUNIT_TEST(UnclearStartIsRememberedAfterItsWorkerHasExpired);
   CPPUNIT_TEST_SUITE_END();
 
   static RunId OfferTask(LeaseFixture& aFixture, std::uint64_t aAttempt)
@@ -223,6 +226,63 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
   }
+
+  void StartIsNotSentAgainAboveAShrunkenCapacity()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = OfferTask(fixture, 1);
+    fixture.AnnounceLeasedWorker(
+      kFirstIncarnation, false, Resources{ 1, 1, 0 });
+    const std::size_t startsBefore = fixture.Starts().size();
+    fixture.HandleEvent(StartAnswered{ run, StartResult::NoAnswer, "timeout" });
+    CPPUNIT_ASSERT_EQUAL(startsBefore, fixture.Starts().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
+  }
+
+  /** The later one was answered before the start was carried out. */
+  void RunThatALaterObservationLacksIsNotInterrupted()
+  {
+    LeaseFixture fixture;
+    fixture.RunTask(1, "task1");
+    fixture.AnswerObservation({ { "task1", 1 } });
+    const ObserveRuns earlier = fixture.Observations().back();
+    OfferTask(fixture, 2);
+    fixture.Advance(earlier.m_wait + milliseconds(30));
+    const ObserveRuns later = fixture.Observations().back();
+    CPPUNIT_ASSERT(later.m_observationId != earlier.m_observationId);
+    fixture.AnswerObservation(
+      earlier, ObserveResult::Observed, { { "task1", 1 }, { "task2", 1 } });
+    fixture.AnswerObservation(
+      later, ObserveResult::Observed, { { "task1", 1 } });
+    fixture.Advance(milliseconds(1));
+    CPPUNIT_ASSERT(!fixture.ReportOn(2));
+  }
+
+  void UnclearStartIsRememberedAfterItsWorkerHasExpired()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    OfferTask(fixture, 1);
+    while (!fixture.ReportOn(1)) {
+      fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+      fixture.Receive(fixture.m_entry, EntryHello{});
+      fixture.Advance(milliseconds(50));
+    }
+    fixture.Advance(std::chrono::seconds(30));
+    for (const ObserveRuns& observation : fixture.Observations()) {
+      fixture.AnswerObservation(observation, ObserveResult::NoAnswer, {});
+    }
+    fixture.ClearCommands();
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    fixture.Advance(milliseconds(200));
+    CPPUNIT_ASSERT(!fixture.Observations().empty());
+    fixture.AnswerObservation({});
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    fixture.SendOffers({ fixture.NamedOffer(2, "task2") });
+    CPPUNIT_ASSERT(fixture.Starts().empty());
+    CPPUNIT_ASSERT(!fixture.Stops().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLostCallTest);
