A worker that lost its runs while it was unresponsive is observed again

Workers whose runs had lapsed didn't come back.

An agent that doesn't get an answer to an observation takes the worker for unresponsive, and announces it as unusable. Only the answer to an observation ends that. But a worker was observed only while it had runs, foreign runs or ends to acknowledge: once the leases of its runs had expired there was nothing left to ask for, and it stayed unusable until it started again. A freeze of the agent does the same as one of the worker, as the answer comes too late.

The agent now observes a live worker that is unresponsive until it answers, at the interval of repeated observations. It renews nothing meanwhile, as before, so no bound of the attempt leases changes. A worker that leaves, or whose registration has lapsed, isn't asked any more.

AgentLeaseTest::WorkerThatLostItsRunsIsObservedUntilItAnswers fails without the change.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -3,6 +3,7 @@
 #include "core/internal/agent/breakers.h"
 #include "core/internal/agent/crashlog.h"
 #include "core/internal/agent/incarnations.h"
+#include "core/internal/agent/membership.h"
 #include "core/internal/agent/runs.h"
 
 #include <algorithm>
@@ -414,11 +415,13 @@
       (state.m_observationId != 0 && !NeedsNewObservation(aWorker))) {
     return;
   }
+  // Only an answer makes a worker responsive again, also one without runs.
+  const bool mayRespondAgain = !state.m_responsive && IsLive(m_board, aWorker);
   if (state.m_announcedIncarnation != state.m_incarnation) {
     Observe(aWorker, state.m_announcedIncarnation);
   } else if (!state.m_observed || state.m_hasForeignRuns ||
              aWorker.m_runningTasks > 0 ||
-             state.m_acknowledgedRun < state.m_lastEnd) {
+             state.m_acknowledgedRun < state.m_lastEnd || mayRespondAgain) {
     Observe(aWorker, state.m_incarnation);
   }
 }
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(RunStartedDuringTheObservationIsNotInterrupted);
   CPPUNIT_TEST(LeasesExpireOnAnUnresponsiveWorker);
   CPPUNIT_TEST(LeasesOfAnUnresponsiveWorkerAreNotRenewed);
+  CPPUNIT_TEST(WorkerThatLostItsRunsIsObservedUntilItAnswers);
+  CPPUNIT_TEST(WorkerThatLeftAfterItLostItsRunsIsNotObserved);
   CPPUNIT_TEST(AnotherIncarnationEndsAllRuns);
   CPPUNIT_TEST(AnnouncementOfAnOldIncarnationEndsNoRun);
   CPPUNIT_TEST(LateAnnouncementOfADeadIncarnationChangesNothing);
@@ -208,6 +210,34 @@
     CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
   }
 
+  void WorkerThatLostItsRunsIsObservedUntilItAnswers()
+  {
+    LeaseFixture fixture;
+    LoseRuns(fixture);
+    fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+    fixture.Advance(milliseconds(60));
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(fixture.m_agent->Status().m_load.m_freeCapacity ==
+                   Resources{});
+    fixture.AnswerObservation({});
+    CPPUNIT_ASSERT(fixture.m_agent->Status().m_load.m_freeCapacity ==
+                   kLeasedCapacity);
+    const std::size_t observations = fixture.Observations().size();
+    fixture.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(observations, fixture.Observations().size());
+  }
+
+  void WorkerThatLeftAfterItLostItsRunsIsNotObserved()
+  {
+    LeaseFixture fixture;
+    LoseRuns(fixture);
+    fixture.AnnounceLeasedWorker(kFirstIncarnation, true);
+    fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+    const std::size_t observations = fixture.Observations().size();
+    fixture.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(observations, fixture.Observations().size());
+  }
+
   void AnotherIncarnationEndsAllRuns()
   {
     LeaseFixture fixture;
@@ -339,6 +369,19 @@
     fixture.AnswerObservation({ { "a", 1 } });
     CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
   }
+
+private:
+  /** Lets the lease of the only run expire while the worker is unresponsive. */
+  static void LoseRuns(LeaseFixture& aFixture)
+  {
+    aFixture.RunTask(1, "a");
+    aFixture.AnswerObservation({ { "a", 1 } });
+    while (!aFixture.ReportOn(1)) {
+      aFixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
+      aFixture.Receive(aFixture.m_entry, EntryHello{});
+      aFixture.Advance(milliseconds(50));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLeaseTest);
