The lease of a run counts from the agent's decision, not from its sending

The bound of the attempt leases takes the last start or renewal of an agent as over 515 ms after the agent decided on it. But the deadline for the worker was reckoned when the call was made, after the core had handled the event and the commands before it had been executed. If the agent stands still in between, for example while it sends the starts of a batch, it begins the rest when it wakes, with a full lease, though the entry has taken them as ended and has placed the tasks elsewhere: two runs of one task.

--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -452,6 +452,7 @@
     const bool onlyOwnRuns = state.m_responsive && !state.m_hasForeignRuns;
     if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
       observe.m_renewFor = m_board.m_policy.m_runLease;
+      observe.m_decidedAt = m_board.m_now;
       observe.m_wait = NeedsNewObservation(aWorker)
                          ? Duration::zero()
                          : m_board.m_policy.m_observeWait;
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -251,7 +251,8 @@
               leased ? m_board.m_policy.m_runLease
                      : aAttempt.m_offer.m_deadline - m_board.m_now,
               std::move(payload),
-              aAttempt.m_runName });
+              aAttempt.m_runName,
+              m_board.m_now });
 }
 
 void
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -50,6 +50,7 @@
     fixture.AnswerObservation({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
     CPPUNIT_ASSERT(fixture.Starts()[0].m_lease == milliseconds(500));
+    CPPUNIT_ASSERT(fixture.Starts()[0].m_decidedAt == fixture.m_now);
     CPPUNIT_ASSERT_EQUAL(kFirstIncarnation,
                          fixture.Starts()[0].m_target.m_incarnation);
   }
@@ -201,6 +202,7 @@
     fixture.RunTask(1, "a");
     fixture.AnswerObservation({ { "a", 1 } });
     CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(fixture.Observations().back().m_decidedAt == fixture.m_now);
     fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
     fixture.Advance(milliseconds(60));
     CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -71,6 +71,9 @@
   Duration m_lease{};
   std::string m_payload;
   RunName m_name = {};
+  /** When the agent decided on the start, by its clock. The first lease counts
+   * from then, as the process may stand still before it sends the start. */
+  Instant m_decidedAt = {};
 };
 
 /** Stops a task that is still running. Best effort. */
@@ -91,6 +94,9 @@
   /** Renews the leases of all runs on the worker to this duration; absent for a
    * query without renewal. */
   std::optional<Duration> m_renewFor;
+  /** When the agent decided on the renewal, by its clock; see
+   * StartRun::m_decidedAt. */
+  Instant m_decidedAt = {};
   /** The worker may discard ended runs whose EndedRun::m_number is at most this
    * value. */
   std::uint64_t m_acknowledgedRun = 0;
