Queues are isolated by a rate of crashes, not by their share of the blame

Cause: blame for a crash went by the age of the lost runs alone. A queue with most of the runs got 0.4 of the blame for another's crashes and was shut into a fifth of the workers; two queues at fault shared the blame and stayed under 0.4; an isolated queue was released after 6 s without a crash, which pass by themselves while the workers on which it is isolated are down; and a crash of a repeated task had to be seen twice, which takes a second or two waves of crashes.

Change: the rate of crashes of each queue is estimated by maximum likelihood from crashes and from the runs that went on or completed. A queue is isolated when the crashes can't be explained without it, several at once if need be; it is released by completed runs, or when another queue explains its crashes. Four crashes at different times that all point to one queue do without repeats.

Two tests released a queue after silence alone. Their queues complete runs now, and QueueWithoutRunsStaysIsolated states what silence does; the new condition is stricter.

--- a/packages/core/internal/entry/crashcontroller.cpp
+++ b/packages/core/internal/entry/crashcontroller.cpp
@@ -71,13 +71,12 @@
   if (!m_board.m_crashes.AddCrash(aContext.m_now, aCrash)) {
     return;
   }
-  const std::vector<double> blame = BlameOfRuns(aCrash);
   const bool hasRepeat = std::any_of(
     aCrash.m_runs.begin(), aCrash.m_runs.end(), [&](const LostRun& aRun) {
       return m_board.m_crashes.SuspectedRunsOf(aRun.m_task) > 1;
     });
   m_board.m_isolation.AddCrash(
-    aContext.m_now - aCrash.m_detectedAgo, aCrash, blame, hasRepeat);
+    aContext.m_now - aCrash.m_detectedAgo, aCrash, hasRepeat);
 }
 
 bool
@@ -93,8 +92,8 @@
   if (m_board.m_policy.m_crashIsolationPercent == 0) {
     return false;
   }
-  const std::vector<IsolationChange> changes =
-    m_board.m_isolation.Update(aContext.m_now, ActiveQueues(aContext.m_now));
+  const std::vector<IsolationChange> changes = m_board.m_isolation.Update(
+    aContext.m_now, ActiveQueues(aContext.m_now), m_board.m_agents.size());
   for (const IsolationChange& change : changes) {
     aContext.Record(change.m_isolated ? EventCode::QueueIsolated
                                       : EventCode::QueueReleased,
@@ -102,7 +101,9 @@
                     EventDetail()
                       .Add("queue", change.m_queue)
                       .Add("recent_crashes", change.m_crashes)
-                      .Add("blame_share", change.m_blameShare)
+                      .Add("caused", change.m_estimate.m_crashes)
+                      .Add("rate", change.m_estimate.m_rate)
+                      .Add("evidence", change.m_estimate.m_evidence)
                       .Add("agents", m_board.m_isolatedPool.m_agents.size()));
   }
   if (!m_board.m_isolation.Empty() && !m_board.m_isIsolationTimerArmed) {
--- a/packages/core/internal/entry/crashledger.cpp
+++ b/packages/core/internal/entry/crashledger.cpp
@@ -1,5 +1,7 @@
 #include "core/internal/entry/crashledger.h"
 
+#include "core/internal/entry/crashrates.h"
+
 #include <algorithm>
 
 namespace mulberrysail::core {
@@ -9,9 +11,6 @@
 /** Callers submit a job again within seconds after its answer was lost. */
 constexpr Duration kRetention = std::chrono::minutes(2);
 constexpr std::size_t kMaxTasks = 4096;
-/** The blame of a run of this age is half of that of a run that has only just
- * started. */
-constexpr Duration kHalfBlameAge = std::chrono::milliseconds(20);
 /** Sum of the blame of a task's lost runs that proves that it crashes workers.
  * At least two runs are lost then. */
 constexpr double kProofBlame = 1;
@@ -26,10 +25,8 @@
 {
   std::vector<double> blame;
   double sum = 0;
-  const double half = static_cast<double>(kHalfBlameAge.count());
   for (const LostRun& run : aCrash.m_runs) {
-    const double age = static_cast<double>(run.m_age.count());
-    blame.push_back(half / (half + std::max(age, 0.0)));
+    blame.push_back(RelativeCrashRate(run.m_age));
     sum += blame.back();
   }
   for (double& one : blame) {
--- a/packages/core/internal/entry/outcomecontroller.cpp
+++ b/packages/core/internal/entry/outcomecontroller.cpp
@@ -182,6 +182,8 @@
   ++submission.m_done;
   if (submission.m_kind == WorkKind::Task) {
     --submission.m_steps.at(item.m_step).m_unfinishedTasks;
+    m_board.m_isolation.AddCompletedRun(
+      aContext.m_now, submission.m_queue, item.m_ranFor, m_board.EntryCount());
     m_dispatch.EnqueueUnblocked(aContext, submission, item.m_step);
   }
 
--- a/packages/core/internal/entry/queueisolation.cpp
+++ b/packages/core/internal/entry/queueisolation.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/queueisolation.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mulberrysail::core {
@@ -9,122 +10,210 @@
 
 /** Crashes count for this long. */
 constexpr Duration kWindow = std::chrono::seconds(10);
+constexpr std::size_t kMaxCrashes = 64;
 /** Crashes with a repeatedly lost task that show that tasks are the cause. One
  * may be chance. */
-constexpr std::size_t kMinRepeats = 2;
-/** Share of the blame for all crashes that isolates a queue. */
-constexpr double kMinBlameShare = 0.4;
-/** Blame for one crash above which an isolated queue stays isolated. */
-constexpr double kMinBlame = 0.2;
-/** Time without a crash after which a queue is released. It is longer than a
- * restart of the workers on which the queue is isolated. */
-constexpr Duration kReleaseAfter = std::chrono::seconds(6);
+constexpr std::ptrdiff_t kMinRepeats = 2;
+/** Crashes at different times that show the same. */
+constexpr std::ptrdiff_t kMinSeparateCrashes = 4;
+/** Crashes within this time may have a cause in common. */
+constexpr Duration kSimultaneous = std::chrono::milliseconds(50);
+/** CrashEstimate::m_evidence that isolates a queue after repeats, and without
+ * any. */
+constexpr double kIsolatingEvidence = 2.5;
+constexpr double kEvidenceWithoutRepeats = 5;
+/** CrashEstimate::m_evidence below which another cause of the same crashes
+ * releases a queue. */
+constexpr double kReleasingEvidence = 0.5;
+/** Longest time for which crashes count while a queue is isolated for them. */
+constexpr Duration kMaxWindow = std::chrono::minutes(1);
+/** Shortest time without a crash after which a queue is released. It is longer
+ * than a restart of the workers on which the queue is isolated. */
+constexpr Duration kMinQuietTime = std::chrono::seconds(6);
+/** Crashes that the completed runs of a queue would have caused at the rate for
+ * which it was isolated. Without any, the rate is lower with a probability of
+ * 95%. */
+constexpr double kMissingCrashes = 3;
+/** Time without a crash after which a queue without runs is released. */
+constexpr Duration kMaxQuietTime = std::chrono::minutes(1);
+
+/** @return whether a queue other than @p aQueue crashes workers. */
+bool
+HasOtherCause(const CrashEstimates& aEstimates, std::string_view aQueue)
+{
+  return std::any_of(
+    aEstimates.begin(), aEstimates.end(), [&](const auto& aEstimate) {
+      return aEstimate.first != aQueue &&
+             aEstimate.second.m_evidence >= kIsolatingEvidence;
+    });
+}
 
 } // namespace
 
 void
 QueueIsolation::AddCrash(Instant aAt,
                          const WorkerCrash& aCrash,
-                         std::span<const double> aBlame,
                          bool aHasRepeat)
 {
-  Crash crash;
-  crash.m_at = aAt;
-  crash.m_hasRepeat = aHasRepeat;
-  for (std::size_t i = 0; i < aCrash.m_runs.size(); ++i) {
-    if (!aCrash.m_runs[i].m_queue.empty()) {
-      crash.m_blameByQueue[aCrash.m_runs[i].m_queue] += aBlame[i];
-    }
-  }
-  for (const auto& [queue, blame] : crash.m_blameByQueue) {
-    const auto isolated = m_isolated.find(queue);
-    if (isolated != m_isolated.end() && blame >= kMinBlame) {
-      isolated->second = std::max(isolated->second, aAt);
-    }
-  }
+  CrashObservation crash(aAt, aCrash, aHasRepeat);
+  crash.m_isSimultaneous = std::any_of(
+    m_crashes.begin(), m_crashes.end(), [&](const CrashObservation& aOther) {
+      return std::chrono::abs(aAt - aOther.m_at) < kSimultaneous;
+    });
   m_crashes.push_back(std::move(crash));
+  if (m_crashes.size() > kMaxCrashes) {
+    m_crashes.pop_front();
+  }
+}
+
+void
+QueueIsolation::AddCompletedRun(Instant aNow,
+                                std::string_view aQueue,
+                                Duration aRanFor,
+                                std::uint32_t aRuns)
+{
+  m_completed.Add(aNow, aQueue, CrashExposure(aRanFor) * aRuns);
 }
 
 std::vector<IsolationChange>
-QueueIsolation::Update(Instant aNow, std::span<const std::string> aActive)
+QueueIsolation::Update(Instant aNow,
+                       std::span<const std::string> aActive,
+                       std::size_t aWorkers)
 {
-  Evict(aNow);
-  std::vector<IsolationChange> changes = Release(aNow);
-  const std::vector<IsolationChange> isolated = Isolate(aNow, aActive);
+  const Instant since = WindowStart(aNow);
+  std::erase_if(m_crashes, [&](const CrashObservation& aCrash) {
+    return aCrash.m_at <= since;
+  });
+  const std::vector<CrashObservation> crashes(m_crashes.begin(),
+                                              m_crashes.end());
+  const CrashEstimates estimates =
+    EstimateCrashRates(crashes,
+                       m_completed.Since(since),
+                       (aNow - since) * static_cast<Duration::rep>(
+                                          std::max<std::size_t>(aWorkers, 1)));
+  std::vector<IsolationChange> changes = Release(aNow, estimates);
+  const std::vector<IsolationChange> isolated =
+    Isolate(aNow, estimates, aActive);
   changes.insert(changes.end(), isolated.begin(), isolated.end());
   return changes;
 }
 
-void
-QueueIsolation::Evict(Instant aNow)
+Instant
+QueueIsolation::WindowStart(Instant aNow) const
 {
-  std::erase_if(m_crashes, [&](const Crash& aCrash) {
-    return aCrash.m_at + kWindow <= aNow;
-  });
+  Instant start = aNow;
+  for (const auto& [queue, isolated] : m_isolated) {
+    start = std::min(start, isolated.m_since);
+  }
+  return std::max(start - kWindow, aNow - kMaxWindow);
 }
 
 std::vector<IsolationChange>
-QueueIsolation::Release(Instant aNow)
+QueueIsolation::Release(Instant aNow, const CrashEstimates& aEstimates)
 {
   std::vector<IsolationChange> released;
   for (auto queue = m_isolated.begin(); queue != m_isolated.end();) {
-    if (queue->second + kReleaseAfter > aNow) {
+    IsolatedQueue& isolated = queue->second;
+    const auto estimate = aEstimates.find(queue->first);
+    const bool isCause =
+      estimate != aEstimates.end() &&
+      estimate->second.m_lastCrashAt > isolated.m_estimate.m_lastCrashAt;
+    if (isCause) {
+      isolated.m_estimate = estimate->second;
+    }
+    const bool isExplained = estimate != aEstimates.end() &&
+                             estimate->second.m_evidence < kReleasingEvidence &&
+                             HasOtherCause(aEstimates, queue->first);
+    const bool hasEnded =
+      HasEndedCrashing(aNow, queue->first, isolated.m_estimate);
+    if (!isExplained && !hasEnded) {
       ++queue;
       continue;
     }
-    released.push_back({ queue->first, false, m_crashes.size(), 0 });
+    if (hasEnded) {
+      RemoveCrashesUntil(isolated.m_estimate.m_lastCrashAt);
+    }
+    released.push_back(
+      { queue->first,
+        false,
+        m_crashes.size(),
+        estimate == aEstimates.end() ? CrashEstimate{} : estimate->second });
     queue = m_isolated.erase(queue);
   }
   return released;
 }
 
-std::vector<IsolationChange>
-QueueIsolation::Isolate(Instant aNow, std::span<const std::string> aActive)
+bool
+QueueIsolation::HasEndedCrashing(Instant aNow,
+                                 std::string_view aQueue,
+                                 const CrashEstimate& aEstimate) const
 {
-  const std::size_t repeats = static_cast<std::size_t>(
-    std::count_if(m_crashes.begin(), m_crashes.end(), [](const Crash& aCrash) {
-      return aCrash.m_hasRepeat;
-    }));
-  if (repeats < kMinRepeats) {
-    return {};
+  const Duration quiet = aNow - aEstimate.m_lastCrashAt;
+  if (quiet < kMinQuietTime || quiet >= kMaxQuietTime) {
+    return quiet >= kMaxQuietTime;
   }
-  const std::map<std::string, double, std::less<>> blame = SumBlame();
-  const auto most = std::max_element(
-    blame.begin(), blame.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second < aRight.second;
+  return aEstimate.m_rate *
+           m_completed.SinceOf(aEstimate.m_lastCrashAt, aQueue) >=
+         kMissingCrashes;
+}
+
+void
+QueueIsolation::RemoveCrashesUntil(Instant aUntil)
+{
+  std::erase_if(m_crashes, [&](const CrashObservation& aCrash) {
+    return aCrash.m_at <= aUntil;
+  });
+}
+
+double
+QueueIsolation::MinEvidence() const
+{
+  const std::ptrdiff_t repeats = std::count_if(
+    m_crashes.begin(), m_crashes.end(), [](const CrashObservation& aCrash) {
+      return aCrash.m_hasRepeat;
     });
-  const double share = most == blame.end()
-                         ? 0
-                         : most->second / static_cast<double>(m_crashes.size());
-  if (share < kMinBlameShare) {
-    return {};
+  if (repeats >= kMinRepeats) {
+    return kIsolatingEvidence;
   }
-  const bool anyOther =
-    std::any_of(aActive.begin(), aActive.end(), [&](const std::string& aQueue) {
-      return aQueue != most->first && !Contains(aQueue);
+  const std::ptrdiff_t separate = std::count_if(
+    m_crashes.begin(), m_crashes.end(), [](const CrashObservation& aCrash) {
+      return !aCrash.m_isSimultaneous;
     });
-  if (!anyOther) {
-    return {};
-  }
-  const IsolationChange change{ most->first, true, m_crashes.size(), share };
-  m_isolated.emplace(change.m_queue, aNow);
-  // Further queues are isolated only by crashes that happen from now on.
-  m_crashes.clear();
-  return { change };
+  return separate >= kMinSeparateCrashes
+           ? kEvidenceWithoutRepeats
+           : std::numeric_limits<double>::infinity();
 }
 
-std::map<std::string, double, std::less<>>
-QueueIsolation::SumBlame() const
+std::vector<IsolationChange>
+QueueIsolation::Isolate(Instant aNow,
+                        const CrashEstimates& aEstimates,
+                        std::span<const std::string> aActive)
 {
-  std::map<std::string, double, std::less<>> sum;
-  for (const Crash& crash : m_crashes) {
-    for (const auto& [queue, blame] : crash.m_blameByQueue) {
-      if (!Contains(queue)) {
-        sum[queue] += blame;
-      }
+  const double minEvidence = MinEvidence();
+  std::vector<std::pair<std::string, CrashEstimate>> suspects;
+  for (const auto& [queue, estimate] : aEstimates) {
+    if (!Contains(queue) && estimate.m_evidence >= minEvidence) {
+      suspects.emplace_back(queue, estimate);
+    }
+  }
+  std::sort(suspects.begin(),
+            suspects.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.second.m_evidence > aRight.second.m_evidence;
+            });
+  std::vector<IsolationChange> isolated;
+  for (auto& [queue, estimate] : suspects) {
+    const bool anyOther = std::any_of(
+      aActive.begin(), aActive.end(), [&](const std::string& aQueue) {
+        return aQueue != queue && !Contains(aQueue);
+      });
+    if (anyOther) {
+      estimate.m_lastCrashAt = aNow;
+      m_isolated.emplace(queue, IsolatedQueue{ aNow, estimate });
+      isolated.push_back({ queue, true, m_crashes.size(), estimate });
     }
   }
-  return sum;
+  return isolated;
 }
 
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/queueisolation.h
+++ b/packages/core/internal/entry/queueisolation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/internal/entry/crashrates.h"
+#include "core/internal/entry/exposurehistory.h"
 #include "core/types/crash.h"
 #include "core/types/time.h"
 
@@ -18,40 +20,50 @@
 {
   std::string m_queue;
   bool m_isolated = false;
-  /** Crashes of the recent past, and the queue's share of their blame. */
+  /** Crashes of the recent past. */
   std::size_t m_crashes = 0;
-  double m_blameShare = 0;
+  CrashEstimate m_estimate;
 };
 
 /** Decides which queues are isolated because their tasks crash workers.
  *
  * Workers also crash for reasons of their own, several at the same time. A task
- * that loses a run with one worker and then with another is the sign that tasks
- * are the cause; the blame of all runs, see BlameOfRuns(), tells of which
- * queue. A queue is released when no crash was blamed on it for a while. */
+ * that loses a run with one worker and then with another, or crashes at
+ * different times that all point to one queue, are the sign that tasks are the
+ * cause; EstimateCrashRates() tells of which queues. A queue is
+ * released when its runs complete without a crash, or when other queues turn
+ * out to explain the crashes. */
 class QueueIsolation
 {
 public:
   /**
    * Adds a crash.
    * @param aAt when it was detected.
-   * @param aBlame the blame of each run.
-   * @param aHasRepeat whether a run to blame is of a task that has already lost
-   * a run with another worker.
+   * @param aHasRepeat whether a run that may be the cause is of a task that has
+   * already lost a run with another worker.
    */
-  void AddCrash(Instant aAt,
-                const WorkerCrash& aCrash,
-                std::span<const double> aBlame,
-                bool aHasRepeat);
+  void AddCrash(Instant aAt, const WorkerCrash& aCrash, bool aHasRepeat);
 
   /**
-   * Isolates and releases queues by the crashes so far.
+   * Adds a completed run.
+   * @param aRuns the number of runs for which it stands: those of other entries
+   * are not known.
+   */
+  void AddCompletedRun(Instant aNow,
+                       std::string_view aQueue,
+                       Duration aRanFor,
+                       std::uint32_t aRuns);
+
+  /**
+   * Isolates and releases queues by the crashes and completed runs so far.
    * @param aActive the queues that have got jobs lately. A queue is isolated
    * only for the sake of others.
+   * @param aWorkers the number of workers.
    * @return the changes.
    */
   std::vector<IsolationChange> Update(Instant aNow,
-                                      std::span<const std::string> aActive);
+                                      std::span<const std::string> aActive,
+                                      std::size_t aWorkers);
 
   bool Contains(std::string_view aQueue) const
   {
@@ -61,24 +73,32 @@
   std::size_t Size() const { return m_isolated.size(); }
 
 private:
-  struct Crash
+  struct IsolatedQueue
   {
-    Instant m_at;
-    bool m_hasRepeat = false;
-    std::map<std::string, double, std::less<>> m_blameByQueue;
+    Instant m_since;
+    /** The last estimate by which the queue caused a crash. */
+    CrashEstimate m_estimate;
   };
 
-  void Evict(Instant aNow);
-  std::vector<IsolationChange> Release(Instant aNow);
+  /** @return since when crashes count. Those for which a queue is isolated
+   * count until its release, as another queue may turn out to be the cause. */
+  Instant WindowStart(Instant aNow) const;
+  std::vector<IsolationChange> Release(Instant aNow,
+                                       const CrashEstimates& aEstimates);
   std::vector<IsolationChange> Isolate(Instant aNow,
+                                       const CrashEstimates& aEstimates,
                                        std::span<const std::string> aActive);
-  /** @return the blame of each queue for the crashes that no isolated queue
-   * explains. */
-  std::map<std::string, double, std::less<>> SumBlame() const;
+  /** @return the CrashEstimate::m_evidence that isolates a queue. */
+  double MinEvidence() const;
+  bool HasEndedCrashing(Instant aNow,
+                        std::string_view aQueue,
+                        const CrashEstimate& aEstimate) const;
+  /** Removes the crashes that a released queue has caused. */
+  void RemoveCrashesUntil(Instant aUntil);
 
-  std::deque<Crash> m_crashes;
-  /** The isolated queues, and when a crash was last blamed on each. */
-  std::map<std::string, Instant, std::less<>> m_isolated;
+  std::deque<CrashObservation> m_crashes;
+  ExposureHistory m_completed;
+  std::map<std::string, IsolatedQueue, std::less<>> m_isolated;
 };
 
 } // namespace mulberrysail::core
