No more than half of a service's workers are out of use because runs fail

Cause: an agent judges its own worker by consecutive failures and doesn't know that all others fail as well. Each failed probe doubles the pause.

Change: agents announce which workers are failing. If these are more than policy.max_quarantined_percent (50) of a service's workers, an entry asks the agents, for three seconds at a time, to use them all the same; ten successes in a row make a worker sound again. A worker that fails 20 runs in a row is of no use and takes no work away from others: it gets a probe each 500 ms, and all its capacity with the first success.

--- a/packages/core/internal/agent/agent.cpp
+++ b/packages/core/internal/agent/agent.cpp
@@ -157,6 +157,7 @@
   subscribedUntil =
     std::max(subscribedUntil, m_board.m_now + aHello.m_subscribeFor);
   CapacityGrants(m_board).RecordDemand(entry, aHello.m_shard, aHello.m_demand);
+  Breakers(m_board).TolerateFailures(aHello.m_useFailingWorkersFor);
   HandleConfigVersion(aEntry, aHello);
   ZoneDrainCopy(m_board).Update(aEntry, aHello.m_drains);
 }
@@ -327,9 +328,7 @@
     if (worker.m_info.m_warmingUp) {
       wake = std::min(wake, worker.m_warmUpEnds);
     }
-    if (worker.m_breaker.m_state == BreakerState::Open) {
-      wake = std::min(wake, worker.m_breaker.m_openUntil);
-    }
+    wake = std::min(wake, Breakers::NextDue(m_board, worker));
   }
   return wake;
 }
--- a/packages/core/internal/agent/breakers.cpp
+++ b/packages/core/internal/agent/breakers.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/agent/breakers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberrysail::core::agent {
 
@@ -16,6 +17,19 @@
 /** First pause after unanswered starts. A probe costs the time in which a start
  * is answered, so it may be tried soon. */
 constexpr Duration kStartProbePause = std::chrono::milliseconds(250);
+/** Consecutive successes that show that a worker doesn't fail any more. */
+constexpr std::uint32_t kSuccessesToClose = 10;
+/** Consecutive failures up to which a worker is used while most others fail. A
+ * worker that fails all runs is of no use; it gets probes only. */
+constexpr std::uint32_t kMaxToleratedFailures = 20;
+/** Pause between two such probes. */
+constexpr Duration kToleratedProbePause = std::chrono::milliseconds(500);
+
+bool
+ToleratesFailures(const AgentBoard& aBoard)
+{
+  return aBoard.m_now < aBoard.m_workers.m_useFailingUntil;
+}
 
 bool
 MustOpen(const AgentBoard& aBoard, const Breaker& aBreaker)
@@ -39,17 +53,25 @@
     case BreakerState::Open:
       return;
     case BreakerState::Probing:
+      if (ToleratesFailures(m_board) && aWorker.m_info.m_failing) {
+        Tolerate(aWorker);
+        return;
+      }
       breaker.m_state = BreakerState::Restoring;
       breaker.m_capacityPercent = kInitialPercent;
       return;
     case BreakerState::Restoring:
       breaker.m_capacityPercent *= 2;
-      break;
-  }
-  if (breaker.m_capacityPercent < kFullPercent) {
-    return;
+      if (breaker.m_capacityPercent >= kFullPercent) {
+        Close(aWorker);
+      }
+      return;
+    case BreakerState::Tolerated:
+      if (++breaker.m_successes >= kSuccessesToClose) {
+        Close(aWorker);
+      }
+      return;
   }
-  Close(aWorker);
 }
 
 void
@@ -92,6 +114,9 @@
   breaker.m_state = BreakerState::Closed;
   breaker.m_pause = {};
   breaker.m_openForStarts = false;
+  if (std::exchange(aWorker.m_info.m_failing, false)) {
+    ScheduleAnnounceToAll(m_board);
+  }
   Record(m_board,
          EventCode::WorkerRestored,
          0,
@@ -121,6 +146,12 @@
         Open(aWorker);
       }
       return;
+    case BreakerState::Tolerated:
+      breaker.m_successes = 0;
+      if (breaker.m_failures > kMaxToleratedFailures) {
+        Open(aWorker);
+      }
+      return;
   }
 }
 
@@ -130,6 +161,15 @@
   Breaker& breaker = aWorker.m_breaker;
   const bool isFirst = breaker.m_pause == Duration{} || breaker.m_openForStarts;
   breaker.m_openForStarts = false;
+  aWorker.m_info.m_failing = true;
+  if (ToleratesFailures(m_board)) {
+    if (breaker.m_failures > kMaxToleratedFailures) {
+      OpenFor(aWorker, kToleratedProbePause, breaker.m_failures);
+    } else {
+      Tolerate(aWorker);
+    }
+    return;
+  }
   OpenFor(aWorker,
           isFirst ? m_board.m_policy.m_quarantineDuration
                   : std::min(2 * breaker.m_pause, kMaxPause),
@@ -159,17 +199,74 @@
 }
 
 void
-Breakers::EnterProbing()
+Breakers::Tolerate(Worker& aWorker)
 {
+  Breaker& breaker = aWorker.m_breaker;
+  breaker.m_state = BreakerState::Tolerated;
+  breaker.m_capacityPercent = kFullPercent;
+  breaker.m_successes = 0;
+  breaker.m_pause = {};
+  aWorker.m_info.m_quarantined =
+    aWorker.m_leasedRuns && !aWorker.m_leasedRuns->m_responsive;
+  Record(m_board,
+         EventCode::WorkerRestored,
+         0,
+         EventDetail()
+           .Add("worker", aWorker.m_info.m_name)
+           .Add("cause", "runs fail on most workers"));
+  ScheduleAnnounceToAll(m_board);
+}
+
+void
+Breakers::TolerateFailures(Duration aFor)
+{
+  Instant& until = m_board.m_workers.m_useFailingUntil;
+  until = std::max(until, m_board.m_now + aFor);
+  if (!ToleratesFailures(m_board)) {
+    return;
+  }
   for (auto& [name, worker] : m_board.m_workers.m_workers) {
     Breaker& breaker = worker.m_breaker;
-    if (breaker.m_state == BreakerState::Open &&
-        breaker.m_openUntil <= m_board.m_now) {
-      breaker.m_state = BreakerState::Probing;
+    if (!worker.m_info.m_failing ||
+        breaker.m_state == BreakerState::Tolerated) {
+      continue;
+    }
+    if (breaker.m_failures <= kMaxToleratedFailures) {
+      Tolerate(worker);
+    } else {
+      breaker.m_openUntil =
+        std::min(breaker.m_openUntil, m_board.m_now + kToleratedProbePause);
+    }
+  }
+}
+
+void
+Breakers::EnterProbing()
+{
+  for (auto& [name, worker] : m_board.m_workers.m_workers) {
+    if (NextDue(m_board, worker) <= m_board.m_now) {
+      worker.m_breaker.m_state = BreakerState::Probing;
+      worker.m_breaker.m_capacityPercent = kInitialPercent;
       worker.m_info.m_quarantined = false;
       ScheduleAnnounceToAll(m_board);
     }
   }
 }
 
+Instant
+Breakers::NextDue(const AgentBoard& aBoard, const Worker& aWorker)
+{
+  switch (aWorker.m_breaker.m_state) {
+    case BreakerState::Open:
+      return aWorker.m_breaker.m_openUntil;
+    case BreakerState::Tolerated:
+      return aBoard.m_workers.m_useFailingUntil;
+    case BreakerState::Closed:
+    case BreakerState::Probing:
+    case BreakerState::Restoring:
+      break;
+  }
+  return Instant::max();
+}
+
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/breakers.h
+++ b/packages/core/internal/agent/breakers.h
@@ -27,11 +27,20 @@
    * a short time. */
   void RecordUnansweredStart(Worker& aWorker);
 
-  /** Changes workers whose pause is over from Open to Probing. */
+  /** Uses workers although their runs fail, for @p aFor from now. */
+  void TolerateFailures(Duration aFor);
+
+  /** Changes workers whose pause is over, or whose failures are no longer
+   * tolerated, to Probing. */
   void EnterProbing();
 
+  /** @return when EnterProbing() is due for @p aWorker; Instant::max() for
+   * never. */
+  static Instant NextDue(const AgentBoard& aBoard, const Worker& aWorker);
+
 private:
   void Open(Worker& aWorker);
+  void Tolerate(Worker& aWorker);
   void OpenFor(Worker& aWorker, Duration aPause, std::uint32_t aFailures);
   void Close(Worker& aWorker);
 
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -193,6 +193,7 @@
   worker.m_lastSequence = aAnnounced.m_sequence;
   worker.m_largestCapacity.RaiseTo(aAnnounced.m_info.m_capacity);
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
+  aAnnounced.m_info.m_failing = worker.m_info.m_failing;
   aAnnounced.m_info.m_warmingUp =
     aAnnounced.m_warmUpRemaining > Duration::zero();
   worker.m_warmUpEnds = m_board.m_now + aAnnounced.m_warmUpRemaining;
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -20,6 +20,8 @@
   Probing,
   /** Part of the capacity; each success doubles the part. */
   Restoring,
+  /** All of the capacity although runs fail, as they do on most workers. */
+  Tolerated,
 };
 
 /** Circuit breaker of one worker. */
@@ -40,6 +42,8 @@
   Instant m_openUntil;
   /** Usable share of the capacity, in percent. */
   std::uint32_t m_capacityPercent = 100;
+  /** Consecutive successes in the state Tolerated. */
+  std::uint32_t m_successes = 0;
 };
 
 /** A run that ended by the expiry of its lease before the worker confirmed its
@@ -162,6 +166,9 @@
 
 struct WorkerSection
 {
+  /** Until then, workers are used although their runs fail; see
+   * EntryHello::m_useFailingWorkersFor. */
+  Instant m_useFailingUntil;
   std::map<std::string, Worker, std::less<>> m_workers;
   /** Set when queued tasks may have to be refused because a worker changed,
    * expired or was quarantined, the agent is draining, or its zone was drained.
--- a/packages/core/internal/entry/agentrecord.h
+++ b/packages/core/internal/entry/agentrecord.h
@@ -90,6 +90,9 @@
   bool m_takesIsolated = false;
   /** WorkerCrash::m_number of the last crash that the agent has announced. */
   std::uint64_t m_lastCrash = 0;
+  /** When the last hello was sent that asked the agent to use its failing
+   * workers. */
+  Instant m_useFailingSentAt = Instant(std::chrono::hours(-1));
   /** When the last hello was sent because of a change of the drained zones. */
   Instant m_drainsHelloAt;
 
--- a/packages/core/internal/entry/entry.cpp
+++ b/packages/core/internal/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "core/internal/entry/entry.h"
 
+#include "core/internal/entry/quarantinelimit.h"
 #include "core/internal/entry/revocationcontroller.h"
 #include "core/internal/overloaded.h"
 
@@ -218,7 +219,10 @@
         m_forwards.OnDeadline(aContext, aDeadline.m_forward);
       },
       [&](const ForwardTimer&) { m_peerLoads.OnTimer(aContext); },
-      [&](const IsolationTimer&) { m_membership.OnIsolationTimer(aContext); } },
+      [&](const IsolationTimer&) { m_membership.OnIsolationTimer(aContext); },
+      [&](const QuarantineTimer&) {
+        QuarantineLimit(m_board).OnTimer(aContext);
+      } },
     aTimer);
 }
 
--- a/packages/core/internal/entry/entryboard.h
+++ b/packages/core/internal/entry/entryboard.h
@@ -231,6 +231,7 @@
   CrashLedger m_crashes;
   QueueIsolation m_isolation;
   bool m_isIsolationTimerArmed = false;
+  bool m_isQuarantineTimerArmed = false;
   ForwardState m_forwarding;
 
   TimerQueue m_timers;
--- a/packages/core/internal/entry/membershipcontroller.cpp
+++ b/packages/core/internal/entry/membershipcontroller.cpp
@@ -1,6 +1,7 @@
 #include "core/internal/entry/membershipcontroller.h"
 
 #include "core/internal/entry/demandview.h"
+#include "core/internal/entry/quarantinelimit.h"
 #include "core/internal/entry/revocationcontroller.h"
 
 #include <algorithm>
@@ -129,6 +130,7 @@
     NotifyPeers(aContext);
   }
   if (changed) {
+    QuarantineLimit(m_board).Apply(aContext);
     m_dispatch.DispatchAll(aContext);
   }
 }
--- a/packages/core/internal/entry/timerqueue.h
+++ b/packages/core/internal/entry/timerqueue.h
@@ -85,6 +85,10 @@
 struct IsolationTimer
 {};
 
+/** Agents that were asked to use failing workers may be due for a renewal. */
+struct QuarantineTimer
+{};
+
 using Timer = std::variant<DeadlineTimer,
                            StartByTimer,
                            OverdueTimer,
@@ -99,7 +103,8 @@
                            DrainedZonesTimer,
                            ForwardDeadlineTimer,
                            ForwardTimer,
-                           IsolationTimer>;
+                           IsolationTimer,
+                           QuarantineTimer>;
 
 /** Timers in the order of their due times. Timers are not cancelled: the
  * handler of a timer checks whether it still applies. */
--- a/packages/core/tests/agent_worker_test.cpp
+++ b/packages/core/tests/agent_worker_test.cpp
@@ -31,6 +31,10 @@
   CPPUNIT_TEST(FailedProbeDoublesTheQuarantine);
   CPPUNIT_TEST(OtherWorkersArePreferredAfterAFailure);
   CPPUNIT_TEST(StoppedTaskDoesNotCountAsAWorkerFailure);
+  CPPUNIT_TEST(FailingWorkerIsUsedWhileMostWorkersFail);
+  CPPUNIT_TEST(WorkerThatFailsAllRunsGetsProbesOnly);
+  CPPUNIT_TEST(WorkerThatFailsNoMoreIsRestoredWithoutAPause);
+  CPPUNIT_TEST(FailingWorkerIsProbedWhenOthersAreSound);
   CPPUNIT_TEST_SUITE_END();
 
   static void AnnounceWorker(AgentFixture& aFixture,
@@ -64,6 +68,14 @@
     return aFixture.m_agent->Status().m_workers.at(0).m_quarantined;
   }
 
+  /** Has an entry ask for the use of failing workers for the next seconds. */
+  static void TolerateFailures(AgentFixture& aFixture, seconds aFor)
+  {
+    EntryHello hello;
+    hello.m_useFailingWorkersFor = aFor;
+    aFixture.Receive(aFixture.m_entry, hello);
+  }
+
 public:
   void TasksWaitForFreeCapacity()
   {
@@ -195,6 +207,76 @@
     CPPUNIT_ASSERT(fixture.ReportOn(9)->m_kind == ErrorKind::NoEndpoint);
   }
 
+  void FailingWorkerIsUsedWhileMostWorkersFail()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorkerCapacity);
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_workers[0].m_failing);
+    TolerateFailures(fixture, seconds(3));
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    RunTasks(fixture, 4, 6, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    CPPUNIT_ASSERT(fixture.Announcements().back().m_workers[0].m_failing);
+    fixture.ClearCommands();
+    fixture.SendOffers({ fixture.TaskOffer(21, 21, kSmall),
+                         fixture.TaskOffer(22, 22, kSmall),
+                         fixture.TaskOffer(23, 23, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, fixture.Starts().size());
+  }
+
+  void WorkerThatFailsAllRunsGetsProbesOnly()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorkerCapacity);
+    TolerateFailures(fixture, seconds(3));
+    RunTasks(fixture, 1, 21, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+    fixture.Advance(milliseconds(500));
+    CPPUNIT_ASSERT(!Quarantined(fixture));
+    fixture.ClearCommands();
+    fixture.SendOffers(
+      { fixture.TaskOffer(31, 31, kSmall), fixture.TaskOffer(32, 32, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run);
+    fixture.ClearCommands();
+    fixture.SendOffers(
+      { fixture.TaskOffer(33, 33, kSmall), fixture.TaskOffer(34, 34, kSmall) });
+    CPPUNIT_ASSERT(fixture.Starts().size() >= 2);
+  }
+
+  void WorkerThatFailsNoMoreIsRestoredWithoutAPause()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorkerCapacity);
+    TolerateFailures(fixture, seconds(3));
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    RunTasks(fixture, 4, 10, false, RunOutcome::Completed);
+    CPPUNIT_ASSERT(!fixture.Announcements().back().m_workers[0].m_failing);
+    fixture.Advance(seconds(4));
+    fixture.AddWorker("w1", kWorkerCapacity);
+    fixture.ClearCommands();
+    fixture.SendOffers(
+      { fixture.TaskOffer(21, 21, kSmall), fixture.TaskOffer(22, 22, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.Starts().size());
+  }
+
+  void FailingWorkerIsProbedWhenOthersAreSound()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorkerCapacity);
+    TolerateFailures(fixture, seconds(3));
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    fixture.Advance(seconds(4));
+    fixture.AddWorker("w1", kWorkerCapacity);
+    fixture.ClearCommands();
+    fixture.SendOffers(
+      { fixture.TaskOffer(21, 21, kSmall), fixture.TaskOffer(22, 22, kSmall) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
+    fixture.Finish(fixture.Starts()[0].m_run, RunOutcome::Failed);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+  }
+
   void SixFailuresOfOneJobQuarantineTheWorker()
   {
     AgentFixture fixture;
--- a/packages/core/types/messages.h
+++ b/packages/core/types/messages.h
@@ -182,6 +182,10 @@
   /** As OfferBatch::m_leaseGrantedAt; renews the lease of all attempts of the
    * sender at the agent. Absent if the message renews none. */
   std::optional<Instant> m_leaseGrantedAt = std::nullopt;
+  /** How long from receipt of this message the agent uses its workers although
+   * runs on them fail, as runs on most workers do; zero if the message does not
+   * ask for it. */
+  Duration m_useFailingWorkersFor{};
 };
 
 /** One part of the document of an accepted configuration. */
@@ -264,6 +268,9 @@
   std::vector<std::string> m_labels = {};
   /** Whether the worker still runs tasks slowly after its start. */
   bool m_warmingUp = false;
+  /** Whether the worker would get no work because its runs failed, if most
+   * other workers were not failing as well. */
+  bool m_failing = false;
 
   bool HasLabel(std::string_view aLabel) const
   {
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -120,6 +120,10 @@
   /** Share of the agents of a service, in percent and rounded up, to which
    * tasks are restricted that may crash workers; 0 for no restriction. */
   std::uint32_t m_crashIsolationPercent = 20;
+  /** Share of a service's workers, in percent and rounded down but at least one
+   * worker, that get no work because their runs fail. If the runs of more
+   * workers fail, all are used: the cause is none of them. */
+  std::uint32_t m_maxQuarantinedPercent = 50;
   /** Retention of the status of finished jobs. */
   Duration m_statusRetention = std::chrono::minutes(1);
 };
--- a/packages/daemon/settings/entrypolicyfields.cpp
+++ b/packages/daemon/settings/entrypolicyfields.cpp
@@ -200,6 +200,16 @@
     },
     "share of a service's agents, rounded up, that run the tasks of queues "
     "whose tasks crash workers; 0 for no isolation" },
+  SettingField{
+    "policy.max_quarantined_percent",
+    kEntry,
+    false,
+    [](Settings& aS) -> FieldBinding {
+      return Count(aS.m_entryPolicy.m_maxQuarantinedPercent, 0, 100);
+    },
+    "share of a service's workers, rounded down but at least one, that get no "
+    "work because their runs fail; if the runs of more workers fail, all are "
+    "used" },
 };
 
 } // namespace
--- a/packages/protocol/internal/bodyreader.cpp
+++ b/packages/protocol/internal/bodyreader.cpp
@@ -135,7 +135,8 @@
            aFrom.quarantined(),
            aFrom.service(),
            { aFrom.labels().begin(), aFrom.labels().end() },
-           aFrom.warming_up() };
+           aFrom.warming_up(),
+           aFrom.failing() };
 }
 
 std::vector<core::PriorityWork>
@@ -214,6 +215,7 @@
   if (aFrom.has_lease_granted_at()) {
     hello.m_leaseGrantedAt = ReadInstant(aFrom.lease_granted_at());
   }
+  hello.m_useFailingWorkersFor = ReadDuration(aFrom.use_failing_workers_for());
   return hello;
 }
 
--- a/packages/protocol/internal/encode.cpp
+++ b/packages/protocol/internal/encode.cpp
@@ -157,6 +157,7 @@
     aTo.add_labels(label);
   }
   aTo.set_warming_up(aFrom.m_warmingUp);
+  aTo.set_failing(aFrom.m_failing);
 }
 
 void
@@ -266,6 +267,7 @@
     if (aFrom.m_leaseGrantedAt) {
       to.set_lease_granted_at(ToWire(*aFrom.m_leaseGrantedAt));
     }
+    to.set_use_failing_workers_for(ToWire(aFrom.m_useFailingWorkersFor));
   }
 
   void operator()(const core::ConfigUpdate& aFrom) const
--- a/packages/protocol/tests/samples.cpp
+++ b/packages/protocol/tests/samples.cpp
@@ -220,7 +220,8 @@
          aLeft.m_keepConfig == aRight.m_keepConfig &&
          aLeft.m_shard == aRight.m_shard && aLeft.m_drains == aRight.m_drains &&
          aLeft.m_demand == aRight.m_demand &&
-         aLeft.m_leaseGrantedAt == aRight.m_leaseGrantedAt;
+         aLeft.m_leaseGrantedAt == aRight.m_leaseGrantedAt &&
+         aLeft.m_useFailingWorkersFor == aRight.m_useFailingWorkersFor;
 }
 
 bool
@@ -341,7 +342,8 @@
                       3,
                       SampleDrains(),
                       SampleDemand(),
-                      core::Instant(70s) },
+                      core::Instant(70s),
+                      3s },
     core::ConfigUpdate{ { 5 }, "{}", 8, 10, 77 },
     core::ConfigRequest{ { 4 }, { 5 }, 77, 8 },
     SampleAnnounce(),
