Crashes of an earlier cause don't lower the evidence that isolates a queue

Cause: repeats counted over the longer window that an isolated queue has, and for any queue. A release took effect together with estimates from before it, so that the queue was isolated again at the same instant, for a second. The bound on completed runs, three crashes missing, took a queue with a low rate and few workers 15 s and more.

Change: repeats count for the queue of the repeated task and for ten seconds; estimates are computed again after a release; one missing crash is enough beside the six quiet seconds; only the more likely cause of a crash keeps a queue isolated.

--- a/packages/core/internal/entry/crashcontroller.cpp
+++ b/packages/core/internal/entry/crashcontroller.cpp
@@ -71,12 +71,14 @@
   if (!m_board.m_crashes.AddCrash(aContext.m_now, aCrash)) {
     return;
   }
-  const bool hasRepeat = std::any_of(
-    aCrash.m_runs.begin(), aCrash.m_runs.end(), [&](const LostRun& aRun) {
-      return m_board.m_crashes.SuspectedRunsOf(aRun.m_task) > 1;
-    });
+  std::set<std::string> repeatedQueues;
+  for (const LostRun& run : aCrash.m_runs) {
+    if (m_board.m_crashes.SuspectedRunsOf(run.m_task) > 1) {
+      repeatedQueues.insert(run.m_queue);
+    }
+  }
   m_board.m_isolation.AddCrash(
-    aContext.m_now - aCrash.m_detectedAgo, aCrash, hasRepeat);
+    aContext.m_now - aCrash.m_detectedAgo, aCrash, std::move(repeatedQueues));
 }
 
 bool
--- a/packages/core/internal/entry/crashrates.cpp
+++ b/packages/core/internal/entry/crashrates.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace mulberrysail::core {
@@ -16,7 +17,7 @@
 constexpr double kPriorExposure = 1;
 constexpr int kIterations = 40;
 /** Probability above which a queue is the likely cause of one crash. */
-constexpr double kLikelyCause = 0.2;
+constexpr double kLikelyCause = 0.5;
 /** Queues that are likely to have caused fewer crashes need no evidence. */
 constexpr double kMinCrashesForEvidence = 1;
 
@@ -156,9 +157,9 @@
 
 CrashObservation::CrashObservation(Instant aAt,
                                    const WorkerCrash& aCrash,
-                                   bool aHasRepeat)
+                                   std::set<std::string> aRepeatedQueues)
   : m_at(aAt)
-  , m_hasRepeat(aHasRepeat)
+  , m_repeatedQueues(std::move(aRepeatedQueues))
 {
   for (const LostRun& run : aCrash.m_runs) {
     if (!run.m_queue.empty()) {
--- a/packages/core/internal/entry/crashrates.h
+++ b/packages/core/internal/entry/crashrates.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 
@@ -27,8 +28,8 @@
 struct CrashObservation
 {
   Instant m_at;
-  /** Whether a task that may be the cause has lost a run before. */
-  bool m_hasRepeat = false;
+  /** The queues with a task that may be the cause and has lost a run before. */
+  std::set<std::string> m_repeatedQueues;
   /** Whether another worker crashed at the same time, so that both may have
    * crashed for a reason of their own. */
   bool m_isSimultaneous = false;
@@ -37,7 +38,9 @@
   /** Sum of CrashExposure() of the lost runs. */
   ValueByQueue m_exposure;
 
-  CrashObservation(Instant aAt, const WorkerCrash& aCrash, bool aHasRepeat);
+  CrashObservation(Instant aAt,
+                   const WorkerCrash& aCrash,
+                   std::set<std::string> aRepeatedQueues);
 };
 
 /** How often runs of a queue crash their worker. */
--- a/packages/core/internal/entry/queueisolation.cpp
+++ b/packages/core/internal/entry/queueisolation.cpp
@@ -11,11 +11,11 @@
 /** Crashes count for this long. */
 constexpr Duration kWindow = std::chrono::seconds(10);
 constexpr std::size_t kMaxCrashes = 64;
-/** Crashes with a repeatedly lost task that show that tasks are the cause. One
- * may be chance. */
-constexpr std::ptrdiff_t kMinRepeats = 2;
+/** Crashes with a repeatedly lost task of a queue that show that its tasks are
+ * the cause. One may be chance. */
+constexpr std::size_t kMinRepeats = 2;
 /** Crashes at different times that show the same. */
-constexpr std::ptrdiff_t kMinSeparateCrashes = 4;
+constexpr std::size_t kMinSeparateCrashes = 4;
 /** Crashes within this time may have a cause in common. */
 constexpr Duration kSimultaneous = std::chrono::milliseconds(50);
 /** CrashEstimate::m_evidence that isolates a queue after repeats, and without
@@ -31,9 +31,8 @@
  * than a restart of the workers on which the queue is isolated. */
 constexpr Duration kMinQuietTime = std::chrono::seconds(6);
 /** Crashes that the completed runs of a queue would have caused at the rate for
- * which it was isolated. Without any, the rate is lower with a probability of
- * 95%. */
-constexpr double kMissingCrashes = 3;
+ * which it was isolated. A queue whose workers are down has no such runs. */
+constexpr double kMissingCrashes = 1;
 /** Time without a crash after which a queue without runs is released. */
 constexpr Duration kMaxQuietTime = std::chrono::minutes(1);
 
@@ -53,9 +52,9 @@
 void
 QueueIsolation::AddCrash(Instant aAt,
                          const WorkerCrash& aCrash,
-                         bool aHasRepeat)
+                         std::set<std::string> aRepeatedQueues)
 {
-  CrashObservation crash(aAt, aCrash, aHasRepeat);
+  CrashObservation crash(aAt, aCrash, std::move(aRepeatedQueues));
   crash.m_isSimultaneous = std::any_of(
     m_crashes.begin(), m_crashes.end(), [&](const CrashObservation& aOther) {
       return std::chrono::abs(aAt - aOther.m_at) < kSimultaneous;
@@ -79,23 +78,32 @@
 QueueIsolation::Update(Instant aNow,
                        std::span<const std::string> aActive,
                        std::size_t aWorkers)
+{
+  std::vector<IsolationChange> changes =
+    Release(aNow, Estimate(aNow, aWorkers));
+  // The crashes of a released queue don't count any more.
+  const std::vector<IsolationChange> isolated =
+    Isolate(aNow, Estimate(aNow, aWorkers), aActive);
+  changes.insert(changes.end(), isolated.begin(), isolated.end());
+  return changes;
+}
+
+CrashEstimates
+QueueIsolation::Estimate(Instant aNow, std::size_t aWorkers)
 {
   const Instant since = WindowStart(aNow);
   std::erase_if(m_crashes, [&](const CrashObservation& aCrash) {
     return aCrash.m_at <= since;
   });
+  if (m_crashes.empty()) {
+    return {};
+  }
   const std::vector<CrashObservation> crashes(m_crashes.begin(),
                                               m_crashes.end());
-  const CrashEstimates estimates =
-    EstimateCrashRates(crashes,
-                       m_completed.Since(since),
-                       (aNow - since) * static_cast<Duration::rep>(
-                                          std::max<std::size_t>(aWorkers, 1)));
-  std::vector<IsolationChange> changes = Release(aNow, estimates);
-  const std::vector<IsolationChange> isolated =
-    Isolate(aNow, estimates, aActive);
-  changes.insert(changes.end(), isolated.begin(), isolated.end());
-  return changes;
+  const Duration::rep workers =
+    static_cast<Duration::rep>(std::max<std::size_t>(aWorkers, 1));
+  return EstimateCrashRates(
+    crashes, m_completed.Since(since), (aNow - since) * workers);
 }
 
 Instant
@@ -166,19 +174,19 @@
 }
 
 double
-QueueIsolation::MinEvidence() const
+QueueIsolation::MinEvidence(Instant aNow, const std::string& aQueue) const
 {
-  const std::ptrdiff_t repeats = std::count_if(
-    m_crashes.begin(), m_crashes.end(), [](const CrashObservation& aCrash) {
-      return aCrash.m_hasRepeat;
-    });
+  std::size_t repeats = 0;
+  std::size_t separate = 0;
+  for (const CrashObservation& crash : m_crashes) {
+    if (crash.m_at + kWindow > aNow) {
+      repeats += crash.m_repeatedQueues.contains(aQueue) ? 1 : 0;
+      separate += crash.m_isSimultaneous ? 0 : 1;
+    }
+  }
   if (repeats >= kMinRepeats) {
     return kIsolatingEvidence;
   }
-  const std::ptrdiff_t separate = std::count_if(
-    m_crashes.begin(), m_crashes.end(), [](const CrashObservation& aCrash) {
-      return !aCrash.m_isSimultaneous;
-    });
   return separate >= kMinSeparateCrashes
            ? kEvidenceWithoutRepeats
            : std::numeric_limits<double>::infinity();
@@ -189,10 +197,9 @@
                         const CrashEstimates& aEstimates,
                         std::span<const std::string> aActive)
 {
-  const double minEvidence = MinEvidence();
   std::vector<std::pair<std::string, CrashEstimate>> suspects;
   for (const auto& [queue, estimate] : aEstimates) {
-    if (!Contains(queue) && estimate.m_evidence >= minEvidence) {
+    if (!Contains(queue) && estimate.m_evidence >= MinEvidence(aNow, queue)) {
       suspects.emplace_back(queue, estimate);
     }
   }
--- a/packages/core/internal/entry/queueisolation.h
+++ b/packages/core/internal/entry/queueisolation.h
@@ -39,10 +39,12 @@
   /**
    * Adds a crash.
    * @param aAt when it was detected.
-   * @param aHasRepeat whether a run that may be the cause is of a task that has
-   * already lost a run with another worker.
+   * @param aRepeatedQueues the queues with a run that may be the cause and is
+   * of a task that has already lost a run with another worker.
    */
-  void AddCrash(Instant aAt, const WorkerCrash& aCrash, bool aHasRepeat);
+  void AddCrash(Instant aAt,
+                const WorkerCrash& aCrash,
+                std::set<std::string> aRepeatedQueues);
 
   /**
    * Adds a completed run.
@@ -80,6 +82,8 @@
     CrashEstimate m_estimate;
   };
 
+  /** Estimates the rates of crashes from the crashes that count. */
+  CrashEstimates Estimate(Instant aNow, std::size_t aWorkers);
   /** @return since when crashes count. Those for which a queue is isolated
    * count until its release, as another queue may turn out to be the cause. */
   Instant WindowStart(Instant aNow) const;
@@ -88,8 +92,8 @@
   std::vector<IsolationChange> Isolate(Instant aNow,
                                        const CrashEstimates& aEstimates,
                                        std::span<const std::string> aActive);
-  /** @return the CrashEstimate::m_evidence that isolates a queue. */
-  double MinEvidence() const;
+  /** @return the CrashEstimate::m_evidence that isolates @p aQueue. */
+  double MinEvidence(Instant aNow, const std::string& aQueue) const;
   bool HasEndedCrashing(Instant aNow,
                         std::string_view aQueue,
                         const CrashEstimate& aEstimate) const;
--- a/packages/core/tests/crashload.cpp
+++ b/packages/core/tests/crashload.cpp
@@ -193,7 +193,7 @@
   while (!m_detected.empty() &&
          m_detected.front().m_crashedAt + kDetection <= m_now) {
     for (QueueIsolation& entry : m_entries) {
-      entry.AddCrash(m_now, m_detected.front().m_crash, false);
+      entry.AddCrash(m_now, m_detected.front().m_crash, {});
     }
     m_detected.pop_front();
     anyNew = true;
--- a/packages/core/tests/queueisolation_test.cpp
+++ b/packages/core/tests/queueisolation_test.cpp
@@ -33,7 +33,12 @@
     const WorkerCrash& aCrash,
     bool aHasRepeat)
 {
-  aIsolation.AddCrash(aAt, aCrash, aHasRepeat);
+  // The first run is the youngest.
+  const std::string& youngest = aCrash.m_runs.front().m_queue;
+  aIsolation.AddCrash(aAt,
+                      aCrash,
+                      aHasRepeat ? std::set<std::string>{ youngest }
+                                 : std::set<std::string>{});
 }
 
 std::vector<IsolationChange>
