--- a/packages/daemon/internal/statuscodec.cpp
+++ b/packages/daemon/internal/statuscodec.cpp
@@ -34,6 +34,7 @@
   worker["name"] = aWorker.m_name;
   worker["rack"] = aWorker.m_rack;
   worker["quarantined"] = aWorker.m_quarantined;
+  worker["failing"] = aWorker.m_failing;
   return worker;
 }
 
--- a/packages/protocol/internal/bodyreader.h
+++ b/packages/protocol/internal/bodyreader.h
@@ -24,6 +24,10 @@
   std::string_view Fault() const { return m_fault; }
 
 private:
+  /** Most bytes of payloads that a batch of offers or a job may repeat; a short
+   * malformed message must not fill the memory. */
+  static constexpr std::size_t kMaxRepeatedBytes = 64ULL << 20U;
+
   /** @param aLast the last enumerator.
    * @return the enumerator @p aNumber; the first one, and a fault, if there is
    * none. */
