Completed runs are looked up for the queues of the recent crashes only

With 1,700 queues each update would have summed the runs of all, and each queue would have kept 600 intervals. A negative age of an announced crash counts as zero: a crash in the future would have kept a queue isolated.

--- a/packages/core/internal/entry/crashcontroller.cpp
+++ b/packages/core/internal/entry/crashcontroller.cpp
@@ -77,8 +77,9 @@
       repeatedQueues.insert(run.m_queue);
     }
   }
+  const Duration ago = std::max(aCrash.m_detectedAgo, Duration::zero());
   m_board.m_isolation.AddCrash(
-    aContext.m_now - aCrash.m_detectedAgo, aCrash, std::move(repeatedQueues));
+    aContext.m_now - ago, aCrash, std::move(repeatedQueues));
 }
 
 bool
--- a/packages/core/internal/entry/exposurehistory.cpp
+++ b/packages/core/internal/entry/exposurehistory.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Duration kInterval = std::chrono::milliseconds(100);
+constexpr Duration kInterval = std::chrono::milliseconds(500);
 constexpr Duration kRetention = std::chrono::minutes(1);
 
 } // namespace
@@ -27,29 +27,16 @@
   intervals.back().m_exposure += aExposure;
 }
 
-ValueByQueue
-ExposureHistory::Since(Instant aSince) const
-{
-  ValueByQueue exposure;
-  for (const auto& [queue, intervals] : m_byQueue) {
-    exposure[queue] = Sum(intervals, aSince);
-  }
-  return exposure;
-}
-
 double
-ExposureHistory::SinceOf(Instant aSince, std::string_view aQueue) const
+ExposureHistory::Since(Instant aSince, std::string_view aQueue) const
 {
   const auto queue = m_byQueue.find(aQueue);
-  return queue == m_byQueue.end() ? 0 : Sum(queue->second, aSince);
-}
-
-double
-ExposureHistory::Sum(const std::deque<Interval>& aIntervals, Instant aSince)
-{
+  if (queue == m_byQueue.end()) {
+    return 0;
+  }
   double sum = 0;
-  for (auto interval = aIntervals.rbegin();
-       interval != aIntervals.rend() && interval->m_start >= aSince;
+  for (auto interval = queue->second.rbegin();
+       interval != queue->second.rend() && interval->m_start >= aSince;
        ++interval) {
     sum += interval->m_exposure;
   }
--- a/packages/core/internal/entry/exposurehistory.h
+++ b/packages/core/internal/entry/exposurehistory.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/internal/entry/crashrates.h"
 #include "core/types/time.h"
 
 #include <deque>
@@ -17,10 +16,9 @@
   /** @param aExposure see CrashExposure(). */
   void Add(Instant aNow, std::string_view aQueue, double aExposure);
 
-  /** @return the exposure of each queue since @p aSince, to about a tenth of a
-   * second. */
-  ValueByQueue Since(Instant aSince) const;
-  double SinceOf(Instant aSince, std::string_view aQueue) const;
+  /** @return the exposure of @p aQueue since @p aSince, without the part of an
+   * interval of half a second that begins before. */
+  double Since(Instant aSince, std::string_view aQueue) const;
 
 private:
   struct Interval
@@ -29,8 +27,6 @@
     double m_exposure = 0;
   };
 
-  static double Sum(const std::deque<Interval>& aIntervals, Instant aSince);
-
   std::map<std::string, std::deque<Interval>, std::less<>> m_byQueue;
 };
 
--- a/packages/core/internal/entry/queueisolation.cpp
+++ b/packages/core/internal/entry/queueisolation.cpp
@@ -79,11 +79,13 @@
                        std::span<const std::string> aActive,
                        std::size_t aWorkers)
 {
-  std::vector<IsolationChange> changes =
-    Release(aNow, Estimate(aNow, aWorkers));
-  // The crashes of a released queue don't count any more.
+  CrashEstimates estimates = Estimate(aNow, aWorkers);
+  std::vector<IsolationChange> changes = Release(aNow, estimates);
+  if (!changes.empty()) {
+    estimates = Estimate(aNow, aWorkers);
+  }
   const std::vector<IsolationChange> isolated =
-    Isolate(aNow, Estimate(aNow, aWorkers), aActive);
+    Isolate(aNow, estimates, aActive);
   changes.insert(changes.end(), isolated.begin(), isolated.end());
   return changes;
 }
@@ -98,12 +100,17 @@
   if (m_crashes.empty()) {
     return {};
   }
+  ValueByQueue completed;
+  for (const CrashObservation& crash : m_crashes) {
+    for (const auto& [queue, exposure] : crash.m_exposure) {
+      completed.try_emplace(queue, m_completed.Since(since, queue));
+    }
+  }
   const std::vector<CrashObservation> crashes(m_crashes.begin(),
                                               m_crashes.end());
   const Duration::rep workers =
     static_cast<Duration::rep>(std::max<std::size_t>(aWorkers, 1));
-  return EstimateCrashRates(
-    crashes, m_completed.Since(since), (aNow - since) * workers);
+  return EstimateCrashRates(crashes, completed, (aNow - since) * workers);
 }
 
 Instant
@@ -161,7 +168,7 @@
     return quiet >= kMaxQuietTime;
   }
   return aEstimate.m_rate *
-           m_completed.SinceOf(aEstimate.m_lastCrashAt, aQueue) >=
+           m_completed.Since(aEstimate.m_lastCrashAt, aQueue) >=
          kMissingCrashes;
 }
 
--- a/packages/core/internal/entry/queueisolation.h
+++ b/packages/core/internal/entry/queueisolation.h
@@ -97,7 +97,7 @@
   bool HasEndedCrashing(Instant aNow,
                         std::string_view aQueue,
                         const CrashEstimate& aEstimate) const;
-  /** Removes the crashes that a released queue has caused. */
+  /** Removes the crashes up to the last one of a released queue. */
   void RemoveCrashesUntil(Instant aUntil);
 
   std::deque<CrashObservation> m_crashes;
