--- a/packages/core/internal/entry/queueisolation.cpp
+++ b/packages/core/internal/entry/queueisolation.cpp
@@ -217,11 +217,7 @@
             });
   std::vector<IsolationChange> isolated;
   for (auto& [queue, estimate] : suspects) {
-    const bool anyOther = std::any_of(
-      aActive.begin(), aActive.end(), [&](const std::string& aQueue) {
-        return aQueue != queue && !Contains(aQueue);
-      });
-    if (anyOther) {
+    if (IsOtherInUse(queue, aActive)) {
       estimate.m_lastCrashAt = aNow;
       m_isolated.emplace(queue, IsolatedQueue{ aNow, estimate });
       isolated.push_back({ queue, true, m_crashes.size(), estimate });
@@ -230,4 +226,14 @@
   return isolated;
 }
 
+bool
+QueueIsolation::IsOtherInUse(std::string_view aQueue,
+                             std::span<const std::string> aActive) const
+{
+  return std::any_of(
+    aActive.begin(), aActive.end(), [&](const std::string& aOther) {
+      return aOther != aQueue && !Contains(aOther);
+    });
+}
+
 } // namespace mulberrysail::core
--- a/packages/core/internal/entry/queueisolation.h
+++ b/packages/core/internal/entry/queueisolation.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -94,6 +95,10 @@
                                        std::span<const std::string> aActive);
   /** @return the CrashEstimate::m_evidence that isolates @p aQueue. */
   double MinEvidence(Instant aNow, const std::string& aQueue) const;
+  /** @return whether a queue other than @p aQueue is in use and not isolated.
+   */
+  bool IsOtherInUse(std::string_view aQueue,
+                    std::span<const std::string> aActive) const;
   bool HasEndedCrashing(Instant aNow,
                         std::string_view aQueue,
                         const CrashEstimate& aEstimate) const;
