--- a/packages/core/internal/agent/breakers.cpp
+++ b/packages/core/internal/agent/breakers.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint32_t kMaxToleratedFailures = 20;
 /** Pause between two such probes. */
 constexpr Duration kToleratedProbePause = std::chrono::milliseconds(500);
+/** Longest time for which one message of an entry may ask to use failing
+ * workers. */
+constexpr Duration kMaxToleratedFor = std::chrono::seconds(10);
 
 bool
 ToleratesFailures(const AgentBoard& aBoard)
@@ -221,7 +224,7 @@
 Breakers::TolerateFailures(Duration aFor)
 {
   Instant& until = m_board.m_workers.m_useFailingUntil;
-  until = std::max(until, m_board.m_now + aFor);
+  until = std::max(until, m_board.m_now + std::min(aFor, kMaxToleratedFor));
   if (!ToleratesFailures(m_board)) {
     return;
   }
--- a/packages/core/tests/agent_worker_test.cpp
+++ b/packages/core/tests/agent_worker_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(WorkerThatFailsAllRunsGetsProbesOnly);
   CPPUNIT_TEST(WorkerThatFailsNoMoreIsRestoredWithoutAPause);
   CPPUNIT_TEST(FailingWorkerIsProbedWhenOthersAreSound);
+  CPPUNIT_TEST(OneMessageHasFailingWorkersUsedForALimitedTime);
   CPPUNIT_TEST_SUITE_END();
 
   static void AnnounceWorker(AgentFixture& aFixture,
@@ -277,6 +278,17 @@
     CPPUNIT_ASSERT(Quarantined(fixture));
   }
 
+  void OneMessageHasFailingWorkersUsedForALimitedTime()
+  {
+    AgentFixture fixture;
+    fixture.AddWorker("w1", kWorkerCapacity);
+    TolerateFailures(fixture, seconds(1'000'000));
+    fixture.Advance(seconds(11));
+    fixture.AddWorker("w1", kWorkerCapacity);
+    RunTasks(fixture, 1, 3, false, RunOutcome::Failed);
+    CPPUNIT_ASSERT(Quarantined(fixture));
+  }
+
   void SixFailuresOfOneJobQuarantineTheWorker()
   {
     AgentFixture fixture;
--- a/packages/core/tests/crashload.h
+++ b/packages/core/tests/crashload.h
@@ -35,7 +35,7 @@
 
   /** @return whether all entries isolate a queue. */
   bool IsIsolated(const std::string& aQueue) const;
-  /** @return whether no entry isolates a queue. */
+  /** @return whether any entry isolates a queue. */
   bool IsAnyIsolated() const;
   QueueLoad& Queue(const std::string& aName);
   /** @return for how long entries isolated a queue, in sum. */
