core_tests builds on x86-64: the batch of a second entry is filled in member by member

Cause: the warning is about the destructor of the absent Demand of a temporary OfferBatch that is made from an aggregate. The value is never read: the optional is empty.

Change: the test makes a named batch and sets three members, as RunForBoth did before by their order. What it sends is the same; the warning stays an error, and no test changes.

Not built on arm64 here; it was built there before, and the new code has nothing of the machine in it.

--- a/packages/core/tests/agent_sharedrun_test.cpp
+++ b/packages/core/tests/agent_sharedrun_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <utility>
+
 namespace mulberrysail::core {
 
 namespace {
@@ -29,10 +31,11 @@
   static void RunForBoth(LeaseFixture& aFixture)
   {
     aFixture.RunTask(1, "task");
-    aFixture.Receive(OtherEntry(),
-                     OfferBatch{ aFixture.m_self.m_incarnation,
-                                 1,
-                                 { aFixture.NamedOffer(2, "task") } });
+    OfferBatch batch;
+    batch.m_agentIncarnation = aFixture.m_self.m_incarnation;
+    batch.m_sequence = 1;
+    batch.m_offers = { aFixture.NamedOffer(2, "task") };
+    aFixture.Receive(OtherEntry(), std::move(batch));
     const StartRun second = aFixture.Starts().back();
     CPPUNIT_ASSERT(second.m_name == aFixture.Starts().front().m_name);
     aFixture.HandleEvent(
