TWICE: the end of a run lease counts the age of the clock reading behind it

Cause: the deadline on the worker's clock was the last reading of that clock plus the time passed on the agent's, however old the reading. With a clock that is 2% slow the lease is longer by 2% of the age; the latest end that the core reckoned with allows for 3% of the lease alone. An idle worker's clock was read from no call, and its pings' clock not at all. The reading was also kept across a restart under the same id, with which the clock begins anew.

Change: runleasebound.{h,cpp} holds both sides of the bound. The core states the deadline from the lowest value that the clock can have; the adapter passes it on, so m_decidedAt is needless. Pings and observations state the clock, for one start of the worker. An idle worker without readings is observed after 3 s, and nothing starts by a reading of over 5 s, or by one that contradicts the one before it (event worker-clock-doubtful). Conditions for a start stood in FreeCapacity and CanStartAgain; they are one function now.

Ruled out: late orders; a bound too short by itself.

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -60,6 +60,7 @@
   state.m_startedAtMs = aStartedAtMs;
   state.m_lastEnd = 0;
   state.m_acknowledgedRun = 0;
+  state.m_clock = {};
   if (state.m_hasRestarted) {
     RaiseFencingToken(aBoard, aWorker, "the worker has started again");
   }
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -16,25 +16,10 @@
 
 namespace {
 
-/** Maximum fraction by which a worker's clock is slower than the agent's. */
-constexpr double kMaxClockDrift = 0.03;
 /** How often the start of a run is sent if it gets no answer. Sent again, it
  * costs one wait for an answer; a stop, its proof and another placement cost
  * several. */
 constexpr std::uint32_t kMaxStartsSent = 3;
-/** Maximum time a worker takes to end a run after its lease expires or it is
- * stopped. */
-constexpr Duration kMaxEndDelay = std::chrono::milliseconds(50);
-
-/** @return the latest time at which a run can end if its lease was started or
- * renewed by a message sent at @p aSent. */
-Instant
-LatestEndOf(Instant aSent, Duration aLease)
-{
-  const Duration drift(static_cast<Duration::rep>(
-    static_cast<double>(aLease.count()) * kMaxClockDrift));
-  return aSent + aLease + drift + kMaxEndDelay;
-}
 
 bool
 ShouldStop(const AgentBoard& aBoard, const Attempt& aAttempt)
@@ -55,32 +40,80 @@
            aWorker.m_fencingToken };
 }
 
+bool
+CanStartRuns(const AgentBoard& aBoard, const Worker& aWorker)
+{
+  if (!aWorker.m_leasedRuns) {
+    return true;
+  }
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  // The announcement may describe another incarnation.
+  return aWorker.m_announcedBy == state.m_incarnation && state.m_observed &&
+         state.m_responsive && IsFenced(aWorker) && !state.m_hasForeignRuns &&
+         state.m_unclearRuns.empty() && state.m_clock.IsPrecise(aBoard.m_now);
+}
+
 void
 LeasedRuns::SetAnnouncedIncarnation(Worker& aWorker,
-                                    const std::string& aIncarnation,
-                                    std::uint64_t aStartedAtMs)
+                                    const WorkerAnnounced& aAnnounced)
 {
+  const std::string& incarnation = aAnnounced.m_incarnation;
   if (!aWorker.m_leasedRuns) {
     aWorker.m_leasedRuns.emplace();
-    aWorker.m_leasedRuns->m_incarnation = aIncarnation;
+    aWorker.m_leasedRuns->m_incarnation = incarnation;
     RaiseFencingToken(m_board, aWorker, "the worker was announced");
   }
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  state.m_announcedIncarnation = aIncarnation;
-  if (state.m_incarnation != aIncarnation && state.m_incarnation.empty()) {
-    state.m_incarnation = aIncarnation;
+  state.m_announcedIncarnation = incarnation;
+  if (state.m_incarnation != incarnation && state.m_incarnation.empty()) {
+    state.m_incarnation = incarnation;
   }
-  if (state.m_incarnation == aIncarnation) {
-    CheckRestart(m_board, aWorker, aStartedAtMs);
+  if (state.m_incarnation != incarnation) {
+    return;
+  }
+  CheckRestart(m_board, aWorker, aAnnounced.m_startedAtMs);
+  if (aAnnounced.m_clock && aAnnounced.m_startedAtMs == state.m_startedAtMs) {
+    RecordClock(aWorker, *aAnnounced.m_clock, ClockSource::Announcement);
   }
 }
 
 void
-LeasedRuns::ExtendRunsEndBy(Worker& aWorker)
+LeasedRuns::RecordClock(Worker& aWorker,
+                        WorkerInstant aReading,
+                        ClockSource aSource)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  state.m_runsEndBy = std::max(
-    state.m_runsEndBy, LatestEndOf(m_board.m_now, m_board.m_policy.m_runLease));
+  const std::optional<WorkerInstant> expected =
+    state.m_clock.EarliestAt(m_board.m_now);
+  const bool wasDoubtful = state.m_clock.IsDoubtful();
+  state.m_clock.Record(aReading, m_board.m_now, aSource);
+  if (state.m_clock.IsDoubtful() && !wasDoubtful) {
+    Record(m_board,
+           EventCode::WorkerClockDoubtful,
+           0,
+           EventDetail()
+             .Add("worker", aWorker.m_info.m_name)
+             .Add("life", state.m_incarnation)
+             .Add("late_ms", Duration(*expected - aReading)));
+  }
+}
+
+std::optional<WorkerInstant>
+LeasedRuns::GrantLease(Worker& aWorker)
+{
+  if (!aWorker.m_leasedRuns) {
+    return std::nullopt;
+  }
+  LeasedRunState& state = *aWorker.m_leasedRuns;
+  const Duration lease = m_board.m_policy.m_runLease;
+  const std::optional<WorkerInstant> begin =
+    state.m_clock.EarliestAt(m_board.m_now);
+  if (!begin) {
+    return std::nullopt;
+  }
+  state.m_runsEndBy =
+    std::max(state.m_runsEndBy, LatestRunEnd(m_board.m_now, lease));
+  return *begin + std::chrono::floor<WorkerClock::duration>(lease);
 }
 
 std::vector<Attempt*>
@@ -190,19 +223,17 @@
     return;
   }
   Starter(m_board).SendAgain(
-    aAttempt, TargetOf(aWorker, aWorker.m_leasedRuns->m_incarnation));
-  ExtendRunsEndBy(aWorker);
+    aAttempt,
+    TargetOf(aWorker, aWorker.m_leasedRuns->m_incarnation),
+    GrantLease(aWorker));
 }
 
 bool
 LeasedRuns::CanStartAgain(const Worker& aWorker, const Attempt& aAttempt)
 {
-  const LeasedRunState& state = *aWorker.m_leasedRuns;
-  return aAttempt.m_startsSent < kMaxStartsSent && state.m_responsive &&
-         IsFenced(aWorker) && !state.m_hasForeignRuns &&
-         state.m_unclearRuns.empty() &&
+  return aAttempt.m_startsSent < kMaxStartsSent &&
+         CanStartRuns(m_board, aWorker) &&
          aWorker.m_breaker.m_state != BreakerState::Open &&
-         aWorker.m_announcedBy == state.m_incarnation &&
          aWorker.m_info.m_capacity.Fits(aWorker.m_reserved) &&
          IsLive(m_board, aWorker) && AcceptsWork(m_board) &&
          !ShouldStop(m_board, aAttempt);
@@ -423,8 +454,10 @@
   // Only an answer makes a worker responsive again, also one without runs.
   const bool isSilent = !state.m_responsive && IsLive(m_board, aWorker);
   const bool isUnfenced = !IsFenced(aWorker) && IsLive(m_board, aWorker);
+  const bool needsClock =
+    state.m_clock.NeedsReading(m_board.m_now) && IsLive(m_board, aWorker);
   return !state.m_observed || isUnfenced || state.m_hasForeignRuns ||
-         isSilent || aWorker.m_runningTasks > 0 ||
+         isSilent || needsClock || aWorker.m_runningTasks > 0 ||
          state.m_acknowledgedRun < state.m_lastEnd;
 }
 
@@ -440,6 +473,9 @@
     if (state.m_nextObservation > aBoard.m_now) {
       due = std::min(due, state.m_nextObservation);
     }
+    if (state.m_clock.RefreshDueAt() > aBoard.m_now && IsLive(aBoard, worker)) {
+      due = std::min(due, state.m_clock.RefreshDueAt());
+    }
     if (!state.m_pending.empty() &&
         state.m_pending.back().m_answerDueAt > aBoard.m_now) {
       due = std::min(due, state.m_pending.back().m_answerDueAt);
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -16,6 +16,11 @@
 RunTarget
 TargetOf(const Worker& aWorker, const std::string& aIncarnation);
 
+/** @return whether the state of the runs on the worker is known well enough to
+ * start another one there. Always true for a worker without run leases. */
+bool
+CanStartRuns(const AgentBoard& aBoard, const Worker& aWorker);
+
 /**
  * Renews run leases and determines the outcome of each run from observations,
  * in which the worker lists its runs. A run ends only if the worker rejected
@@ -31,15 +36,15 @@
   {
   }
 
-  /** Records that a worker with run leases has announced @p aIncarnation.
-   * @param aStartedAtMs see WorkerAnnounced::m_startedAtMs. */
+  /** Records which start of a worker with run leases @p aAnnounced is from. */
   void SetAnnouncedIncarnation(Worker& aWorker,
-                               const std::string& aIncarnation,
-                               std::uint64_t aStartedAtMs);
+                               const WorkerAnnounced& aAnnounced);
 
-  /** Moves LeasedRunState::m_runsEndBy forward; to be called when a run or a
-   * lease renewal is sent to @p aWorker. */
-  void ExtendRunsEndBy(Worker& aWorker);
+  /** Begins a run lease, for a start or for the renewal of all runs on the
+   * worker, and moves LeasedRunState::m_runsEndBy forward.
+   * @return when the lease ends; absent, and nothing changes, if the worker has
+   * no run leases or its clock is unknown. */
+  std::optional<WorkerInstant> GrantLease(Worker& aWorker);
 
   void Handle(const StartAnswered& aAnswer);
   void Handle(const StopAnswered& aAnswer);
@@ -87,6 +92,10 @@
                      std::string_view aCause = "silent");
   /** Notes that the worker has answered a call, whatever the answer. */
   void RecordAnswer(Worker& aWorker);
+  /** Records a reading of the clock of the tracked start of the worker. */
+  void RecordClock(Worker& aWorker,
+                   WorkerInstant aReading,
+                   ClockSource aSource);
   void RecordUnansweredStart(Worker& aWorker);
   void HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt);
   /** @return whether the start may be sent to the worker once more. */
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -116,6 +116,12 @@
         RecordAnswer(worker);
         return;
       }
+      if (aObserved.m_clock) {
+        RecordClock(worker, *aObserved.m_clock, ClockSource::Answer);
+      }
+      if (state.m_clock.IsDoubtful()) {
+        state.m_nextObservation = m_board.m_now + kRetryInterval;
+      }
       ProcessEndedRuns(worker, aObserved);
       ProcessActiveRuns(worker, aObserved);
       RecordAnswer(worker);
@@ -294,10 +300,8 @@
                              !state.m_hasForeignRuns &&
                              state.m_unclearRuns.empty();
     if (onlyOwnRuns && aWorker.m_runningTasks > 0) {
-      observe.m_renewFor = m_board.m_policy.m_runLease;
-      observe.m_decidedAt = m_board.m_now;
+      observe.m_renewUntil = GrantLease(aWorker);
       observe.m_wait = MaxWait(aWorker);
-      ExtendRunsEndBy(aWorker);
     }
   }
   if (!state.m_pending.empty() &&
--- /dev/null
+++ b/packages/core/internal/agent/runleasebound.cpp
@@ -0,0 +1,72 @@
+#include "core/internal/agent/runleasebound.h"
+
+namespace mulberrysail::core::agent {
+
+namespace {
+
+/** A reading is doubtful if it is lower than the one before it lets expect by
+ * more than this. */
+constexpr std::chrono::milliseconds kMaxReadingDelay{ 100 };
+/** Age of a reading after which the worker is observed for another one. Longer
+ * than the interval of its announcements, which state the clock as well. */
+constexpr Duration kRefreshAfter = std::chrono::seconds(3);
+/** Age of a reading up to which it is used for starts. A lease is shorter than
+ * wanted by kMaxClockDrift of the age if the worker's clock is right. */
+constexpr Duration kMaxReadingAge = std::chrono::seconds(5);
+
+} // namespace
+
+Instant
+LatestRunEnd(Instant aDecidedAt, Duration aLease)
+{
+  const Duration drift(static_cast<Duration::rep>(
+    static_cast<double>(aLease.count()) * kMaxClockDrift));
+  return aDecidedAt + aLease + drift + kMaxEndDelay;
+}
+
+void
+WorkerClockEstimate::Record(WorkerInstant aReading,
+                            Instant aNow,
+                            ClockSource aSource)
+{
+  const std::optional<WorkerInstant> expected = EarliestAt(aNow);
+  if (expected && aReading + kMaxReadingDelay < *expected) {
+    m_isDoubtful = true;
+  } else if (aSource == ClockSource::Answer) {
+    m_isDoubtful = false;
+  }
+  m_reading = Reading{ aReading, aNow };
+}
+
+std::optional<WorkerInstant>
+WorkerClockEstimate::EarliestAt(Instant aAt) const
+{
+  if (!m_reading) {
+    return std::nullopt;
+  }
+  const Duration age = aAt - m_reading->m_receivedAt;
+  const Duration passed(static_cast<Duration::rep>(
+    static_cast<double>(age.count()) / (1.0 + kMaxClockDrift)));
+  return m_reading->m_clock + std::chrono::floor<WorkerClock::duration>(passed);
+}
+
+bool
+WorkerClockEstimate::IsPrecise(Instant aNow) const
+{
+  return m_reading && !m_isDoubtful &&
+         aNow - m_reading->m_receivedAt <= kMaxReadingAge;
+}
+
+bool
+WorkerClockEstimate::NeedsReading(Instant aNow) const
+{
+  return m_isDoubtful || RefreshDueAt() <= aNow;
+}
+
+Instant
+WorkerClockEstimate::RefreshDueAt() const
+{
+  return m_reading ? m_reading->m_receivedAt + kRefreshAfter : Instant();
+}
+
+} // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 
 namespace mulberrysail::core::agent {
@@ -122,7 +123,8 @@
           { WorkKind::Request,
             m_board.m_endpoint.m_info->m_service,
             m_board.m_endpoint.m_url,
-            {} });
+            {} },
+          std::nullopt);
   }
 }
 
@@ -187,10 +189,8 @@
   Start(aAttempt,
         TargetOf(*worker,
                  worker->m_leasedRuns ? worker->m_leasedRuns->m_incarnation
-                                      : std::string()));
-  if (worker->m_leasedRuns) {
-    LeasedRuns(m_board).ExtendRunsEndBy(*worker);
-  }
+                                      : std::string()),
+        LeasedRuns(m_board).GrantLease(*worker));
   return true;
 }
 
@@ -224,7 +224,9 @@
 }
 
 void
-Starter::Start(Attempt& aAttempt, RunTarget aTarget)
+Starter::Start(Attempt& aAttempt,
+               RunTarget aTarget,
+               std::optional<WorkerInstant> aLeaseEndsAt)
 {
   AttemptSection& attempts = m_board.m_attempts;
   aAttempt.m_running = true;
@@ -242,29 +244,30 @@
   std::string payload = aTarget.m_kind == WorkKind::Task
                           ? aAttempt.m_offer.m_payload
                           : std::move(aAttempt.m_offer.m_payload);
-  const bool leased = !aTarget.m_incarnation.empty();
   m_board.m_commands->push_back(
     StartRun{ aAttempt.m_run,
               std::move(aTarget),
               aAttempt.m_offer.m_need,
-              leased ? m_board.m_policy.m_runLease
-                     : aAttempt.m_offer.m_deadline - m_board.m_now,
+              aAttempt.m_offer.m_deadline - m_board.m_now,
               std::move(payload),
               aAttempt.m_runName,
-              m_board.m_now });
+              aLeaseEndsAt });
 }
 
 void
-Starter::SendAgain(Attempt& aAttempt, RunTarget aTarget)
+Starter::SendAgain(Attempt& aAttempt,
+                   RunTarget aTarget,
+                   std::optional<WorkerInstant> aLeaseEndsAt)
 {
   ++aAttempt.m_startsSent;
-  m_board.m_commands->push_back(StartRun{ aAttempt.m_run,
-                                          std::move(aTarget),
-                                          aAttempt.m_offer.m_need,
-                                          m_board.m_policy.m_runLease,
-                                          aAttempt.m_offer.m_payload,
-                                          aAttempt.m_runName,
-                                          m_board.m_now });
+  m_board.m_commands->push_back(
+    StartRun{ aAttempt.m_run,
+              std::move(aTarget),
+              aAttempt.m_offer.m_need,
+              aAttempt.m_offer.m_deadline - m_board.m_now,
+              aAttempt.m_offer.m_payload,
+              aAttempt.m_runName,
+              aLeaseEndsAt });
 }
 
 void
--- a/packages/core/internal/agent/starter.h
+++ b/packages/core/internal/agent/starter.h
@@ -19,7 +19,9 @@
 
   /** Sends the start of a leased run again. The worker starts a run once,
    * however often it is told to. */
-  void SendAgain(Attempt& aAttempt, RunTarget aTarget);
+  void SendAgain(Attempt& aAttempt,
+                 RunTarget aTarget,
+                 std::optional<WorkerInstant> aLeaseEndsAt);
 
   /** Refuses queued attempts without an endpoint or suitable worker, and all
    * queued attempts while the agent is draining or its zone is drained. */
@@ -35,7 +37,10 @@
   /** @return a worker that isn't warming up, if one fits, with the fewest
    * failures, then with the least capacity left over; null if none fits. */
   Worker* BestFit(const Attempt& aAttempt);
-  void Start(Attempt& aAttempt, RunTarget aTarget);
+  /** @param aLeaseEndsAt see StartRun. */
+  void Start(Attempt& aAttempt,
+             RunTarget aTarget,
+             std::optional<WorkerInstant> aLeaseEndsAt);
   void RecordStart(const Attempt& aAttempt, const RunTarget& aTarget);
   /** Counts @p aQueued attempts as refused if the agent's zone is drained. */
   void CountDrainRefusals(std::size_t aQueued);
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/internal/agent/runleasebound.h"
 #include "core/types/commands.h"
 #include "core/types/messages.h"
 
@@ -115,6 +116,8 @@
   /** Time by which all runs on the worker have ended if their leases are not
    * renewed. */
   Instant m_runsEndBy;
+  /** The clock of the tracked start of the worker. */
+  WorkerClockEstimate m_clock;
   /** The worker has to confirm the stop of each before it gets a lease. */
   std::map<RunId, UnclearRun> m_unclearRuns;
 };
--- a/packages/core/internal/agent/workerusage.cpp
+++ b/packages/core/internal/agent/workerusage.cpp
@@ -1,6 +1,6 @@
 #include "core/internal/agent/workerusage.h"
 
-#include "core/internal/agent/fencing.h"
+#include "core/internal/agent/leasedruns.h"
 #include "core/internal/agent/membership.h"
 
 #include <algorithm>
@@ -83,17 +83,8 @@
 FreeCapacity(const AgentBoard& aBoard, const Worker& aWorker)
 {
   const Breaker& breaker = aWorker.m_breaker;
-  if (!IsLive(aBoard, aWorker) || breaker.m_state == BreakerState::Open) {
-    return {};
-  }
-  // Free capacity is unknown until the runs on the worker are known, and if the
-  // announcement may describe another incarnation.
-  if (aWorker.m_leasedRuns &&
-      (aWorker.m_announcedBy != aWorker.m_leasedRuns->m_incarnation ||
-       !aWorker.m_leasedRuns->m_observed ||
-       !aWorker.m_leasedRuns->m_responsive || !IsFenced(aWorker) ||
-       aWorker.m_leasedRuns->m_hasForeignRuns ||
-       !aWorker.m_leasedRuns->m_unclearRuns.empty())) {
+  if (!IsLive(aBoard, aWorker) || breaker.m_state == BreakerState::Open ||
+      !CanStartRuns(aBoard, aWorker)) {
     return {};
   }
   const Resources& capacity = aWorker.m_info.m_capacity;
--- a/packages/core/internal/eventcode.cpp
+++ b/packages/core/internal/eventcode.cpp
@@ -187,6 +187,11 @@
             "fencing-token-raised",
             "a worker does nothing for commands sent before, once it has "
             "received one with the new token" },
+  EventRow{ EventCode::WorkerClockDoubtful,
+            "worker-clock-doubtful",
+            "a reading of a worker's clock is lower than the one before it "
+            "allows: it was delayed, or the clock stood still; the worker is "
+            "observed before its next start" },
   EventRow{ EventCode::KeyFenced,
             "key-fenced",
             "an agent refuses earlier submissions of a caller key" },
--- a/packages/core/tests/agent_fencing_test.cpp
+++ b/packages/core/tests/agent_fencing_test.cpp
@@ -156,7 +156,7 @@
       earlier, ObserveResult::Observed, { { "task1", 1 } });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Observations().size());
     CPPUNIT_ASSERT(LastToken(fixture) > earlier.m_target.m_fencingToken);
-    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewUntil);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, OfferAndCountStarts(fixture, 2));
     fixture.AnswerObservation({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, OfferAndCountStarts(fixture, 3));
@@ -175,7 +175,7 @@
     CPPUNIT_ASSERT(!fixture.Observations().empty());
     CPPUNIT_ASSERT(LastToken(fixture) > before);
     for (const ObserveRuns& observation : fixture.Observations()) {
-      CPPUNIT_ASSERT(!observation.m_renewFor);
+      CPPUNIT_ASSERT(!observation.m_renewUntil);
     }
     fixture.AnswerObservation({},
                               { { 1, { "task1", 1 }, RunEnd::Interrupted } });
--- a/packages/core/tests/agent_lease_test.cpp
+++ b/packages/core/tests/agent_lease_test.cpp
@@ -58,11 +58,11 @@
     LeaseFixture fixture;
     fixture.SendOffers({ fixture.NamedOffer(1, "a") });
     CPPUNIT_ASSERT(fixture.Starts().empty());
-    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewUntil);
     fixture.AnswerObservation({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
-    CPPUNIT_ASSERT(fixture.Starts()[0].m_lease == milliseconds(500));
-    CPPUNIT_ASSERT(fixture.Starts()[0].m_decidedAt == fixture.m_now);
+    CPPUNIT_ASSERT(fixture.Starts()[0].m_leaseEndsAt ==
+                   fixture.WorkerClockNow() + milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(kFirstIncarnation,
                          fixture.Starts()[0].m_target.m_incarnation);
   }
@@ -74,7 +74,7 @@
     fixture.AnswerObservation({ { "old", 3 } });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Stops().size());
     CPPUNIT_ASSERT_EQUAL(std::string("old"), fixture.Stops()[0].m_name.m_task);
-    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewUntil);
     CPPUNIT_ASSERT(fixture.Starts().empty());
     fixture.AnswerObservation({});
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
@@ -213,15 +213,16 @@
     LeaseFixture fixture;
     fixture.RunTask(1, "a");
     fixture.AnswerObservation({ { "a", 1 } });
-    CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
-    CPPUNIT_ASSERT(fixture.Observations().back().m_decidedAt == fixture.m_now);
+    CPPUNIT_ASSERT(fixture.Observations().back().m_renewUntil);
+    CPPUNIT_ASSERT(fixture.Observations().back().m_renewUntil ==
+                   fixture.WorkerClockNow() + milliseconds(500));
     fixture.AnswerObservation({}, {}, ObserveResult::NoAnswer);
     fixture.Advance(milliseconds(60));
-    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewUntil);
     CPPUNIT_ASSERT(fixture.m_agent->Status().m_load.m_freeCapacity ==
                    Resources{});
     fixture.AnswerObservation({ { "a", 1 } });
-    CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(fixture.Observations().back().m_renewUntil);
   }
 
   void SilentWorkerIsObservedUntilItAnswersAlsoWithoutRuns()
@@ -266,7 +267,7 @@
     fixture.Receive(fixture.m_entry, EntryHello{});
     fixture.SendOffers({ fixture.NamedOffer(2, "b") });
     CPPUNIT_ASSERT(fixture.Starts().empty());
-    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(!fixture.Observations().back().m_renewUntil);
     CPPUNIT_ASSERT_EQUAL(std::string("a"),
                          fixture.Stops().back().m_name.m_task);
     const std::size_t stopsBefore = fixture.Stops().size();
@@ -405,7 +406,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.Starts().size());
     CPPUNIT_ASSERT(fixture.ReportOn(2)->m_fate == AttemptFate::Refused);
     fixture.AnswerObservation({ { "a", 1 } });
-    CPPUNIT_ASSERT(fixture.Observations().back().m_renewFor);
+    CPPUNIT_ASSERT(fixture.Observations().back().m_renewUntil);
   }
 };
 
--- a/packages/core/tests/leasefixture.h
+++ b/packages/core/tests/leasefixture.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,7 +41,9 @@
 
   void AnnounceLeasedWorker(const std::string& aIncarnation,
                             bool aLeaving = false,
-                            Resources aCapacity = kLeasedCapacity)
+                            Resources aCapacity = kLeasedCapacity,
+                            bool aWithClock = true,
+                            std::optional<WorkerInstant> aSentAt = {})
   {
     WorkerAnnounced announced;
     announced.m_info.m_name = kLeasedWorker;
@@ -52,9 +55,30 @@
     announced.m_incarnation = aIncarnation;
     announced.m_startedAtMs = m_startedAtMs;
     announced.m_sequence = ++m_lastSequence;
+    if (aWithClock) {
+      announced.m_clock = aSentAt.value_or(WorkerClockNow());
+    }
     HandleEvent(announced);
   }
 
+  /** @return the clock of the worker, which started with the fixture or was
+   * started again by RestartClock(). */
+  WorkerInstant WorkerClockNow() const
+  {
+    return m_workerClockStart +
+           std::chrono::floor<std::chrono::milliseconds>(
+             std::chrono::duration<double, Duration::period>(
+               m_now - m_workerClockStartedAt) *
+             m_workerClockRate);
+  }
+
+  /** Lets the worker's clock begin anew, as after a restart. */
+  void RestartClock()
+  {
+    m_workerClockStart = WorkerInstant();
+    m_workerClockStartedAt = m_now;
+  }
+
   std::vector<ObserveRuns> Observations() const
   {
     std::vector<ObserveRuns> observations;
@@ -80,7 +104,8 @@
                               aResult,
                               std::move(aRunning),
                               std::move(aEnded),
-                              m_startedAtMs });
+                              m_startedAtMs,
+                              WorkerClockNow() });
   }
 
   /** Answers an earlier observation. */
@@ -95,7 +120,8 @@
                               aResult,
                               std::move(aRunning),
                               std::move(aEnded),
-                              m_startedAtMs });
+                              m_startedAtMs,
+                              WorkerClockNow() });
   }
 
   /** Leaves the start of the run unanswered, however often it is sent. */
@@ -145,6 +171,10 @@
   /** Of the worker, see WorkerAnnounced. */
   std::uint64_t m_startedAtMs = 1000;
   std::uint64_t m_lastSequence = 0;
+  WorkerInstant m_workerClockStart{ std::chrono::hours(1) };
+  Instant m_workerClockStartedAt = m_now;
+  /** Seconds of the worker's clock in one second of the agent's. */
+  double m_workerClockRate = 1;
 };
 
 } // namespace mulberrysail::core
--- a/packages/core/types/commands.h
+++ b/packages/core/types/commands.h
@@ -69,14 +69,15 @@
   RunId m_run;
   RunTarget m_target;
   Resources m_need;
-  /** The worker may stop the run this long after its start or its last renewal
-   * (ObserveRuns::m_renewFor). */
+  /** How long the run may take. A worker with run leases takes
+   * m_leaseEndsAt instead. */
   Duration m_lease{};
   std::string m_payload;
   RunName m_name = {};
-  /** When the agent decided on the start, by its clock. The first lease counts
-   * from then, as the process may stand still before it sends the start. */
-  Instant m_decidedAt = {};
+  /** When the worker ends the run unless the lease is renewed. A time and not a
+   * duration, as the process may stand still before it sends the start. Absent
+   * for a worker without run leases. */
+  std::optional<WorkerInstant> m_leaseEndsAt = std::nullopt;
 };
 
 /** Stops a task that is still running. Best effort. */
@@ -94,12 +95,9 @@
   RunTarget m_target;
   /** Returned in RunsObserved, to match the answer with its query. */
   std::uint64_t m_observationId = 0;
-  /** Renews the leases of all runs on the worker to this duration; absent for a
-   * query without renewal. */
-  std::optional<Duration> m_renewFor;
-  /** When the agent decided on the renewal, by its clock; see
-   * StartRun::m_decidedAt. */
-  Instant m_decidedAt = {};
+  /** Renews the leases of all runs on the worker until then; absent for a query
+   * without renewal. See StartRun::m_leaseEndsAt. */
+  std::optional<WorkerInstant> m_renewUntil;
   /** The worker may discard ended runs whose EndedRun::m_number is at most this
    * value. */
   std::uint64_t m_acknowledgedRun = 0;
--- a/packages/core/types/eventcode.h
+++ b/packages/core/types/eventcode.h
@@ -72,6 +72,7 @@
   WorkerCrashed = 428,
   AnnouncementRejected = 429,
   FencingTokenRaised = 430,
+  WorkerClockDoubtful = 431,
 
   KeyFenced = 500,
   KeyHeld = 501,
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -200,6 +200,9 @@
   /** Rises with each announcement of one start of the worker; zero if the
    * worker does not number them. */
   std::uint64_t m_sequence = 0;
+  /** The worker's clock as it sent the announcement; absent if it does not
+   * tell. */
+  std::optional<WorkerInstant> m_clock = std::nullopt;
 };
 
 /** A worker deregistered. Unlike WorkerAnnounced::m_leaving, the event carries
@@ -301,6 +304,10 @@
   std::vector<EndedRun> m_ended;
   /** As WorkerAnnounced::m_startedAtMs. */
   std::uint64_t m_startedAtMs = 0;
+  /** The worker's clock as it answered; present in each
+   * ObserveResult::Observed.
+   */
+  std::optional<WorkerInstant> m_clock = std::nullopt;
 };
 
 using AgentEvent = std::variant<MessageReceived,
--- a/packages/core/types/time.h
+++ b/packages/core/types/time.h
@@ -21,6 +21,21 @@
 using Duration = MonotonicClock::duration;
 using Instant = MonotonicClock::time_point;
 
+/**
+ * The steady clock of a worker, in milliseconds. It begins anew with each start
+ * of the worker, so times of two starts must not be compared.
+ */
+struct WorkerClock
+{
+  using duration = std::chrono::milliseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<WorkerClock>;
+  static constexpr bool is_steady = true; // NOLINT: named by the standard
+};
+
+using WorkerInstant = WorkerClock::time_point;
+
 /** An instant that is never reached. */
 inline constexpr Instant kNever = Instant::max();
 
