TWICE: a test that an agent which stood still reports no run before its end

The test plays freezes of 400 to 699 ms on a clock that is 2% slow; it fails with the deadline of before (no drift over the age of the reading).

--- a/packages/core/tests/agent_runleasebound_test.cpp
+++ b/packages/core/tests/agent_runleasebound_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace mulberrysail::core {
@@ -31,6 +32,7 @@
   CPPUNIT_TEST(ClockOfAnEarlierStartIsNotUsed);
   CPPUNIT_TEST(RunOnASlowClockIsNotTakenForEndedBeforeItsStop);
   CPPUNIT_TEST(LeaseOfAStartThatIsSentAgainCountsFromItsOwnDecision);
+  CPPUNIT_TEST(AgentThatStoodStillReportsNoRunBeforeItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
   /** Lets the worker announce itself at its interval, without work. */
@@ -203,6 +205,38 @@
                    milliseconds(24));
     CPPUNIT_ASSERT(LeaseOf(fixture, second) <= kMaxLease);
   }
+
+  /** Guards against TWICE by an agent that wakes and reports a run as ended
+   * that is still at work (review/8). */
+  void AgentThatStoodStillReportsNoRunBeforeItsEnd()
+  {
+    std::size_t reported = 0;
+    for (milliseconds freeze{ 400 }; freeze < milliseconds(700);
+         freeze += milliseconds(1)) {
+      LeaseFixture fixture;
+      fixture.m_workerClockRate = 0.98;
+      fixture.AnswerObservation({});
+      Rest(fixture, seconds(25), true);
+      fixture.Advance(milliseconds(1400));
+      CPPUNIT_ASSERT(Offers(fixture, 1));
+      const WorkerInstant leaseEndsAt =
+        std::max(*fixture.Starts().back().m_leaseEndsAt,
+                 *fixture.Observations().back().m_renewUntil);
+      fixture.HandleEvent(StartAnswered{
+        fixture.Starts().back().m_run, StartResult::Started, {} });
+      // The entry's lease outlasts the freeze, so it revokes nothing.
+      fixture.Receive(fixture.m_entry, EntryHello{});
+      fixture.m_now += freeze;
+      const ObserveRuns pending = fixture.Observations().back();
+      fixture.AnswerObservation(pending, ObserveResult::NoAnswer, {});
+      if (fixture.ReportOn(1)) {
+        ++reported;
+        fixture.m_now -= milliseconds(50);
+        CPPUNIT_ASSERT(fixture.WorkerClockNow() >= leaseEndsAt);
+      }
+    }
+    CPPUNIT_ASSERT(reported > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentRunLeaseBoundTest);
