ROUTE: what a worker has announced holds for one start of it, not for its id

Cause: a life of a worker is its id and its start; FreeCapacity and CanStartAgain compared the id alone, so labels, service and capacity of the life before were used.

Change: WorkerStart (id and start) is compared as a whole, by IsDescribed(). A worker whose announcement is from another start gets nothing before its next ping, and entries learn at once that it has no free capacity. An announcement of an earlier start is outdated; one that tells no start is forgotten at a restart. A start is sent again only to a worker that may run the task. The largest capacity is of one start. Nothing starts by a clock reading of over 2.5 s (was 5 s), so that an agent which stood still through a ping asks first; an idle worker without readings is observed after 2 s (was 3 s).

--- a/packages/core/internal/agent/crashlog.cpp
+++ b/packages/core/internal/agent/crashlog.cpp
@@ -63,15 +63,16 @@
                    });
   crash.m_runs.resize(std::min(crash.m_runs.size(), kMaxRuns));
   ++m_board.m_counters.m_workerCrashes;
-  core::agent::Record(m_board,
-                      EventCode::WorkerCrashed,
-                      crash.m_number,
-                      EventDetail()
-                        .Add("worker", crash.m_worker)
-                        .Add("life", aWorker.m_leasedRuns->m_incarnation)
-                        .Add("cause", aCause)
-                        .Add("runs", aRuns.size())
-                        .Add("task_queue_age", DescribeRuns(crash.m_runs)));
+  core::agent::Record(
+    m_board,
+    EventCode::WorkerCrashed,
+    crash.m_number,
+    EventDetail()
+      .Add("worker", crash.m_worker)
+      .Add("life", aWorker.m_leasedRuns->m_tracked.m_incarnation)
+      .Add("cause", aCause)
+      .Add("runs", aRuns.size())
+      .Add("task_queue_age", DescribeRuns(crash.m_runs)));
   m_board.m_crashes.m_crashes.push_back({ std::move(crash), m_board.m_now });
   Evict();
   ScheduleAnnounceToAll(m_board);
--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -26,12 +26,30 @@
                   isOfAnnounced)) {
     return true;
   }
+  if (aWorker.m_leasedRuns && aAnnounced.m_startedAtMs != 0 &&
+      aAnnounced.m_incarnation ==
+        aWorker.m_leasedRuns->m_tracked.m_incarnation &&
+      aAnnounced.m_startedAtMs <
+        aWorker.m_leasedRuns->m_tracked.m_startedAtMs) {
+    return true;
+  }
   if (aAnnounced.m_sequence == 0 ||
-      aAnnounced.m_incarnation != aWorker.m_announcedBy) {
+      aAnnounced.m_incarnation != aWorker.m_announcedBy.m_incarnation) {
     return false;
   }
   return std::tie(aAnnounced.m_startedAtMs, aAnnounced.m_sequence) <=
-         std::tie(aWorker.m_announcedStartMs, aWorker.m_lastSequence);
+         std::tie(aWorker.m_announcedBy.m_startedAtMs, aWorker.m_lastSequence);
+}
+
+bool
+IsDescribed(const Worker& aWorker)
+{
+  const WorkerStart& announced = aWorker.m_announcedBy;
+  const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
+  const bool isStartKnown =
+    announced.m_startedAtMs != 0 && tracked.m_startedAtMs != 0;
+  return isStartKnown ? announced == tracked
+                      : announced.m_incarnation == tracked.m_incarnation;
 }
 
 void
@@ -40,10 +58,11 @@
   if (aIncarnation.empty()) {
     return;
   }
-  const std::uint64_t startedAtMs = aWorker.m_announcedBy == aIncarnation
-                                      ? aWorker.m_announcedStartMs
-                                      : aWorker.m_leasedRuns->m_startedAtMs;
-  aWorker.m_endedIncarnations.push_back({ aIncarnation, startedAtMs });
+  const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
+  aWorker.m_endedIncarnations.push_back(
+    aWorker.m_announcedBy.m_incarnation == aIncarnation
+      ? aWorker.m_announcedBy
+      : WorkerStart{ aIncarnation, tracked.m_startedAtMs });
   if (aWorker.m_endedIncarnations.size() > kMaxEndedIncarnations) {
     aWorker.m_endedIncarnations.pop_front();
   }
@@ -53,17 +72,23 @@
 CheckRestart(AgentBoard& aBoard, Worker& aWorker, std::uint64_t aStartedAtMs)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  if (aStartedAtMs <= state.m_startedAtMs) {
+  if (aStartedAtMs <= state.m_tracked.m_startedAtMs) {
     return;
   }
-  state.m_hasRestarted = state.m_startedAtMs != 0;
-  state.m_startedAtMs = aStartedAtMs;
+  state.m_hasRestarted = state.m_tracked.m_startedAtMs != 0;
+  state.m_tracked.m_startedAtMs = aStartedAtMs;
   state.m_lastEnd = 0;
   state.m_acknowledgedRun = 0;
   state.m_clock = {};
-  if (state.m_hasRestarted) {
-    RaiseFencingToken(aBoard, aWorker, "the worker has started again");
+  if (!state.m_hasRestarted) {
+    return;
+  }
+  if (aWorker.m_announcedBy.m_startedAtMs == 0) {
+    // The announcement doesn't tell its start, so it may be an earlier one.
+    aWorker.m_announcedBy = {};
   }
+  RaiseFencingToken(aBoard, aWorker, "the worker has started again");
+  ScheduleAnnounceToAll(aBoard);
 }
 
 } // namespace mulberrysail::core::agent
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -47,9 +47,8 @@
     return true;
   }
   const LeasedRunState& state = *aWorker.m_leasedRuns;
-  // The announcement may describe another incarnation.
-  return aWorker.m_announcedBy == state.m_incarnation && state.m_observed &&
-         state.m_responsive && IsFenced(aWorker) && !state.m_hasForeignRuns &&
+  return IsDescribed(aWorker) && state.m_observed && state.m_responsive &&
+         IsFenced(aWorker) && !state.m_hasForeignRuns &&
          state.m_unclearRuns.empty() && state.m_clock.IsPrecise(aBoard.m_now);
 }
 
@@ -60,19 +59,21 @@
   const std::string& incarnation = aAnnounced.m_incarnation;
   if (!aWorker.m_leasedRuns) {
     aWorker.m_leasedRuns.emplace();
-    aWorker.m_leasedRuns->m_incarnation = incarnation;
+    aWorker.m_leasedRuns->m_tracked.m_incarnation = incarnation;
     RaiseFencingToken(m_board, aWorker, "the worker was announced");
   }
   LeasedRunState& state = *aWorker.m_leasedRuns;
   state.m_announcedIncarnation = incarnation;
-  if (state.m_incarnation != incarnation && state.m_incarnation.empty()) {
-    state.m_incarnation = incarnation;
+  if (state.m_tracked.m_incarnation != incarnation &&
+      state.m_tracked.m_incarnation.empty()) {
+    state.m_tracked.m_incarnation = incarnation;
   }
-  if (state.m_incarnation != incarnation) {
+  if (state.m_tracked.m_incarnation != incarnation) {
     return;
   }
   CheckRestart(m_board, aWorker, aAnnounced.m_startedAtMs);
-  if (aAnnounced.m_clock && aAnnounced.m_startedAtMs == state.m_startedAtMs) {
+  if (aAnnounced.m_clock &&
+      aAnnounced.m_startedAtMs == state.m_tracked.m_startedAtMs) {
     RecordClock(aWorker, *aAnnounced.m_clock, ClockSource::Announcement);
   }
 }
@@ -93,7 +94,7 @@
            0,
            EventDetail()
              .Add("worker", aWorker.m_info.m_name)
-             .Add("life", state.m_incarnation)
+             .Add("life", state.m_tracked.m_incarnation)
              .Add("late_ms", Duration(*expected - aReading)));
   }
 }
@@ -224,7 +225,7 @@
   }
   Starter(m_board).SendAgain(
     aAttempt,
-    TargetOf(aWorker, aWorker.m_leasedRuns->m_incarnation),
+    TargetOf(aWorker, aWorker.m_leasedRuns->m_tracked.m_incarnation),
     GrantLease(aWorker));
 }
 
@@ -235,6 +236,10 @@
          CanStartRuns(m_board, aWorker) &&
          aWorker.m_breaker.m_state != BreakerState::Open &&
          aWorker.m_info.m_capacity.Fits(aWorker.m_reserved) &&
+         CanRun(aWorker.m_info,
+                aAttempt.m_offer.m_service,
+                aAttempt.m_offer.m_requiredLabel,
+                aAttempt.m_offer.m_need) &&
          IsLive(m_board, aWorker) && AcceptsWork(m_board) &&
          !ShouldStop(m_board, aAttempt);
 }
@@ -298,10 +303,11 @@
   }
   aAttempt.m_stopRequested = true;
   aAttempt.m_stopSentAt = m_board.m_now;
-  m_board.m_commands->push_back(StopRun{
-    aAttempt.m_run,
-    TargetOf(worker->second, worker->second.m_leasedRuns->m_incarnation),
-    aAttempt.m_runName });
+  m_board.m_commands->push_back(
+    StopRun{ aAttempt.m_run,
+             TargetOf(worker->second,
+                      worker->second.m_leasedRuns->m_tracked.m_incarnation),
+             aAttempt.m_runName });
 }
 
 void
@@ -343,18 +349,18 @@
          0,
          EventDetail()
            .Add("worker", aWorker.m_info.m_name)
-           .Add("life", aWorker.m_leasedRuns->m_incarnation)
+           .Add("life", aWorker.m_leasedRuns->m_tracked.m_incarnation)
            .Add("runs", aWorker.m_runningTasks));
   FinishAsCrashed(aWorker, "the incarnation has ended", true);
   const std::string announcedIncarnation =
     aWorker.m_leasedRuns->m_announcedIncarnation;
   const bool hasNewIncarnation =
-    announcedIncarnation != aWorker.m_leasedRuns->m_incarnation;
+    announcedIncarnation != aWorker.m_leasedRuns->m_tracked.m_incarnation;
   aWorker.m_leasedRuns.emplace();
-  aWorker.m_leasedRuns->m_incarnation =
+  aWorker.m_leasedRuns->m_tracked.m_incarnation =
     hasNewIncarnation ? announcedIncarnation : "";
   aWorker.m_leasedRuns->m_announcedIncarnation =
-    aWorker.m_leasedRuns->m_incarnation;
+    aWorker.m_leasedRuns->m_tracked.m_incarnation;
   aWorker.m_leaving = !hasNewIncarnation;
   // If the worker comes back under the same id, its earlier start is unknown.
   RaiseFencingToken(m_board, aWorker, "the incarnation has ended");
@@ -379,7 +385,8 @@
 LeasedRuns::ProcessDue()
 {
   for (auto& [name, worker] : m_board.m_workers.m_workers) {
-    if (worker.m_leasedRuns && !worker.m_leasedRuns->m_incarnation.empty()) {
+    if (worker.m_leasedRuns &&
+        !worker.m_leasedRuns->m_tracked.m_incarnation.empty()) {
       ProcessWorker(worker);
     }
   }
@@ -403,10 +410,10 @@
       (!state.m_pending.empty() && !MustObserveAgain(aWorker))) {
     return;
   }
-  if (state.m_announcedIncarnation != state.m_incarnation) {
+  if (state.m_announcedIncarnation != state.m_tracked.m_incarnation) {
     Observe(aWorker, state.m_announcedIncarnation);
   } else if (MustObserve(aWorker)) {
-    Observe(aWorker, state.m_incarnation);
+    Observe(aWorker, state.m_tracked.m_incarnation);
   }
 }
 
@@ -442,7 +449,9 @@
         *unclear.m_stopSentAt + kRetryInterval <= m_board.m_now) {
       unclear.m_stopSentAt = m_board.m_now;
       m_board.m_commands->push_back(
-        StopRun{ run, TargetOf(aWorker, state.m_incarnation), unclear.m_name });
+        StopRun{ run,
+                 TargetOf(aWorker, state.m_tracked.m_incarnation),
+                 unclear.m_name });
     }
   }
 }
@@ -466,7 +475,8 @@
 {
   Instant due = kNever;
   for (const auto& [name, worker] : aBoard.m_workers.m_workers) {
-    if (!worker.m_leasedRuns || worker.m_leasedRuns->m_incarnation.empty()) {
+    if (!worker.m_leasedRuns ||
+        worker.m_leasedRuns->m_tracked.m_incarnation.empty()) {
       continue;
     }
     const LeasedRunState& state = *worker.m_leasedRuns;
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -188,8 +188,12 @@
   if (IsOutdated(worker, aAnnounced)) {
     return;
   }
-  worker.m_announcedBy = aAnnounced.m_incarnation;
-  worker.m_announcedStartMs = aAnnounced.m_startedAtMs;
+  const WorkerStart announcedBy{ aAnnounced.m_incarnation,
+                                 aAnnounced.m_startedAtMs };
+  if (worker.m_announcedBy != announcedBy) {
+    worker.m_largestCapacity = {};
+  }
+  worker.m_announcedBy = announcedBy;
   worker.m_lastSequence = aAnnounced.m_sequence;
   worker.m_largestCapacity.RaiseTo(aAnnounced.m_info.m_capacity);
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
@@ -237,7 +241,7 @@
   Worker& worker = place->second;
   const bool otherIncarnation =
     worker.m_leasedRuns &&
-    worker.m_leasedRuns->m_incarnation != aLeft.m_incarnation;
+    worker.m_leasedRuns->m_tracked.m_incarnation != aLeft.m_incarnation;
   if (otherIncarnation || worker.m_leaving) {
     return;
   }
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -90,20 +90,20 @@
   state.m_observationSentAt = pending->m_sentAt;
   state.m_pending.erase(state.m_pending.begin(), std::next(pending));
   const bool ofTrackedIncarnation =
-    aObserved.m_incarnation == state.m_incarnation;
+    aObserved.m_incarnation == state.m_tracked.m_incarnation;
   switch (aObserved.m_result) {
     case ObserveResult::Observed:
       if (!ofTrackedIncarnation) {
         // The answer is from another incarnation than the tracked one.
         FinishAsCrashed(worker, "another incarnation answered", true);
-        RecordEnded(worker, state.m_incarnation);
+        RecordEnded(worker, state.m_tracked.m_incarnation);
         const Instant sentAt = state.m_observationSentAt;
         state = LeasedRunState{};
-        state.m_incarnation = aObserved.m_incarnation;
+        state.m_tracked.m_incarnation = aObserved.m_incarnation;
         state.m_announcedIncarnation = aObserved.m_incarnation;
         state.m_observationSentAt = sentAt;
       }
-      if (aObserved.m_startedAtMs < state.m_startedAtMs &&
+      if (aObserved.m_startedAtMs < state.m_tracked.m_startedAtMs &&
           aObserved.m_startedAtMs != 0) {
         // The answer was sent before the worker started again.
         return;
@@ -142,7 +142,7 @@
         EndIncarnation(worker);
       } else {
         // The announced incarnation no longer exists, so the tracked one stays.
-        state.m_announcedIncarnation = state.m_incarnation;
+        state.m_announcedIncarnation = state.m_tracked.m_incarnation;
       }
       return;
     case ObserveResult::NoAnswer:
@@ -241,7 +241,7 @@
              .Add("start", foreign.m_startNumber),
            foreign.m_task);
     m_board.m_commands->push_back(
-      StopRun{ {}, TargetOf(aWorker, state.m_incarnation), foreign });
+      StopRun{ {}, TargetOf(aWorker, state.m_tracked.m_incarnation), foreign });
   }
 }
 
@@ -291,7 +291,7 @@
   ObserveRuns observe;
   observe.m_target = TargetOf(aWorker, aIncarnation);
   observe.m_observationId = m_board.m_workers.m_nextTicket++;
-  if (aIncarnation == state.m_incarnation) {
+  if (aIncarnation == state.m_tracked.m_incarnation) {
     observe.m_acknowledgedRun = state.m_lastEnd;
     state.m_acknowledgedRun = state.m_lastEnd;
     // A renewal extends all runs on the worker, so it is sent only after an
--- a/packages/core/internal/agent/runleasebound.cpp
+++ b/packages/core/internal/agent/runleasebound.cpp
@@ -9,10 +9,10 @@
 constexpr std::chrono::milliseconds kMaxReadingDelay{ 100 };
 /** Age of a reading after which the worker is observed for another one. Longer
  * than the interval of its announcements, which state the clock as well. */
-constexpr Duration kRefreshAfter = std::chrono::seconds(3);
+constexpr Duration kRefreshAfter = std::chrono::seconds(2);
 /** Age of a reading up to which it is used for starts. A lease is shorter than
  * wanted by kMaxClockDrift of the age if the worker's clock is right. */
-constexpr Duration kMaxReadingAge = std::chrono::seconds(5);
+constexpr Duration kMaxReadingAge = std::chrono::milliseconds(2500);
 
 } // namespace
 
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -188,8 +188,9 @@
   ++worker->m_runningTasks;
   Start(aAttempt,
         TargetOf(*worker,
-                 worker->m_leasedRuns ? worker->m_leasedRuns->m_incarnation
-                                      : std::string()),
+                 worker->m_leasedRuns
+                   ? worker->m_leasedRuns->m_tracked.m_incarnation
+                   : std::string()),
         LeasedRuns(m_board).GrantLease(*worker));
   return true;
 }
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -47,6 +47,17 @@
   std::uint32_t m_successes = 0;
 };
 
+/** One start of a worker. A worker may start again as the same incarnation;
+ * what it announced, holds and knows before that is no longer true. */
+struct WorkerStart
+{
+  std::string m_incarnation;
+  /** See WorkerAnnounced::m_startedAtMs. */
+  std::uint64_t m_startedAtMs = 0;
+
+  bool operator==(const WorkerStart&) const = default;
+};
+
 /** A run that ended by the expiry of its lease before the worker confirmed its
  * start or its stop, so that its start may still be carried out. */
 struct UnclearRun
@@ -71,12 +82,10 @@
 /** State of the runs on a worker with run leases. */
 struct LeasedRunState
 {
-  /** The incarnation of the worker whose runs are tracked. */
-  std::string m_incarnation;
+  /** The start of the worker whose runs are tracked. */
+  WorkerStart m_tracked;
   /** The incarnation in the last announcement; may be an earlier one. */
   std::string m_announcedIncarnation;
-  /** WorkerAnnounced::m_startedAtMs of the latest start. */
-  std::uint64_t m_startedAtMs = 0;
   /** Set when the worker has started again as the same incarnation, until an
    * observation has shown which runs it lost. */
   bool m_hasRestarted = false;
@@ -122,14 +131,6 @@
   std::map<RunId, UnclearRun> m_unclearRuns;
 };
 
-/** One start of an incarnation of a worker. */
-struct WorkerStart
-{
-  std::string m_incarnation;
-  /** See WorkerAnnounced::m_startedAtMs. */
-  std::uint64_t m_startedAtMs = 0;
-};
-
 /** A worker managed by this agent. */
 struct Worker
 {
@@ -141,9 +142,9 @@
   /** The starts of incarnations that are known to have ended, the latest last.
    * Their announcements may still arrive. */
   std::deque<WorkerStart> m_endedIncarnations;
-  /** The incarnation, start and number of the last announcement. */
-  std::string m_announcedBy;
-  std::uint64_t m_announcedStartMs = 0;
+  /** The start of the worker that m_info describes, and the number of its last
+   * announcement. */
+  WorkerStart m_announcedBy;
   std::uint64_t m_lastSequence = 0;
   Instant m_leaseEnds;
   /** When the worker stops being slow after its start, while
--- a/packages/core/tests/leasefixture.h
+++ b/packages/core/tests/leasefixture.h
@@ -49,6 +49,7 @@
     announced.m_info.m_name = kLeasedWorker;
     announced.m_info.m_capacity = aCapacity;
     announced.m_info.m_service = "photo";
+    announced.m_info.m_labels = m_labels;
     announced.m_url = "http://w1";
     announced.m_leaving = aLeaving;
     announced.m_hasRunLeases = true;
@@ -168,7 +169,16 @@
     return run;
   }
 
+  /** Starts the worker again under its id. */
+  void RestartWorker()
+  {
+    m_startedAtMs += 1000;
+    m_lastSequence = 0;
+    RestartClock();
+  }
+
   /** Of the worker, see WorkerAnnounced. */
+  std::vector<std::string> m_labels;
   std::uint64_t m_startedAtMs = 1000;
   std::uint64_t m_lastSequence = 0;
   WorkerInstant m_workerClockStart{ std::chrono::hours(1) };
