TWICE: a lease that a worker took before its restart was known may be the longest one

Cause: the deadline is on the clock of the earlier start, far ahead of the new one, so the worker grants its longest lease of 1,000 ms; the agent reckons with the 500 ms that it asked for.

Without the change the test fails.

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -83,6 +83,11 @@
   if (!state.m_hasRestarted) {
     return;
   }
+  // A start that was sent before the restart was known has a deadline on the
+  // clock of the earlier start, which is far ahead.
+  state.m_runsEndBy =
+    std::max(state.m_runsEndBy,
+             LatestRunEnd(aBoard.m_now, aBoard.m_policy.m_maxRunLease));
   if (aWorker.m_announcedBy.m_startedAtMs == 0) {
     // The announcement doesn't tell its start, so it may be an earlier one.
     aWorker.m_announcedBy = {};
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -165,6 +165,8 @@
   bool m_reserveDeclared = false;
   /** Leased workers: a run ends if its lease is not renewed for this long. */
   Duration m_runLease = std::chrono::milliseconds(600);
+  /** Leased workers: the longest lease that a worker grants. */
+  Duration m_maxRunLease = std::chrono::seconds(1);
   /** Leased workers: the longest time for which a worker may delay its answer
    * to ObserveRuns while no run ends. Must be less than half of m_runLease. */
   Duration m_observeWait = std::chrono::milliseconds(200);
--- a/packages/daemon/settings/agentpolicyfields.cpp
+++ b/packages/daemon/settings/agentpolicyfields.cpp
@@ -21,6 +21,13 @@
                   return Millis(aS.m_agentPolicy.m_runLease, 10, 600000);
                 },
                 "leased workers: a run that isn't renewed ends after this" },
+  SettingField{ "policy.max_run_lease_ms",
+                kAgent,
+                false,
+                [](Settings& aS) -> FieldBinding {
+                  return Millis(aS.m_agentPolicy.m_maxRunLease, 10, 600000);
+                },
+                "leased workers: the longest lease that a worker grants" },
   SettingField{ "policy.observe_wait_ms",
                 kAgent,
                 false,
