Names of the restart checks that a newcomer can read

IsDescribed is HasCurrentAnnouncement, SetAnnouncedIncarnation (which takes the clock too) is RecordAnnouncement, and the condition on an announcement of an earlier start has a function of its own.

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -12,6 +12,19 @@
 /** Announcements are late by few restarts of their worker. */
 constexpr std::size_t kMaxEndedIncarnations = 16;
 
+/** @return whether the tracked incarnation has started again since it sent the
+ * announcement. */
+bool
+IsOfEarlierStart(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
+{
+  if (!aWorker.m_leasedRuns || aAnnounced.m_startedAtMs == 0) {
+    return false;
+  }
+  const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
+  return aAnnounced.m_incarnation == tracked.m_incarnation &&
+         aAnnounced.m_startedAtMs < tracked.m_startedAtMs;
+}
+
 } // namespace
 
 bool
@@ -26,11 +39,7 @@
                   isOfAnnounced)) {
     return true;
   }
-  if (aWorker.m_leasedRuns && aAnnounced.m_startedAtMs != 0 &&
-      aAnnounced.m_incarnation ==
-        aWorker.m_leasedRuns->m_tracked.m_incarnation &&
-      aAnnounced.m_startedAtMs <
-        aWorker.m_leasedRuns->m_tracked.m_startedAtMs) {
+  if (IsOfEarlierStart(aWorker, aAnnounced)) {
     return true;
   }
   if (aAnnounced.m_sequence == 0 ||
@@ -42,7 +51,7 @@
 }
 
 bool
-IsDescribed(const Worker& aWorker)
+HasCurrentAnnouncement(const Worker& aWorker)
 {
   const WorkerStart& announced = aWorker.m_announcedBy;
   const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
--- a/packages/core/internal/agent/incarnations.h
+++ b/packages/core/internal/agent/incarnations.h
@@ -19,7 +19,7 @@
  * runs are tracked, as far as the worker tells. If not, its capacity, service
  * and labels are unknown until the next announcement. */
 bool
-IsDescribed(const Worker& aWorker);
+HasCurrentAnnouncement(const Worker& aWorker);
 
 /** Notes that @p aIncarnation no longer exists, so that announcements of it
  * which are still in transit change nothing. */
@@ -28,8 +28,8 @@
 
 /** Begins to number ends anew if the tracked incarnation has started again. The
  * next observation tells which of its runs have ended with the earlier start.
- * It has another fencing token, as the worker has lost its stopped runs. The
- * worker is not described before its next announcement. */
+ * It has another fencing token, as the worker has lost its stopped runs.
+ * Nothing starts on the worker before its next announcement. */
 void
 CheckRestart(AgentBoard& aBoard, Worker& aWorker, std::uint64_t aStartedAtMs);
 
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -47,14 +47,14 @@
     return true;
   }
   const LeasedRunState& state = *aWorker.m_leasedRuns;
-  return IsDescribed(aWorker) && state.m_observed && state.m_responsive &&
-         IsFenced(aWorker) && !state.m_hasForeignRuns &&
+  return HasCurrentAnnouncement(aWorker) && state.m_observed &&
+         state.m_responsive && IsFenced(aWorker) && !state.m_hasForeignRuns &&
          state.m_unclearRuns.empty() && state.m_clock.IsPrecise(aBoard.m_now);
 }
 
 void
-LeasedRuns::SetAnnouncedIncarnation(Worker& aWorker,
-                                    const WorkerAnnounced& aAnnounced)
+LeasedRuns::RecordAnnouncement(Worker& aWorker,
+                               const WorkerAnnounced& aAnnounced)
 {
   const std::string& incarnation = aAnnounced.m_incarnation;
   if (!aWorker.m_leasedRuns) {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -36,9 +36,9 @@
   {
   }
 
-  /** Records which start of a worker with run leases @p aAnnounced is from. */
-  void SetAnnouncedIncarnation(Worker& aWorker,
-                               const WorkerAnnounced& aAnnounced);
+  /** Records which start of a worker with run leases has announced itself, and
+   * its clock. */
+  void RecordAnnouncement(Worker& aWorker, const WorkerAnnounced& aAnnounced);
 
   /** Begins a run lease, for a start or for the renewal of all runs on the
    * worker, and moves LeasedRunState::m_runsEndBy forward.
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -209,7 +209,7 @@
   worker.m_leaving = aAnnounced.m_leaving;
   worker.m_unreachable = false;
   if (aAnnounced.m_hasRunLeases) {
-    LeasedRuns(m_board).SetAnnouncedIncarnation(worker, aAnnounced);
+    LeasedRuns(m_board).RecordAnnouncement(worker, aAnnounced);
   }
   worker.m_leaseEnds = m_board.m_now + m_board.m_policy.m_workerLease;
   WorkerUsage(m_board).ApplyUsage(worker, aAnnounced.m_usage);
--- a/packages/core/internal/agent/runleasebound.cpp
+++ b/packages/core/internal/agent/runleasebound.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/** A reading is doubtful if it is lower than the one before it lets expect by
- * more than this. */
+/** A reading is doubtful if it is lower by more than this than the lowest value
+ * that follows from the reading before it. */
 constexpr std::chrono::milliseconds kMaxReadingDelay{ 100 };
 /** Age of a reading after which the worker is observed for another one. Longer
  * than the interval of its announcements, which state the clock as well. */
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -47,8 +47,9 @@
   std::uint32_t m_successes = 0;
 };
 
-/** One start of a worker. A worker may start again as the same incarnation;
- * what it announced, holds and knows before that is no longer true. */
+/** One start of a worker. A worker may start again as the same incarnation. It
+ * then has none of its earlier runs, and may have other labels and another
+ * capacity. */
 struct WorkerStart
 {
   std::string m_incarnation;
