--- a/review/lib-3/deployment.cpp
+++ b/review/lib-3/deployment.cpp
@@ -237,6 +237,7 @@
   runner.m_address = address;
   runner.m_port = kRunnerPort;
   runner.m_controlPort = kControlPort;
+  runner.m_statesBorn = m_options.m_statesBorn;
   m_runners.push_back(std::make_unique<Runner>(runner, m_record));
   m_agents.push_back(StartDaemon(
     "agent",
@@ -320,6 +321,9 @@
                   { "cpu", aJob.m_milliCores },
                   { "mem-mb", 64 },
                   { "estimate-ms", aJob.m_length.count() } };
+    if (!aJob.m_rack.empty()) {
+      step["affinity"] = aJob.m_rack;
+    }
     if (i > 0) {
       step["after"] = json::array({ i - 1 });
     }
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -52,6 +52,8 @@
   std::uint32_t m_agents = 3;
   /** Members of the configuration's only route, besides those that name it. */
   nlohmann::json m_route;
+  /** See RunnerOptions. */
+  bool m_statesBorn = false;
 };
 
 /** A small deployment: the project's own programs as separate processes, with
@@ -120,6 +122,8 @@
   /** How long each task runs. */
   milliseconds m_length{};
   std::uint32_t m_milliCores = 1600;
+  /** The rack that holds the data; empty for none. */
+  std::string m_rack{};
 };
 
 /** @return the body that submits @p aJob. */
--- a/review/lib-3/http.cpp
+++ b/review/lib-3/http.cpp
@@ -249,17 +249,21 @@
   m_stopped = true;
   m_thread.join();
   close(m_listener);
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const int open : m_open) {
-      shutdown(open, SHUT_RDWR);
-    }
-  }
+  DropConnections();
   while (m_serving > 0) {
     std::this_thread::sleep_for(milliseconds(1));
   }
 }
 
+void
+HttpServer::DropConnections()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const int open : m_open) {
+    shutdown(open, SHUT_RDWR);
+  }
+}
+
 void
 HttpServer::Accept()
 {
--- a/review/lib-3/http.h
+++ b/review/lib-3/http.h
@@ -50,6 +50,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** Ends all open connections. */
+  void DropConnections();
+
 private:
   void Accept();
   void Serve(int aSocket);
--- a/review/lib-3/runner.cpp
+++ b/review/lib-3/runner.cpp
@@ -19,11 +19,20 @@
 constexpr milliseconds kPingTimeout{ 1000 };
 constexpr milliseconds kFirstRetransmission{ 300 };
 
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace
 
 Runner::Runner(RunnerOptions aOptions, Record& aRecord)
   : m_options(std::move(aOptions))
   , m_record(aRecord)
+  , m_bornUnixMs(UnixMs())
   , m_timer([this] { RunTimer(); })
   , m_server(m_options.m_address,
              m_options.m_port,
@@ -58,6 +67,28 @@
   m_record.Add(m_options.m_id + " begins to drain");
 }
 
+void
+Runner::StartAgain()
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    while (!m_runs.empty()) {
+      EndRun(m_runs.begin()->first, "crashed");
+    }
+    m_endedRuns.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_fence = 0;
+    m_sequence = 0;
+    m_leaseEnds = Instant();
+    m_born = Now();
+    m_bornUnixMs = UnixMs();
+    m_pingNow = true;
+    m_record.Add(m_options.m_id + " crashes and starts again under its id");
+  }
+  m_server.DropConnections();
+}
+
 void
 Runner::SetCut(bool aCut)
 {
@@ -177,7 +208,7 @@
   }
   const milliseconds length(spec.is_object() ? spec.value("run_ms", 0) : 0);
   m_runs[task] = { number, Now() + length };
-  m_begun.push_back({ task, number, Now() });
+  m_begun.push_back({ task, number, Now(), std::nullopt });
   m_record.Add(m_options.m_id + " starts " + task + " run " +
                std::to_string(number));
   return { kOk, json{ { "clock-ms", ClockMs() } }.dump() };
@@ -190,6 +221,11 @@
   m_runs.erase(aTask);
   m_endedRuns[aTask] = std::max(m_endedRuns[aTask], number);
   m_ends.push_back({ ++m_lastEnd, aTask, number, aHow });
+  for (Begun& begun : m_begun) {
+    if (begun.m_task == aTask && begun.m_run == number && !begun.m_endedAt) {
+      begun.m_endedAt = Now();
+    }
+  }
   m_record.Add(m_options.m_id + " ends " + aTask + " run " +
                std::to_string(number) + ": " + aHow);
   m_changed.notify_all();
@@ -227,9 +263,13 @@
         json::array({ end.m_number, end.m_task, end.m_run, end.m_how, "" }));
     }
   }
-  return { { "clock-ms", ClockMs() },
-           { "running", running },
-           { "finished", finished } };
+  json lists = { { "clock-ms", ClockMs() },
+                 { "running", running },
+                 { "finished", finished } };
+  if (m_options.m_statesBorn) {
+    lists["born"] = m_bornUnixMs;
+  }
+  return lists;
 }
 
 HttpResponse
@@ -279,14 +319,22 @@
   while (true) {
     bool cut = false;
     std::uint64_t sequence = 0;
+    std::int64_t born = 0;
+    std::int64_t clock = 0;
     std::string state;
     {
       std::unique_lock<std::mutex> lock(m_mutex);
       if (m_stopped) {
         return;
       }
+      if (m_pingNow) {
+        m_pingNow = false;
+        next = Now();
+      }
       if (Now() >= next) {
         next += m_options.m_beat;
+        born = m_bornUnixMs;
+        clock = ClockMs();
         sequence = ++m_sequence;
         state = m_draining ? "draining" : "ready";
         cut = m_cut;
@@ -298,13 +346,14 @@
         m_delayed.push_back({ sequence,
                               state,
                               Now(),
-                              ClockMs(),
+                              clock,
+                              born,
                               Now() + kFirstRetransmission,
                               2 * kFirstRetransmission });
       }
     }
     if (sequence != 0 && !cut) {
-      SendPing(sequence, state, ClockMs(), "");
+      SendPing(sequence, state, clock, born, "");
     }
     SendDelayed();
     std::this_thread::sleep_for(kTick);
@@ -335,6 +384,7 @@
     SendPing(ping.m_sequence,
              ping.m_state,
              ping.m_clockMs,
+             ping.m_bornUnixMs,
              ", sent " + std::to_string(MillisBetween(ping.m_sentAt, Now())) +
                " ms ago");
   }
@@ -344,9 +394,10 @@
 Runner::SendPing(std::uint64_t aSequence,
                  const std::string& aState,
                  std::int64_t aClockMs,
+                 std::int64_t aBornUnixMs,
                  const std::string& aNote)
 {
-  const json body = {
+  json body = {
     { "service", m_options.m_service },
     { "address", m_options.m_address + ":" + std::to_string(m_options.m_port) },
     { "zone", m_options.m_zone },
@@ -362,6 +413,9 @@
     { "clock-ms", aClockMs },
     { "sequence", aSequence },
   };
+  if (m_options.m_statesBorn) {
+    body["born"] = aBornUnixMs;
+  }
   const std::optional<HttpResponse> response =
     Call(m_options.m_address,
          m_options.m_controlPort,
--- a/review/lib-3/runner.h
+++ b/review/lib-3/runner.h
@@ -33,6 +33,8 @@
   milliseconds m_beat{ 1500 };
   /** Longest lease. */
   milliseconds m_maxHold{ 1000 };
+  /** Whether pings and lists say when the runner has started (`born`). */
+  bool m_statesBorn = false;
 };
 
 /** One run that the runner has begun. */
@@ -41,6 +43,8 @@
   std::string m_task;
   std::uint32_t m_run = 0;
   Instant m_at;
+  /** When it ended; absent while it goes on. */
+  std::optional<Instant> m_endedAt;
 };
 
 /** A ping that was acknowledged. */
@@ -71,6 +75,9 @@
   void StartPings();
   /** Says of itself that it drains, from the next ping on. */
   void SetDraining();
+  /** Crashes and starts again at once under its id: it holds and knows nothing
+   * of before, and its counts and its clock start anew. */
+  void StartAgain();
   /** Cuts and heals the path between the runner and the agent. */
   void SetCut(bool aCut);
 
@@ -101,8 +108,9 @@
     std::uint64_t m_sequence = 0;
     std::string m_state;
     Instant m_sentAt;
-    /** The reading of the clock in the ping. */
+    /** The reading of the clock in the ping, and the start that it states. */
     std::int64_t m_clockMs = 0;
+    std::int64_t m_bornUnixMs = 0;
     /** When it is sent next, and the pause after that. */
     Instant m_next;
     milliseconds m_pause{};
@@ -126,6 +134,7 @@
   void SendPing(std::uint64_t aSequence,
                 const std::string& aState,
                 std::int64_t aClockMs,
+                std::int64_t aBornUnixMs,
                 const std::string& aNote);
   void SendDelayed();
 
@@ -146,7 +155,10 @@
   std::deque<Delayed> m_delayed;
   std::uint64_t m_sequence = 0;
   bool m_stopped = false;
-  const Instant m_born = Now();
+  Instant m_born = Now();
+  std::int64_t m_bornUnixMs = 0;
+  /** Set by StartAgain(), until the first ping of the new life. */
+  bool m_pingNow = false;
   std::thread m_timer;
   std::thread m_pings;
   /** Declared last, so that it ends first. */
