--- a/review/lib-3/deployment.cpp
+++ b/review/lib-3/deployment.cpp
@@ -238,6 +238,7 @@
   runner.m_port = kRunnerPort;
   runner.m_controlPort = kControlPort;
   runner.m_statesBorn = m_options.m_statesBorn;
+  runner.m_firstRetransmission = m_options.m_firstRetransmission;
   m_runners.push_back(std::make_unique<Runner>(runner, m_record));
   m_agents.push_back(StartDaemon(
     "agent",
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -54,6 +54,7 @@
   nlohmann::json m_route;
   /** See RunnerOptions. */
   bool m_statesBorn = false;
+  milliseconds m_firstRetransmission{ 300 };
 };
 
 /** A small deployment: the project's own programs as separate processes, with
--- a/review/lib-3/runner.cpp
+++ b/review/lib-3/runner.cpp
@@ -17,7 +17,6 @@
 constexpr std::int64_t kFirstClockMs = 100000;
 constexpr milliseconds kTick{ 5 };
 constexpr milliseconds kPingTimeout{ 1000 };
-constexpr milliseconds kFirstRetransmission{ 300 };
 
 std::int64_t
 UnixMs()
@@ -32,6 +31,7 @@
 Runner::Runner(RunnerOptions aOptions, Record& aRecord)
   : m_options(std::move(aOptions))
   , m_record(aRecord)
+  , m_milliCores(m_options.m_milliCores)
   , m_bornUnixMs(UnixMs())
   , m_timer([this] { RunTimer(); })
   , m_server(m_options.m_address,
@@ -67,6 +67,15 @@
   m_record.Add(m_options.m_id + " begins to drain");
 }
 
+void
+Runner::SetMilliCores(std::uint32_t aMilliCores)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_milliCores = aMilliCores;
+  m_record.Add(m_options.m_id + " has a capacity of " +
+               std::to_string(aMilliCores) + " millicores from now on");
+}
+
 void
 Runner::StartAgain()
 {
@@ -321,6 +330,7 @@
     std::uint64_t sequence = 0;
     std::int64_t born = 0;
     std::int64_t clock = 0;
+    std::uint32_t cores = 0;
     std::string state;
     {
       std::unique_lock<std::mutex> lock(m_mutex);
@@ -335,6 +345,7 @@
         next += m_options.m_beat;
         born = m_bornUnixMs;
         clock = ClockMs();
+        cores = m_milliCores;
         sequence = ++m_sequence;
         state = m_draining ? "draining" : "ready";
         cut = m_cut;
@@ -348,12 +359,13 @@
                               Now(),
                               clock,
                               born,
-                              Now() + kFirstRetransmission,
-                              2 * kFirstRetransmission });
+                              m_milliCores,
+                              Now() + m_options.m_firstRetransmission,
+                              2 * m_options.m_firstRetransmission });
       }
     }
     if (sequence != 0 && !cut) {
-      SendPing(sequence, state, clock, born, "");
+      SendPing(sequence, state, clock, born, cores, "");
     }
     SendDelayed();
     std::this_thread::sleep_for(kTick);
@@ -385,6 +397,7 @@
              ping.m_state,
              ping.m_clockMs,
              ping.m_bornUnixMs,
+             ping.m_milliCores,
              ", sent " + std::to_string(MillisBetween(ping.m_sentAt, Now())) +
                " ms ago");
   }
@@ -395,6 +408,7 @@
                  const std::string& aState,
                  std::int64_t aClockMs,
                  std::int64_t aBornUnixMs,
+                 std::uint32_t aMilliCores,
                  const std::string& aNote)
 {
   json body = {
@@ -406,7 +420,7 @@
     { "state", aState },
     { "cold-remaining-ms", 0 },
     { "capacity",
-      { { "cpu", m_options.m_milliCores },
+      { { "cpu", aMilliCores },
         { "mem-mb", m_options.m_memoryMb },
         { "gpu", 0 } } },
     { "labels", json::array({ "a", m_options.m_rack }) },
@@ -425,9 +439,10 @@
          body.dump(),
          kPingTimeout);
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_record.Add(m_options.m_id + " ping " + std::to_string(aSequence) + " (" +
-               aState + aNote + "): " +
-               (response ? std::to_string(response->m_status) : "no answer"));
+  m_record.Add(
+    m_options.m_id + " ping " + std::to_string(aSequence) + " (" + aState +
+    ", " + std::to_string(aMilliCores) + " millicores" + aNote +
+    "): " + (response ? std::to_string(response->m_status) : "no answer"));
   if (response && response->m_status == kOk) {
     m_acked.push_back({ aSequence, aState, Now() });
   }
--- a/review/lib-3/runner.h
+++ b/review/lib-3/runner.h
@@ -35,6 +35,8 @@
   milliseconds m_maxHold{ 1000 };
   /** Whether pings and lists say when the runner has started (`born`). */
   bool m_statesBorn = false;
+  /** When a ping that was sent into a cut is sent again first. */
+  milliseconds m_firstRetransmission{ 300 };
 };
 
 /** One run that the runner has begun. */
@@ -61,8 +63,8 @@
  *
  * Its path to the agent can be cut. Calls that are under way then get no
  * answer. A ping that is sent meanwhile waits in its connection until a
- * retransmission gets through: 0.3 s after it was sent, and then after pauses
- * that double. */
+ * retransmission gets through: first after the time in the options, and then
+ * after pauses that double. */
 class Runner
 {
 public:
@@ -75,6 +77,8 @@
   void StartPings();
   /** Says of itself that it drains, from the next ping on. */
   void SetDraining();
+  /** Changes the capacity, of which the next ping tells. */
+  void SetMilliCores(std::uint32_t aMilliCores);
   /** Crashes and starts again at once under its id: it holds and knows nothing
    * of before, and its counts and its clock start anew. */
   void StartAgain();
@@ -111,6 +115,7 @@
     /** The reading of the clock in the ping, and the start that it states. */
     std::int64_t m_clockMs = 0;
     std::int64_t m_bornUnixMs = 0;
+    std::uint32_t m_milliCores = 0;
     /** When it is sent next, and the pause after that. */
     Instant m_next;
     milliseconds m_pause{};
@@ -135,6 +140,7 @@
                 const std::string& aState,
                 std::int64_t aClockMs,
                 std::int64_t aBornUnixMs,
+                std::uint32_t aMilliCores,
                 const std::string& aNote);
   void SendDelayed();
 
@@ -151,6 +157,7 @@
   std::vector<Begun> m_begun;
   std::vector<AckedPing> m_acked;
   bool m_cut = false;
+  std::uint32_t m_milliCores = 0;
   bool m_draining = false;
   std::deque<Delayed> m_delayed;
   std::uint64_t m_sequence = 0;
