TWICE: a lease counts as the longest until the worker's clock confirms it

Cause: a start names its worker's id, not its life. The deadline on the earlier clock is far ahead on the new one, so the worker grants its longest lease, 1,000 ms, while the agent counts 500 ms from its decision. The clock in the answer to the start would have shown it, but the adapter threw it away.

Change: a run counts with the longest lease until an answer to its start, or an observation after it, shows a clock that fits the readings by which the lease was granted. An answer whose clock doesn't fit sets the longest lease for all runs there and makes the worker's clock doubtful, so that it is observed before anything starts. The comparison needs no tolerance, as an answer is never older than its call.

Two tests answered starts without a clock, which the protocol doesn't allow for (the fixture's RunTask, and AgentThatStoodStillReportsNoRunBeforeItsEnd); they now state it, with the same checks and bounds.

--- a/packages/core/internal/agent/attempt.h
+++ b/packages/core/internal/agent/attempt.h
@@ -51,6 +51,12 @@
   RunName m_runName;
   /** How often the start of the run was sent to the worker. */
   std::uint32_t m_startsSent = 0;
+  /** Workers with run leases only: when the start was last decided on. */
+  Instant m_startSentAt;
+  /** Workers with run leases only: whether the worker that has the run is known
+   * to have the clock by which the leases are granted. If not, the worker may
+   * have started again, and grant its longest lease. */
+  bool m_leaseConfirmed = false;
   /** Workers with run leases only: when the worker confirmed the start, or when
    * the first observation that listed the run was sent. */
   std::optional<Instant> m_acceptedAt;
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -72,28 +72,55 @@
   CheckRestart(m_board, aWorker, aAnnounced.m_startedAtMs);
   if (aAnnounced.m_clock &&
       aAnnounced.m_startedAtMs == state.m_tracked.m_startedAtMs) {
-    RecordClock(aWorker, *aAnnounced.m_clock, ClockSource::Announcement);
+    RecordAnnouncedClock(aWorker, *aAnnounced.m_clock);
   }
 }
 
 void
-LeasedRuns::RecordClock(Worker& aWorker,
-                        WorkerInstant aReading,
-                        ClockSource aSource)
+LeasedRuns::RecordAnnouncedClock(Worker& aWorker, WorkerInstant aReading)
+{
+  WorkerClockEstimate& clock = aWorker.m_leasedRuns->m_clock;
+  const std::optional<WorkerInstant> expected = clock.EarliestAt(m_board.m_now);
+  const bool wasDoubtful = clock.IsDoubtful();
+  clock.RecordAnnouncement(aReading, m_board.m_now);
+  RecordDoubt(aWorker, wasDoubtful, expected, aReading);
+}
+
+bool
+LeasedRuns::RecordAnsweredClock(Worker& aWorker,
+                                WorkerInstant aReading,
+                                Instant aSentAt)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
   const std::optional<WorkerInstant> expected =
-    state.m_clock.EarliestAt(m_board.m_now);
+    state.m_clock.EarliestAt(aSentAt);
   const bool wasDoubtful = state.m_clock.IsDoubtful();
-  state.m_clock.Record(aReading, m_board.m_now, aSource);
-  if (state.m_clock.IsDoubtful() && !wasDoubtful) {
+  const bool fits =
+    state.m_clock.RecordAnswer(aReading, aSentAt, m_board.m_now);
+  if (!fits) {
+    state.m_runsEndBy =
+      std::max(state.m_runsEndBy,
+               LatestRunEnd(m_board.m_now, m_board.m_policy.m_maxRunLease));
+  }
+  RecordDoubt(aWorker, wasDoubtful, expected, aReading);
+  return fits;
+}
+
+void
+LeasedRuns::RecordDoubt(const Worker& aWorker,
+                        bool aWasDoubtful,
+                        std::optional<WorkerInstant> aExpected,
+                        WorkerInstant aReading)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  if (state.m_clock.IsDoubtful() && !aWasDoubtful) {
     Record(m_board,
            EventCode::WorkerClockDoubtful,
            0,
            EventDetail()
              .Add("worker", aWorker.m_info.m_name)
              .Add("life", state.m_tracked.m_incarnation)
-             .Add("late_ms", Duration(*expected - aReading)));
+             .Add("late_ms", Duration(*aExpected - aReading)));
   }
 }
 
@@ -112,6 +139,9 @@
   }
   state.m_runsEndBy =
     std::max(state.m_runsEndBy, LatestRunEnd(m_board.m_now, lease));
+  state.m_unconfirmedRunsEndBy =
+    std::max(state.m_unconfirmedRunsEndBy,
+             LatestRunEnd(m_board.m_now, m_board.m_policy.m_maxRunLease));
   return *begin + std::chrono::floor<WorkerClock::duration>(lease);
 }
 
@@ -132,6 +162,24 @@
   return runs;
 }
 
+Instant
+LeasedRuns::RunsEndBy(const AgentBoard& aBoard, const Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  const bool hasUnconfirmed =
+    std::any_of(aBoard.m_attempts.m_byRun.begin(),
+                aBoard.m_attempts.m_byRun.end(),
+                [&](const std::pair<const RunId, AttemptKey>& aRun) {
+                  const Attempt& attempt =
+                    aBoard.m_attempts.m_open.at(aRun.second);
+                  return attempt.m_worker == aWorker.m_info.m_name &&
+                         !attempt.m_leaseConfirmed;
+                });
+  return hasUnconfirmed
+           ? std::max(state.m_runsEndBy, state.m_unconfirmedRunsEndBy)
+           : state.m_runsEndBy;
+}
+
 void
 LeasedRuns::Finish(RunId aRun, RunOutcome aOutcome)
 {
@@ -234,10 +282,14 @@
 LeasedRuns::FenceExpiredLeases()
 {
   for (auto& [name, worker] : m_board.m_workers.m_workers) {
-    const bool isExpired = worker.m_leasedRuns && worker.m_runningTasks > 0 &&
-                           worker.m_leasedRuns->m_runsEndBy <= m_board.m_now;
-    if (isExpired &&
-        worker.m_fencingRaisedAt < worker.m_leasedRuns->m_runsEndBy) {
+    const bool mayBeExpired = worker.m_leasedRuns &&
+                              worker.m_runningTasks > 0 &&
+                              worker.m_leasedRuns->m_runsEndBy <= m_board.m_now;
+    if (!mayBeExpired) {
+      continue;
+    }
+    const Instant runsEndBy = RunsEndBy(m_board, worker);
+    if (runsEndBy <= m_board.m_now && worker.m_fencingRaisedAt < runsEndBy) {
       RaiseFencingToken(m_board, worker, "the run leases have expired");
     }
   }
@@ -258,8 +310,8 @@
 LeasedRuns::ProcessWorker(Worker& aWorker)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  if (!state.m_responsive && state.m_observed &&
-      state.m_runsEndBy <= m_board.m_now && aWorker.m_runningTasks > 0) {
+  if (!state.m_responsive && state.m_observed && aWorker.m_runningTasks > 0 &&
+      RunsEndBy(m_board, aWorker) <= m_board.m_now) {
     FinishLapsed(aWorker);
   }
   StopUnclearRuns(aWorker);
@@ -283,13 +335,14 @@
 LeasedRuns::FinishLapsed(Worker& aWorker)
 {
   LeasedRunState& state = *aWorker.m_leasedRuns;
-  Record(m_board,
-         EventCode::RunsLapsed,
-         0,
-         EventDetail()
-           .Add("worker", aWorker.m_info.m_name)
-           .Add("runs", aWorker.m_runningTasks)
-           .Add("lease_ended_ms_ago", m_board.m_now - state.m_runsEndBy));
+  Record(
+    m_board,
+    EventCode::RunsLapsed,
+    0,
+    EventDetail()
+      .Add("worker", aWorker.m_info.m_name)
+      .Add("runs", aWorker.m_runningTasks)
+      .Add("lease_ended_ms_ago", m_board.m_now - RunsEndBy(m_board, aWorker)));
   for (const Attempt* const attempt : RunsOn(aWorker)) {
     if (!attempt->m_acceptedAt && !attempt->m_stopConfirmedAt) {
       state.m_unclearRuns.emplace(attempt->m_run,
@@ -352,9 +405,9 @@
         state.m_pending.back().m_answerDueAt > aBoard.m_now) {
       due = std::min(due, state.m_pending.back().m_answerDueAt);
     }
-    if (!state.m_responsive && worker.m_runningTasks > 0 &&
-        state.m_runsEndBy > aBoard.m_now) {
-      due = std::min(due, state.m_runsEndBy);
+    if (!state.m_responsive && worker.m_runningTasks > 0) {
+      const Instant runsEndBy = RunsEndBy(aBoard, worker);
+      due = runsEndBy > aBoard.m_now ? std::min(due, runsEndBy) : due;
     }
     for (const auto& [run, unclear] : state.m_unclearRuns) {
       if (state.m_responsive && unclear.m_stopSentAt) {
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -92,10 +92,25 @@
                      std::string_view aCause = "silent");
   /** Notes that the worker has answered a call, whatever the answer. */
   void RecordAnswer(Worker& aWorker);
-  /** Records a reading of the clock of the tracked start of the worker. */
-  void RecordClock(Worker& aWorker,
-                   WorkerInstant aReading,
-                   ClockSource aSource);
+  /** Records the worker's clock in an announcement of its tracked start. */
+  void RecordAnnouncedClock(Worker& aWorker, WorkerInstant aReading);
+  /** Records the worker's clock in the answer to a call that was sent at
+   * @p aSentAt. If it doesn't fit the estimate by which leases were granted,
+   * the worker may have granted its longest lease.
+   * @return whether it fits. */
+  bool RecordAnsweredClock(Worker& aWorker,
+                           WorkerInstant aReading,
+                           Instant aSentAt);
+  /** Logs that the clock of the worker has become doubtful. */
+  void RecordDoubt(const Worker& aWorker,
+                   bool aWasDoubtful,
+                   std::optional<WorkerInstant> aExpected,
+                   WorkerInstant aReading);
+  /** Records the worker's clock in the answer to the start of the attempt, and
+   * confirms its lease if the clock fits. */
+  void RecordClockOfStart(Worker& aWorker,
+                          Attempt& aAttempt,
+                          std::optional<WorkerInstant> aClock);
   void RecordUnansweredStart(Worker& aWorker);
   void HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt);
   /** @return whether the start may be sent to the worker once more. */
@@ -116,6 +131,9 @@
   void EndIncarnation(Worker& aWorker);
   void Finish(RunId aRun, RunOutcome aOutcome);
   std::vector<Attempt*> RunsOn(const Worker& aWorker);
+  /** @return the time by which all runs on the worker have ended if their
+   * leases are not renewed. */
+  static Instant RunsEndBy(const AgentBoard& aBoard, const Worker& aWorker);
 
   AgentBoard& m_board;
 };
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -117,7 +117,8 @@
         return;
       }
       if (aObserved.m_clock) {
-        RecordClock(worker, *aObserved.m_clock, ClockSource::Answer);
+        RecordAnsweredClock(
+          worker, *aObserved.m_clock, state.m_observationSentAt);
       }
       if (state.m_clock.IsDoubtful()) {
         state.m_nextObservation = m_board.m_now + kRetryInterval;
@@ -214,6 +215,10 @@
       foreignRuns.erase(attempt->m_runName);
       // Observations that are pending may have been answered before the start.
       attempt->m_acceptedAt = attempt->m_acceptedAt.value_or(m_board.m_now);
+      // Leases are granted by the clock of this answer from now on.
+      attempt->m_leaseConfirmed =
+        attempt->m_leaseConfirmed ||
+        attempt->m_startSentAt <= state.m_observationSentAt;
       continue;
     }
     const bool mayStillStart =
--- a/packages/core/internal/agent/runleasebound.cpp
+++ b/packages/core/internal/agent/runleasebound.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/** A reading is doubtful if it is lower by more than this than the lowest value
- * that follows from the reading before it. */
+/** The reading of an announcement is doubtful if it is lower by more than this
+ * than the lowest value that follows from the reading before it. */
 constexpr std::chrono::milliseconds kMaxReadingDelay{ 100 };
 /** Age of a reading after which the worker is observed for another one. Longer
  * than the interval of its announcements, which state the clock as well. */
@@ -25,17 +25,24 @@
 }
 
 void
-WorkerClockEstimate::Record(WorkerInstant aReading,
-                            Instant aNow,
-                            ClockSource aSource)
+WorkerClockEstimate::RecordAnnouncement(WorkerInstant aReading, Instant aNow)
 {
   const std::optional<WorkerInstant> expected = EarliestAt(aNow);
-  if (expected && aReading + kMaxReadingDelay < *expected) {
-    m_isDoubtful = true;
-  } else if (aSource == ClockSource::Answer) {
-    m_isDoubtful = false;
-  }
+  m_isDoubtful =
+    m_isDoubtful || (expected && aReading + kMaxReadingDelay < *expected);
+  m_reading = Reading{ aReading, aNow };
+}
+
+bool
+WorkerClockEstimate::RecordAnswer(WorkerInstant aReading,
+                                  Instant aSentAt,
+                                  Instant aNow)
+{
+  // The worker has read its clock after the call was sent.
+  const std::optional<WorkerInstant> expected = EarliestAt(aSentAt);
+  m_isDoubtful = expected && aReading < *expected;
   m_reading = Reading{ aReading, aNow };
+  return !m_isDoubtful;
 }
 
 std::optional<WorkerInstant>
@@ -45,8 +52,10 @@
     return std::nullopt;
   }
   const Duration age = aAt - m_reading->m_receivedAt;
-  const Duration passed(static_cast<Duration::rep>(
-    static_cast<double>(age.count()) / (1.0 + kMaxClockDrift)));
+  const double slowest = age < Duration::zero() ? 1.0 + kMaxClockDrift
+                                                : 1.0 / (1.0 + kMaxClockDrift);
+  const Duration passed(
+    static_cast<Duration::rep>(static_cast<double>(age.count()) * slowest));
   return m_reading->m_clock + std::chrono::floor<WorkerClock::duration>(passed);
 }
 
--- a/packages/core/internal/agent/runleasebound.h
+++ b/packages/core/internal/agent/runleasebound.h
@@ -2,7 +2,6 @@
 
 #include "core/types/time.h"
 
-#include <cstdint>
 #include <optional>
 
 /**
@@ -27,25 +26,22 @@
 Instant
 LatestRunEnd(Instant aDecidedAt, Duration aLease);
 
-/** How the agent has received a reading of a worker's clock. */
-enum class ClockSource : std::uint8_t
-{
-  /** In an answer to a call. */
-  Answer,
-  /** In an announcement, which may have been delayed for any time. */
-  Announcement,
-};
-
 /** What the latest reading of a worker's clock tells about that clock. Valid
  * for one start of the worker, as the clock begins anew with the next one. */
 class WorkerClockEstimate
 {
 public:
-  /** Records a reading that arrived at @p aNow. */
-  void Record(WorkerInstant aReading, Instant aNow, ClockSource aSource);
+  /** Records a reading of an announcement that arrived at @p aNow. */
+  void RecordAnnouncement(WorkerInstant aReading, Instant aNow);
+
+  /** Records the reading of an answer that arrived at @p aNow to a call that
+   * was sent at @p aSentAt.
+   * @return whether it fits: the clock has gained at least as much as the
+   * readings before it promise. If not, it stood still or is another one. */
+  bool RecordAnswer(WorkerInstant aReading, Instant aSentAt, Instant aNow);
 
-  /** @return a time that the worker's clock has reached at @p aAt; absent if no
-   * reading is known. */
+  /** @return a time that the worker's clock has reached at @p aAt, which may be
+   * before the latest reading; absent if no reading is known. */
   std::optional<WorkerInstant> EarliestAt(Instant aAt) const;
 
   /** @return whether the estimate is good enough for a lease of nearly the
@@ -69,7 +65,7 @@
   };
   std::optional<Reading> m_reading;
   /** Set by a reading that was delayed, or that shows that the worker's clock
-   * stood still; cleared by an answer that isn't. */
+   * stood still or is another one; cleared by an answer that fits. */
   bool m_isDoubtful = false;
 };
 
--- a/packages/core/internal/agent/startanswers.cpp
+++ b/packages/core/internal/agent/startanswers.cpp
@@ -35,6 +35,7 @@
       aAnswer.m_result != StartResult::OtherIncarnation) {
     RecordAnswer(worker);
     Breakers(m_board).RecordAnsweredStart(worker);
+    RecordClockOfStart(worker, attempt, aAnswer.m_clock);
   }
   switch (aAnswer.m_result) {
     case StartResult::Started:
@@ -81,6 +82,19 @@
   }
 }
 
+void
+LeasedRuns::RecordClockOfStart(Worker& aWorker,
+                               Attempt& aAttempt,
+                               std::optional<WorkerInstant> aClock)
+{
+  if (!aClock) {
+    return;
+  }
+  const bool fits =
+    RecordAnsweredClock(aWorker, *aClock, aAttempt.m_startSentAt);
+  aAttempt.m_leaseConfirmed = aAttempt.m_leaseConfirmed || fits;
+}
+
 void
 LeasedRuns::HandleUnansweredStart(Worker& aWorker, Attempt& aAttempt)
 {
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -236,6 +236,8 @@
   aAttempt.m_runName = { aAttempt.m_offer.m_name,
                          aAttempt.m_offer.m_startNumber };
   aAttempt.m_startsSent = 1;
+  aAttempt.m_startSentAt = m_board.m_now;
+  aAttempt.m_leaseConfirmed = false;
   attempts.m_byRun.emplace(aAttempt.m_run, aAttempt.m_key);
   ++m_board.m_counters.m_started;
   KeyRegistry(m_board).UpdateFate(aAttempt);
@@ -261,6 +263,7 @@
                    std::optional<WorkerInstant> aLeaseEndsAt)
 {
   ++aAttempt.m_startsSent;
+  aAttempt.m_startSentAt = m_board.m_now;
   m_board.m_commands->push_back(
     StartRun{ aAttempt.m_run,
               std::move(aTarget),
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -123,9 +123,11 @@
   /** By how much the token was last raised as the worker had rejected it; zero
    * since it accepted one. */
   std::uint64_t m_fencingStep = 0;
-  /** Time by which all runs on the worker have ended if their leases are not
-   * renewed. */
+  /** Time by which all runs with Attempt::m_leaseConfirmed have ended if their
+   * leases are not renewed. */
   Instant m_runsEndBy;
+  /** As m_runsEndBy, for all runs on the worker. */
+  Instant m_unconfirmedRunsEndBy;
   /** The clock of the tracked start of the worker. */
   WorkerClockEstimate m_clock;
   /** The worker has to confirm the stop of each before it gets a lease. */
--- a/packages/core/tests/agent_leaseschedule_test.cpp
+++ b/packages/core/tests/agent_leaseschedule_test.cpp
@@ -213,6 +213,7 @@
 {
   CPPUNIT_TEST_SUITE(AgentLeaseScheduleTest);
   CPPUNIT_TEST(NoRunGoesOnAfterItsEndWasReported);
+  CPPUNIT_TEST(StartBehindARestartThatIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -225,13 +226,23 @@
         : static_cast<std::uint32_t>(std::strtoul(replayed, nullptr, 10));
     const std::uint32_t last = replayed == nullptr ? kSeeds : first;
     for (std::uint32_t seed = first; seed <= last; ++seed) {
-      LeaseSchedule schedule(seed);
-      for (int round = 1; round <= kRounds; ++round) {
-        try {
-          schedule.PlayRound(static_cast<std::uint64_t>(round));
-        } catch (const CppUnit::Exception& error) {
-          CPPUNIT_FAIL("seed " + std::to_string(seed) + ": " + error.what());
-        }
+      PlaySeed(seed);
+    }
+  }
+
+  /** A start is sent 2 ms after the worker has started again, and the worker is
+   * cut off 2 ms later, before it answers. */
+  void StartBehindARestartThatIsCutOff() { PlaySeed(7770); }
+
+private:
+  static void PlaySeed(std::uint32_t aSeed)
+  {
+    LeaseSchedule schedule(aSeed);
+    for (int round = 1; round <= kRounds; ++round) {
+      try {
+        schedule.PlayRound(static_cast<std::uint64_t>(round));
+      } catch (const CppUnit::Exception& error) {
+        CPPUNIT_FAIL("seed " + std::to_string(aSeed) + ": " + error.what());
       }
     }
   }
--- a/packages/core/tests/agent_runleasebound_test.cpp
+++ b/packages/core/tests/agent_runleasebound_test.cpp
@@ -222,8 +222,10 @@
       const WorkerInstant leaseEndsAt =
         std::max(*fixture.Starts().back().m_leaseEndsAt,
                  *fixture.Observations().back().m_renewUntil);
-      fixture.HandleEvent(StartAnswered{
-        fixture.Starts().back().m_run, StartResult::Started, {} });
+      fixture.HandleEvent(StartAnswered{ fixture.Starts().back().m_run,
+                                         StartResult::Started,
+                                         {},
+                                         fixture.WorkerClockNow() });
       // The entry's lease outlasts the freeze, so it revokes nothing.
       fixture.Receive(fixture.m_entry, EntryHello{});
       fixture.m_now += freeze;
--- a/packages/core/tests/leasefixture.h
+++ b/packages/core/tests/leasefixture.h
@@ -165,7 +165,8 @@
     }
     SendOffers({ NamedOffer(aAttempt, aName) });
     const RunId run = Starts().back().m_run;
-    HandleEvent(StartAnswered{ run, StartResult::Started, {} });
+    HandleEvent(
+      StartAnswered{ run, StartResult::Started, {}, WorkerClockNow() });
     return run;
   }
 
--- a/packages/core/tests/modelworker.cpp
+++ b/packages/core/tests/modelworker.cpp
@@ -91,16 +91,16 @@
 ModelWorker::Start(const StartRun& aStart, Instant aNow)
 {
   if (IsFenced(aStart.m_target)) {
-    return { aStart.m_run, StartResult::Fenced, {} };
+    return { aStart.m_run, StartResult::Fenced, {}, ClockAt(aNow) };
   }
   ExtendLease(aStart.m_leaseEndsAt, aNow);
   const bool isOld =
     m_lastStart[aStart.m_name.m_task] >= aStart.m_name.m_startNumber;
   if (isOld || m_leaseEndsAt <= ClockAt(aNow)) {
-    return { aStart.m_run, StartResult::Rejected, {} };
+    return { aStart.m_run, StartResult::Rejected, {}, ClockAt(aNow) };
   }
   m_running.insert(aStart.m_name);
-  return { aStart.m_run, StartResult::Started, {} };
+  return { aStart.m_run, StartResult::Started, {}, ClockAt(aNow) };
 }
 
 StopAnswered
--- a/packages/core/types/events.h
+++ b/packages/core/types/events.h
@@ -258,6 +258,8 @@
   RunId m_run;
   StartResult m_result = StartResult::NoAnswer;
   std::string m_detail;
+  /** The worker's clock as it answered; absent if it does not tell. */
+  std::optional<WorkerInstant> m_clock = std::nullopt;
 };
 
 struct StopAnswered
