DRAIN: the order of a worker's announcements outlives the worker

Cause: the number of the last announcement lay in the record of the worker, which the agent erases after 5 s of silence, and an unknown worker that drains left nothing behind. So a ready announcement that a cut had delayed by 19 s counted as the first of a new worker.

Change: AnnouncementRecord keeps the order by the worker's name for 60 s after its last announcement, also for workers that aren't known. A start of a worker that has said that it drains never takes work again. Deregistrations are remembered for workers that don't tell their start.

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -3,7 +3,9 @@
 #include "core/internal/agent/fencing.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace mulberrysail::core::agent {
 
@@ -11,43 +13,123 @@
 
 /** Announcements are late by few restarts of their worker. */
 constexpr std::size_t kMaxEndedIncarnations = 16;
+constexpr std::size_t kMaxWorkers = 1024;
+/** How long after its last announcement the record of an expired worker is
+ * kept. */
+constexpr Duration kRecordRetention = std::chrono::seconds(60);
 
 /** @return whether the tracked incarnation has started again since it sent the
  * announcement. */
 bool
-IsOfEarlierStart(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
+IsOfEarlierStart(const AgentBoard& aBoard, const WorkerAnnounced& aAnnounced)
 {
-  if (!aWorker.m_leasedRuns || aAnnounced.m_startedAtMs == 0) {
+  const auto worker = aBoard.m_workers.m_workers.find(aAnnounced.m_info.m_name);
+  if (worker == aBoard.m_workers.m_workers.end() ||
+      !worker->second.m_leasedRuns || aAnnounced.m_startedAtMs == 0) {
     return false;
   }
-  const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
+  const WorkerStart& tracked = worker->second.m_leasedRuns->m_tracked;
   return aAnnounced.m_incarnation == tracked.m_incarnation &&
          aAnnounced.m_startedAtMs < tracked.m_startedAtMs;
 }
 
-} // namespace
-
+/** @return whether the announcement isn't newer than the recorded one. */
 bool
-IsOutdated(const Worker& aWorker, const WorkerAnnounced& aAnnounced)
+IsOutdated(const AnnouncementRecord& aRecord, const WorkerAnnounced& aAnnounced)
 {
   const auto isOfAnnounced = [&](const WorkerStart& aEnded) {
     return aEnded.m_incarnation == aAnnounced.m_incarnation &&
            aEnded.m_startedAtMs >= aAnnounced.m_startedAtMs;
   };
-  if (std::any_of(aWorker.m_endedIncarnations.begin(),
-                  aWorker.m_endedIncarnations.end(),
-                  isOfAnnounced)) {
-    return true;
-  }
-  if (IsOfEarlierStart(aWorker, aAnnounced)) {
+  if (std::any_of(
+        aRecord.m_ended.begin(), aRecord.m_ended.end(), isOfAnnounced)) {
     return true;
   }
   if (aAnnounced.m_sequence == 0 ||
-      aAnnounced.m_incarnation != aWorker.m_announcedBy.m_incarnation) {
+      aAnnounced.m_incarnation != aRecord.m_start.m_incarnation) {
     return false;
   }
   return std::tie(aAnnounced.m_startedAtMs, aAnnounced.m_sequence) <=
-         std::tie(aWorker.m_announcedBy.m_startedAtMs, aWorker.m_lastSequence);
+         std::tie(aRecord.m_start.m_startedAtMs, aRecord.m_sequence);
+}
+
+void
+AddEnded(AnnouncementRecord& aRecord, const WorkerStart& aStart)
+{
+  aRecord.m_ended.push_back(aStart);
+  if (aRecord.m_ended.size() > kMaxEndedIncarnations) {
+    aRecord.m_ended.pop_front();
+  }
+}
+
+/** @return the record of the worker, a new one if there is none; null if there
+ * are as many as there may be. */
+AnnouncementRecord*
+FindOrAddRecord(AgentBoard& aBoard, const std::string& aWorker)
+{
+  std::map<std::string, AnnouncementRecord, std::less<>>& records =
+    aBoard.m_workers.m_announcements;
+  const auto known = records.find(aWorker);
+  if (known != records.end()) {
+    return &known->second;
+  }
+  return records.size() < kMaxWorkers ? &records[aWorker] : nullptr;
+}
+
+} // namespace
+
+bool
+RecordAnnounced(AgentBoard& aBoard, const WorkerAnnounced& aAnnounced)
+{
+  AnnouncementRecord* const record =
+    FindOrAddRecord(aBoard, aAnnounced.m_info.m_name);
+  if (record == nullptr || IsOutdated(*record, aAnnounced) ||
+      IsOfEarlierStart(aBoard, aAnnounced)) {
+    return false;
+  }
+  const WorkerStart start{ aAnnounced.m_incarnation, aAnnounced.m_startedAtMs };
+  if (record->m_start != start) {
+    record->m_start = start;
+    record->m_isLeaving = false;
+    record->m_largestCapacity = {};
+  }
+  // A worker without incarnations may announce one start after another.
+  const bool leftBefore = record->m_isLeaving && !start.m_incarnation.empty();
+  record->m_isLeaving = leftBefore || aAnnounced.m_leaving;
+  record->m_sequence = aAnnounced.m_sequence;
+  record->m_largestCapacity.RaiseTo(aAnnounced.m_info.m_capacity);
+  record->m_receivedAt = aBoard.m_now;
+  return true;
+}
+
+bool
+IsLeaving(const AgentBoard& aBoard, const std::string& aWorker)
+{
+  const auto record = aBoard.m_workers.m_announcements.find(aWorker);
+  return record != aBoard.m_workers.m_announcements.end() &&
+         record->second.m_isLeaving;
+}
+
+void
+RecordDeregistered(AgentBoard& aBoard, const WorkerLeft& aLeft)
+{
+  AnnouncementRecord* const record = FindOrAddRecord(aBoard, aLeft.m_worker);
+  if (record == nullptr) {
+    return;
+  }
+  AddEnded(*record, { aLeft.m_incarnation, 0 });
+  record->m_receivedAt = aBoard.m_now;
+}
+
+void
+RemoveOldAnnouncements(AgentBoard& aBoard)
+{
+  std::erase_if(
+    aBoard.m_workers.m_announcements,
+    [&](const std::pair<const std::string, AnnouncementRecord>& aEntry) {
+      return aBoard.m_now - aEntry.second.m_receivedAt > kRecordRetention &&
+             !aBoard.m_workers.m_workers.contains(aEntry.first);
+    });
 }
 
 bool
@@ -62,19 +144,18 @@
 }
 
 void
-RecordEnded(Worker& aWorker, const std::string& aIncarnation)
+RecordEnded(AgentBoard& aBoard,
+            const Worker& aWorker,
+            const std::string& aIncarnation)
 {
   if (aIncarnation.empty()) {
     return;
   }
   const WorkerStart& tracked = aWorker.m_leasedRuns->m_tracked;
-  aWorker.m_endedIncarnations.push_back(
-    aWorker.m_announcedBy.m_incarnation == aIncarnation
-      ? aWorker.m_announcedBy
-      : WorkerStart{ aIncarnation, tracked.m_startedAtMs });
-  if (aWorker.m_endedIncarnations.size() > kMaxEndedIncarnations) {
-    aWorker.m_endedIncarnations.pop_front();
-  }
+  AddEnded(aBoard.m_workers.m_announcements[aWorker.m_info.m_name],
+           aWorker.m_announcedBy.m_incarnation == aIncarnation
+             ? aWorker.m_announcedBy
+             : WorkerStart{ aIncarnation, tracked.m_startedAtMs });
 }
 
 void
@@ -100,6 +181,11 @@
   if (aWorker.m_announcedBy.m_startedAtMs == 0) {
     // The announcement doesn't tell its start, so it may be an earlier one.
     aWorker.m_announcedBy = {};
+    AnnouncementRecord& record =
+      aBoard.m_workers.m_announcements[aWorker.m_info.m_name];
+    record.m_start = {};
+    record.m_sequence = 0;
+    record.m_isLeaving = false;
   }
   RaiseFencingToken(aBoard, aWorker, "the worker has started again");
   ScheduleAnnounceToAll(aBoard);
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -14,7 +14,6 @@
 
 /** Inverse of the maximum drift between the clocks of two machines. */
 constexpr int kInverseClockDrift = 1000;
-constexpr std::size_t kMaxWorkers = 1024;
 
 /** How long the state of an expired worker is retained that its next
  * announcement must not reset: its breaker, and starts that may still be
@@ -177,25 +176,17 @@
 void
 Membership::SetWorker(WorkerAnnounced aAnnounced)
 {
+  if (!RecordAnnounced(m_board, aAnnounced)) {
+    return;
+  }
   std::map<std::string, Worker, std::less<>>& workers =
     m_board.m_workers.m_workers;
-  const auto known = workers.find(aAnnounced.m_info.m_name);
-  if (known == workers.end() &&
-      (aAnnounced.m_leaving || workers.size() >= kMaxWorkers)) {
+  aAnnounced.m_leaving = IsLeaving(m_board, aAnnounced.m_info.m_name);
+  if (aAnnounced.m_leaving && !workers.contains(aAnnounced.m_info.m_name)) {
     return;
   }
   Worker& worker = workers[aAnnounced.m_info.m_name];
-  if (IsOutdated(worker, aAnnounced)) {
-    return;
-  }
-  const WorkerStart announcedBy{ aAnnounced.m_incarnation,
-                                 aAnnounced.m_startedAtMs };
-  if (worker.m_announcedBy != announcedBy) {
-    worker.m_largestCapacity = {};
-  }
-  worker.m_announcedBy = announcedBy;
-  worker.m_lastSequence = aAnnounced.m_sequence;
-  worker.m_largestCapacity.RaiseTo(aAnnounced.m_info.m_capacity);
+  worker.m_announcedBy = { aAnnounced.m_incarnation, aAnnounced.m_startedAtMs };
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
   aAnnounced.m_info.m_failing = worker.m_info.m_failing;
   aAnnounced.m_info.m_warmingUp =
@@ -234,6 +225,7 @@
 void
 Membership::SetWorkerLeaving(const WorkerLeft& aLeft)
 {
+  RecordDeregistered(m_board, aLeft);
   const auto place = m_board.m_workers.m_workers.find(aLeft.m_worker);
   if (place == m_board.m_workers.m_workers.end()) {
     return;
@@ -388,6 +380,7 @@
       (!mustBeKept || m_board.m_now - worker.m_leaseEnds > kWorkerRetention);
     place = remove ? workers.erase(place) : std::next(place);
   }
+  RemoveOldAnnouncements(m_board);
 }
 
 void
--- a/packages/core/internal/agent/observations.cpp
+++ b/packages/core/internal/agent/observations.cpp
@@ -96,7 +96,7 @@
       if (!ofTrackedIncarnation) {
         // The answer is from another incarnation than the tracked one.
         FinishAsCrashed(worker, "another incarnation answered", true);
-        RecordEnded(worker, state.m_tracked.m_incarnation);
+        RecordEnded(m_board, worker, state.m_tracked.m_incarnation);
         const Instant sentAt = state.m_observationSentAt;
         state = LeasedRunState{};
         state.m_tracked.m_incarnation = aObserved.m_incarnation;
@@ -138,7 +138,7 @@
       }
       return;
     case ObserveResult::OtherIncarnation:
-      RecordEnded(worker, aObserved.m_incarnation);
+      RecordEnded(m_board, worker, aObserved.m_incarnation);
       if (ofTrackedIncarnation) {
         EndIncarnation(worker);
       } else {
--- a/packages/core/internal/agent/starter.cpp
+++ b/packages/core/internal/agent/starter.cpp
@@ -97,7 +97,8 @@
       continue;
     }
     WorkerInfo largest = worker.m_info;
-    largest.m_capacity = worker.m_largestCapacity;
+    largest.m_capacity =
+      aBoard.m_workers.m_announcements.at(name).m_largestCapacity;
     anyLive = true;
     canRun = canRun || CanRunOffer(worker.m_info, aOffer);
     couldRun = couldRun || CanRunOffer(largest, aOffer);
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -134,21 +134,34 @@
   std::map<RunId, UnclearRun> m_unclearRuns;
 };
 
+/** The order of a worker's announcements. It is kept for longer than the
+ * Worker, so that a delayed announcement brings no earlier state back. */
+struct AnnouncementRecord
+{
+  /** The start of the worker that sent the latest announcement, and the number
+   * of that announcement. */
+  WorkerStart m_start;
+  std::uint64_t m_sequence = 0;
+  /** Whether that start has announced that it leaves. It never takes work
+   * again, whatever its announcements say. */
+  bool m_isLeaving = false;
+  /** The most of each resource that it has announced. WorkerInfo::m_capacity
+   * may be lower for a while. */
+  Resources m_largestCapacity;
+  /** The starts of incarnations that are known to have ended, the latest last.
+   * Their announcements may still arrive. */
+  std::deque<WorkerStart> m_ended;
+  /** When the latest announcement arrived. */
+  Instant m_receivedAt;
+};
+
 /** A worker managed by this agent. */
 struct Worker
 {
   WorkerInfo m_info;
   std::string m_url;
-  /** The most of each resource that was announced. WorkerInfo::m_capacity may
-   * be lower for a while. */
-  Resources m_largestCapacity;
-  /** The starts of incarnations that are known to have ended, the latest last.
-   * Their announcements may still arrive. */
-  std::deque<WorkerStart> m_endedIncarnations;
-  /** The start of the worker that m_info describes, and the number of its last
-   * announcement. */
+  /** The start of the worker that m_info describes. */
   WorkerStart m_announcedBy;
-  std::uint64_t m_lastSequence = 0;
   Instant m_leaseEnds;
   /** When the worker stops being slow after its start, while
    * WorkerInfo::m_warmingUp is set. */
@@ -177,6 +190,9 @@
    * EntryHello::m_useFailingWorkersFor. */
   Instant m_useFailingUntil;
   std::map<std::string, Worker, std::less<>> m_workers;
+  /** By the worker's name, for each of m_workers and for some that have
+   * expired. */
+  std::map<std::string, AnnouncementRecord, std::less<>> m_announcements;
   /** Set when queued tasks may have to be refused because a worker changed,
    * expired or was quarantined, the agent is draining, or its zone was drained.
    */
