LIMIT: an announcement lapses a time after it was sent, not received

Cause: the first announcement that got through after a cut was one from before the capacity shrank. It was the newest that had arrived, and counted from its arrival. Its age was known: it states the worker's clock, and so does the answer to the observation that precedes the first start.

Change: the announcement's lease counts from its sending, by the lowest value that the worker's clock can have at the time. Each answer or announcement of the same start may shorten it.

FirstLeaseAfterARestEndsInTimeWithoutAnnouncedClocks let one start of a worker announce with a clock first and without later. It now uses a start that never tells its clock, with the same bounds.

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -88,11 +88,16 @@
     return false;
   }
   const WorkerStart start{ aAnnounced.m_incarnation, aAnnounced.m_startedAtMs };
-  if (record->m_start != start) {
+  const bool isOfSameStart = record->m_start == start;
+  if (isOfSameStart && record->m_tellsClock && !aAnnounced.m_clock) {
+    return false;
+  }
+  if (!isOfSameStart) {
     record->m_start = start;
     record->m_isLeaving = false;
     record->m_largestCapacity = {};
   }
+  record->m_tellsClock = aAnnounced.m_clock.has_value();
   // A worker without incarnations may announce one start after another.
   const bool leftBefore = record->m_isLeaving && !start.m_incarnation.empty();
   record->m_isLeaving = leftBefore || aAnnounced.m_leaving;
--- a/packages/core/internal/agent/incarnations.h
+++ b/packages/core/internal/agent/incarnations.h
@@ -12,8 +12,9 @@
 /** Adds an announcement to the order of those of its worker.
  * @return false if it was sent before the last one that was received, or by an
  * incarnation that has ended, and so may state a capacity, labels or a
- * readiness that the worker no longer has. Also false if the agent knows as
- * many workers as it may. */
+ * readiness that the worker no longer has. Also false if it lacks the clock
+ * that its start has told before, so that its age is unknown, or if the agent
+ * knows as many workers as it may. */
 bool
 RecordAnnounced(AgentBoard& aBoard, const WorkerAnnounced& aAnnounced);
 
--- a/packages/core/internal/agent/leasedruns.cpp
+++ b/packages/core/internal/agent/leasedruns.cpp
@@ -82,10 +82,28 @@
   WorkerClockEstimate& clock = aWorker.m_leasedRuns->m_clock;
   const std::optional<WorkerInstant> expected = clock.EarliestAt(m_board.m_now);
   const bool wasDoubtful = clock.IsDoubtful();
+  // Before the reading of a late announcement takes the place of the earlier
+  // one.
+  CountAnnouncementFromItsSending(aWorker);
   clock.RecordAnnouncement(aReading, m_board.m_now);
   RecordDoubt(aWorker, wasDoubtful, expected, aReading);
 }
 
+void
+LeasedRuns::CountAnnouncementFromItsSending(Worker& aWorker)
+{
+  const LeasedRunState& state = *aWorker.m_leasedRuns;
+  const std::optional<WorkerInstant> clock =
+    state.m_clock.EarliestAt(m_board.m_now);
+  if (!clock || !aWorker.m_announcedClock ||
+      aWorker.m_announcedBy != state.m_tracked) {
+    return;
+  }
+  const Duration age = *clock - *aWorker.m_announcedClock;
+  aWorker.m_leaseEnds = std::min(
+    aWorker.m_leaseEnds, m_board.m_now + m_board.m_policy.m_workerLease - age);
+}
+
 bool
 LeasedRuns::RecordAnsweredClock(Worker& aWorker,
                                 WorkerInstant aReading,
@@ -102,6 +120,7 @@
       std::max(state.m_runsEndBy,
                LatestRunEnd(m_board.m_now, m_board.m_policy.m_maxRunLease));
   }
+  CountAnnouncementFromItsSending(aWorker);
   RecordDoubt(aWorker, wasDoubtful, expected, aReading);
   return fits;
 }
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -101,6 +101,9 @@
   bool RecordAnsweredClock(Worker& aWorker,
                            WorkerInstant aReading,
                            Instant aSentAt);
+  /** Lets the worker's announcement lapse AgentPolicy::m_workerLease after it
+   * was sent, as far as the worker's clock shows it. */
+  void CountAnnouncementFromItsSending(Worker& aWorker);
   /** Logs that the clock of the worker has become doubtful. */
   void RecordDoubt(const Worker& aWorker,
                    bool aWasDoubtful,
--- a/packages/core/internal/agent/membership.cpp
+++ b/packages/core/internal/agent/membership.cpp
@@ -187,6 +187,7 @@
   }
   Worker& worker = workers[aAnnounced.m_info.m_name];
   worker.m_announcedBy = { aAnnounced.m_incarnation, aAnnounced.m_startedAtMs };
+  worker.m_announcedClock = aAnnounced.m_clock;
   aAnnounced.m_info.m_quarantined = worker.m_info.m_quarantined;
   aAnnounced.m_info.m_failing = worker.m_info.m_failing;
   aAnnounced.m_info.m_warmingUp =
@@ -199,10 +200,10 @@
   worker.m_url = std::move(aAnnounced.m_url);
   worker.m_leaving = aAnnounced.m_leaving;
   worker.m_unreachable = false;
+  worker.m_leaseEnds = m_board.m_now + m_board.m_policy.m_workerLease;
   if (aAnnounced.m_hasRunLeases) {
     LeasedRuns(m_board).RecordAnnouncement(worker, aAnnounced);
   }
-  worker.m_leaseEnds = m_board.m_now + m_board.m_policy.m_workerLease;
   WorkerUsage(m_board).ApplyUsage(worker, aAnnounced.m_usage);
   if (changed) {
     m_board.m_workers.m_recheckQueuedTasks = true;
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -145,6 +145,8 @@
   /** Whether that start has announced that it leaves. It never takes work
    * again, whatever its announcements say. */
   bool m_isLeaving = false;
+  /** Whether that start tells its clock. */
+  bool m_tellsClock = false;
   /** The most of each resource that it has announced. WorkerInfo::m_capacity
    * may be lower for a while. */
   Resources m_largestCapacity;
@@ -162,6 +164,11 @@
   std::string m_url;
   /** The start of the worker that m_info describes. */
   WorkerStart m_announcedBy;
+  /** The clock of that start as it sent the announcement; absent if it does not
+   * tell. */
+  std::optional<WorkerInstant> m_announcedClock;
+  /** When the announcement lapses. Counts from its sending as far as the
+   * worker's clock shows it, otherwise from its receipt. */
   Instant m_leaseEnds;
   /** When the worker stops being slow after its start, while
    * WorkerInfo::m_warmingUp is set. */
--- a/packages/core/tests/agent_lateannouncement_test.cpp
+++ b/packages/core/tests/agent_lateannouncement_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
+#include <utility>
 
 namespace mulberrysail::core {
 
@@ -12,6 +13,9 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kAnnounceInterval{ 1500 };
+/** See AgentPolicy::m_workerLease. */
+constexpr milliseconds kAnnouncementLease{ 6000 };
+constexpr Resources kShrunken{ 1000, 4096, 0 };
 
 /** Answers each observation once, when the test asks for it. */
 class LateAnnouncementFixture : public LeaseFixture
@@ -28,6 +32,8 @@
     }
   }
 
+  std::uint64_t m_lastEnd = 0;
+
 private:
   std::uint64_t m_answered = 0;
 };
@@ -44,6 +50,17 @@
   CPPUNIT_TEST(NextStartOfADrainedWorkerGetsTasks);
   CPPUNIT_TEST(NextIncarnationOfADrainedWorkerGetsTasks);
   CPPUNIT_TEST(LateDeregistrationOfAnEarlierStartCostsOneAnnouncement);
+  CPPUNIT_TEST(LateAnnouncementOfALargerCapacityStartsNothing);
+  CPPUNIT_TEST(LateAnnouncementIsJudgedByTheFirstObservation);
+  CPPUNIT_TEST(LateAnnouncementOfAKnownWorkerCountsFromItsSending);
+  CPPUNIT_TEST(OldAnnouncementsThatArriveTogetherCountFromTheirSending);
+  CPPUNIT_TEST(FreshAnnouncementAfterALateOneIsUsedAtOnce);
+  CPPUNIT_TEST(AnnouncementsThatAreSteadilyLateKeepTheWorkerInUse);
+  CPPUNIT_TEST(AgentThatStoodStillKeepsItsWorkerInUse);
+  CPPUNIT_TEST(SlowClockKeepsTheWorkerInUse);
+  CPPUNIT_TEST(AnnouncementWithoutAClockCountsFromItsReceipt);
+  CPPUNIT_TEST(AnnouncementThatLacksTheClockOfItsStartIsIgnored);
+  CPPUNIT_TEST(AnnouncementThatLacksTheStartOfItsIncarnationIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
   struct Announcement
@@ -91,6 +108,16 @@
     }
   }
 
+  /** Lets the worker report the end of the task. */
+  static void FinishTask(LateAnnouncementFixture& aFixture,
+                         std::uint64_t aAttempt)
+  {
+    aFixture.AnswerObservation({},
+                               { { ++aFixture.m_lastEnd,
+                                   { "task" + std::to_string(aAttempt), 1 },
+                                   RunEnd::Completed } });
+  }
+
 public:
   /** Guards against DRAIN by an announcement that a cut has delayed
    * (review/13). */
@@ -165,6 +192,150 @@
     Announce(fixture, { .m_sequence = 2 });
     CPPUNIT_ASSERT(Starts(fixture, 2));
   }
+
+  /** Guards against LIMIT by an announcement that was sent before the capacity
+   * shrank (review/15). */
+  void LateAnnouncementOfALargerCapacityStartsNothing()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    const WorkerInstant sentAt = fixture.WorkerClockNow();
+    fixture.Advance(seconds(8));
+    Announce(fixture, { .m_sequence = 2, .m_sentAt = sentAt });
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+    Announce(fixture, { .m_sequence = 7, .m_capacity = kShrunken });
+    CPPUNIT_ASSERT(!Starts(fixture, 2));
+  }
+
+  /** As for an agent that was started a moment ago. */
+  void LateAnnouncementIsJudgedByTheFirstObservation()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.Advance(seconds(80));
+    Announce(fixture,
+             { .m_sequence = 50,
+               .m_sentAt = fixture.WorkerClockNow() - kAnnouncementLease });
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+  }
+
+  void LateAnnouncementOfAKnownWorkerCountsFromItsSending()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    fixture.Advance(milliseconds(100));
+    const Instant sentAt = fixture.m_now;
+    const WorkerInstant clock = fixture.WorkerClockNow();
+    fixture.Advance(seconds(3));
+    Announce(fixture, { .m_sequence = 2, .m_sentAt = clock });
+    CPPUNIT_ASSERT(Starts(fixture, 1));
+    fixture.Advance(sentAt + kAnnouncementLease - fixture.m_now);
+    CPPUNIT_ASSERT(!Starts(fixture, 2));
+  }
+
+  /** The first one must not make the second look fresh. */
+  void OldAnnouncementsThatArriveTogetherCountFromTheirSending()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    fixture.Advance(seconds(20));
+    const WorkerInstant now = fixture.WorkerClockNow();
+    Announce(fixture, { .m_sequence = 2, .m_sentAt = now - seconds(8) });
+    Announce(fixture,
+             { .m_sequence = 3, .m_sentAt = now - milliseconds(6500) });
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+  }
+
+  /** As after a cut. */
+  void FreshAnnouncementAfterALateOneIsUsedAtOnce()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    const WorkerInstant sentAt = fixture.WorkerClockNow();
+    fixture.Advance(seconds(8));
+    Announce(fixture, { .m_sequence = 2, .m_sentAt = sentAt });
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+    fixture.Advance(milliseconds(200));
+    Announce(fixture, { .m_sequence = 7 });
+    CPPUNIT_ASSERT(Starts(fixture, 2));
+  }
+
+  /** As on a busy machine. */
+  void AnnouncementsThatAreSteadilyLateKeepTheWorkerInUse()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    for (std::uint64_t beat = 1; beat <= 20; ++beat) {
+      fixture.Advance(kAnnounceInterval);
+      Announce(fixture,
+               { .m_sequence = beat + 1,
+                 .m_sentAt = fixture.WorkerClockNow() - milliseconds(500) });
+      CPPUNIT_ASSERT(Starts(fixture, beat));
+      FinishTask(fixture, beat);
+    }
+  }
+
+  void AgentThatStoodStillKeepsItsWorkerInUse()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    fixture.m_now += seconds(4);
+    const WorkerInstant now = fixture.WorkerClockNow();
+    Announce(fixture, { .m_sequence = 2, .m_sentAt = now - seconds(3) });
+    Announce(fixture,
+             { .m_sequence = 3, .m_sentAt = now - milliseconds(1500) });
+    Announce(fixture, { .m_sequence = 4 });
+    CPPUNIT_ASSERT(Starts(fixture, 1));
+  }
+
+  void SlowClockKeepsTheWorkerInUse()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.m_workerClockRate = 0.98;
+    fixture.AnswerNewObservation();
+    for (std::uint64_t beat = 1; beat <= 40; ++beat) {
+      fixture.Advance(kAnnounceInterval);
+      Announce(fixture, { .m_sequence = beat + 1 });
+    }
+    fixture.Advance(kAnnouncementLease - milliseconds(200));
+    CPPUNIT_ASSERT(Starts(fixture, 1));
+  }
+
+  /** A worker that doesn't tell its clock can't be judged by it. */
+  void AnnouncementWithoutAClockCountsFromItsReceipt()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    fixture.AnnounceLeasedWorker("life-2", false, kLeasedCapacity, false);
+    fixture.AnswerNewObservation();
+    CPPUNIT_ASSERT(Starts(fixture, 1));
+    FinishTask(fixture, 1);
+    fixture.Advance(kAnnouncementLease);
+    CPPUNIT_ASSERT(!Starts(fixture, 2));
+  }
+
+  /** It is from another writer, so its age is unknown. */
+  void AnnouncementThatLacksTheClockOfItsStartIsIgnored()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    Announce(fixture, { .m_sequence = 2, .m_capacity = kShrunken });
+    fixture.AnnounceLeasedWorker(
+      kFirstIncarnation, false, kLeasedCapacity, false);
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+    Announce(fixture, { .m_sequence = 3 });
+    CPPUNIT_ASSERT(Starts(fixture, 2));
+  }
+
+  void AnnouncementThatLacksTheStartOfItsIncarnationIsIgnored()
+  {
+    LateAnnouncementFixture fixture;
+    fixture.AnswerNewObservation();
+    Announce(fixture, { .m_sequence = 2, .m_capacity = kShrunken });
+    const std::uint64_t startedAtMs = std::exchange(fixture.m_startedAtMs, 0);
+    Announce(fixture, { .m_sequence = 3 });
+    fixture.m_startedAtMs = startedAtMs;
+    CPPUNIT_ASSERT(!Starts(fixture, 1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentLateAnnouncementTest);
--- a/packages/core/tests/agent_runleasebound_test.cpp
+++ b/packages/core/tests/agent_runleasebound_test.cpp
@@ -86,6 +86,10 @@
   {
     LeaseFixture fixture;
     fixture.m_workerClockRate = 0.98;
+    // A start that tells its clock once does so in each announcement.
+    fixture.RestartWorker();
+    fixture.AnnounceLeasedWorker(
+      kFirstIncarnation, false, kLeasedCapacity, false);
     fixture.AnswerObservation({});
     Rest(fixture, seconds(25), false);
     CPPUNIT_ASSERT(Offers(fixture, 1));
--- a/packages/core/types/policy.h
+++ b/packages/core/types/policy.h
@@ -144,7 +144,8 @@
   Duration m_lease = std::chrono::seconds(6);
   /** An endpoint gets no work after this long without an announcement. */
   Duration m_endpointLease = std::chrono::milliseconds(2500);
-  /** A worker gets no work after this long without an announcement. */
+  /** A worker gets no work after this long without an announcement. Counts
+   * from when the announcement was sent if the worker tells its clock. */
   Duration m_workerLease = std::chrono::seconds(6);
   /** The shortest interval between two load reports to one entry. */
   Duration m_reportInterval = std::chrono::milliseconds(10);
