--- a/packages/core/tests/agentfixture.cpp
+++ b/packages/core/tests/agentfixture.cpp
@@ -25,8 +25,9 @@
 } // namespace
 
 AgentFixture::AgentFixture(AgentPolicy aPolicy, Incarnation aIncarnation)
-  : m_self{ "agent1", aIncarnation }
-  , m_agent(MakeAgent(m_self, std::move(aPolicy), 1))
+  : m_policy(std::move(aPolicy))
+  , m_self{ "agent1", aIncarnation }
+  , m_agent(MakeAgent(m_self, m_policy, 1))
 {
   HandleEvent(PeersChanged{ { m_entry } });
 }
@@ -43,6 +44,15 @@
   HandleEvent(MessageReceived{ aFrom, std::move(aMessage) });
 }
 
+void
+AgentFixture::RestartAgent()
+{
+  ++m_self.m_incarnation.m_value;
+  m_agent = MakeAgent(m_self, m_policy, 1);
+  m_offersSent = 0;
+  HandleEvent(PeersChanged{ { m_entry } });
+}
+
 void
 AgentFixture::Advance(Duration aBy)
 {
--- a/packages/core/tests/agentfixture.h
+++ b/packages/core/tests/agentfixture.h
@@ -20,6 +20,9 @@
   void HandleEvent(AgentEvent aEvent);
   void Receive(const ProcessId& aFrom, Message aMessage);
 
+  /** Replaces the agent by its next incarnation, which knows only the entry. */
+  void RestartAgent();
+
   /** Advances the clock and fires the timer at each wake-up time of the agent.
    */
   void Advance(Duration aBy);
@@ -51,7 +54,8 @@
   std::size_t CountMessages() const;
   void ClearCommands();
 
-  const ProcessId m_self;
+  const AgentPolicy m_policy;
+  ProcessId m_self;
   const ProcessId m_entry{ "entry1", Incarnation{ 3 } };
   std::unique_ptr<IAgent> m_agent;
   Instant m_now{ std::chrono::seconds(100) };
--- a/packages/core/tests/leasefixture.h
+++ b/packages/core/tests/leasefixture.h
@@ -33,8 +33,9 @@
 class LeaseFixture : public AgentFixture
 {
 public:
-  explicit LeaseFixture(Incarnation aIncarnation = Incarnation{ 7 })
-    : AgentFixture(LeasePolicy(), aIncarnation)
+  explicit LeaseFixture(Incarnation aIncarnation = Incarnation{ 7 },
+                        const AgentPolicy& aPolicy = LeasePolicy())
+    : AgentFixture(aPolicy, aIncarnation)
   {
     AnnounceLeasedWorker(kFirstIncarnation);
   }
--- a/packages/core/tests/modelworker.cpp
+++ b/packages/core/tests/modelworker.cpp
@@ -63,12 +63,18 @@
 }
 
 void
-ModelWorker::End(const RunName& aRun)
+ModelWorker::Complete(const RunName& aRun)
+{
+  End(aRun, RunEnd::Completed);
+}
+
+void
+ModelWorker::End(const RunName& aRun, RunEnd aEnd)
 {
   m_running.erase(aRun);
   m_lastStart[aRun.m_task] =
     std::max(m_lastStart[aRun.m_task], aRun.m_startNumber);
-  m_ended.push_back({ ++m_lastEnd, aRun, RunEnd::Interrupted });
+  m_ended.push_back({ ++m_lastEnd, aRun, aEnd });
 }
 
 void
--- a/packages/core/tests/modelworker.h
+++ b/packages/core/tests/modelworker.h
@@ -23,6 +23,9 @@
   /** Starts again under the same id: forgets all, with another clock. */
   void Restart(Instant aNow);
 
+  /** Ends a run as completed. */
+  void Complete(const RunName& aRun);
+
   /** Ends runs whose leases are over. To be called at each step of time. */
   void EndExpiredRuns(Instant aNow);
 
@@ -38,7 +41,7 @@
   /** @return whether the command is from the past. */
   bool IsFenced(const RunTarget& aTarget);
   void ExtendLease(std::optional<WorkerInstant> aEndsAt, Instant aNow);
-  void End(const RunName& aRun);
+  void End(const RunName& aRun, RunEnd aEnd = RunEnd::Interrupted);
 
   const double m_clockRate;
   Instant m_startedAt;
