TWICE: the answer of an earlier start tells nothing of the worker's clock

By reading: an answer to a start that was sent before the worker's restart was known may be from its earlier start, and be handled after it. Its clock, which is ahead, would replace that of the new start: renewals would then be longer than counted, and the new announcement would seem to be as old as the difference, so that the worker got no work until the next observation.

The clock is now used only if the start was decided on after the restart was known. AnswerOfAnEarlierLifeConfirmsNoLease fails without that (the worker gets no task).

--- a/packages/core/internal/agent/incarnations.cpp
+++ b/packages/core/internal/agent/incarnations.cpp
@@ -53,6 +53,7 @@
          std::tie(aRecord.m_start.m_startedAtMs, aRecord.m_sequence);
 }
 
+/** Adds a start that has ended, and drops the oldest of too many. */
 void
 AddEnded(AnnouncementRecord& aRecord, const WorkerStart& aStart)
 {
@@ -178,6 +179,7 @@
   if (!state.m_hasRestarted) {
     return;
   }
+  state.m_restartKnownAt = aBoard.m_now;
   // A start that was sent before the restart was known has a deadline on the
   // clock of the earlier start, which is far ahead.
   state.m_runsEndBy =
--- a/packages/core/internal/agent/leasedruns.h
+++ b/packages/core/internal/agent/leasedruns.h
@@ -110,7 +110,8 @@
                    std::optional<WorkerInstant> aExpected,
                    WorkerInstant aReading);
   /** Records the worker's clock in the answer to the start of the attempt, and
-   * confirms its lease if the clock fits. */
+   * confirms its lease if the clock fits. The clock of an answer that may be
+   * from an earlier start of the worker tells nothing. */
   void RecordClockOfStart(Worker& aWorker,
                           Attempt& aAttempt,
                           std::optional<WorkerInstant> aClock);
--- a/packages/core/internal/agent/startanswers.cpp
+++ b/packages/core/internal/agent/startanswers.cpp
@@ -87,7 +87,9 @@
                                Attempt& aAttempt,
                                std::optional<WorkerInstant> aClock)
 {
-  if (!aClock) {
+  const bool isOfTrackedStart =
+    aAttempt.m_startSentAt > aWorker.m_leasedRuns->m_restartKnownAt;
+  if (!aClock || !isOfTrackedStart) {
     return;
   }
   const bool fits =
--- a/packages/core/internal/agent/workersection.h
+++ b/packages/core/internal/agent/workersection.h
@@ -90,6 +90,10 @@
   /** Set when the worker has started again as the same incarnation, until an
    * observation has shown which runs it lost. */
   bool m_hasRestarted = false;
+  /** When the worker was last found to have started again as the same
+   * incarnation. Calls that were sent before may have reached the earlier
+   * start. */
+  Instant m_restartKnownAt;
   /** Set after the first observation; until then, runs that an earlier
    * incarnation of the agent has started may be active. */
   bool m_observed = false;
--- a/packages/core/tests/agent_leaseconfirmation_test.cpp
+++ b/packages/core/tests/agent_leaseconfirmation_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(StartAnsweredWithoutAClockCountsTheLongestLease);
   CPPUNIT_TEST(SecondLifeThatFollowsSoonCountsTheLongestLease);
   CPPUNIT_TEST(ReadingOfAnEarlierLifeShortensNoLease);
+  CPPUNIT_TEST(AnswerOfAnEarlierLifeConfirmsNoLease);
   CPPUNIT_TEST(AnsweredStartCountsTheWantedLease);
   CPPUNIT_TEST(ObservedRunCountsTheWantedLease);
   CPPUNIT_TEST_SUITE_END();
@@ -128,6 +129,30 @@
     CPPUNIT_ASSERT(TimeToReport(fixture) >= kLongestRun);
   }
 
+  /** It is handled after the restart is known, and the task is sent to the new
+   * life by the earlier clock otherwise. */
+  void AnswerOfAnEarlierLifeConfirmsNoLease()
+  {
+    LeaseFixture fixture;
+    fixture.AnswerObservation({});
+    const RunId run = Start(fixture);
+    const WorkerInstant earlierClock = fixture.WorkerClockNow();
+    fixture.RestartWorker();
+    fixture.AnnounceLeasedWorker(kFirstIncarnation);
+    AnswerStart(fixture, run, earlierClock);
+    // The first observations were sent before the restart was known.
+    for (int i = 0; i < 3; ++i) {
+      fixture.AnswerObservation({});
+      fixture.Advance(milliseconds(60));
+    }
+    fixture.Receive(fixture.m_entry, EntryHello{});
+    fixture.SendOffers({ fixture.NamedOffer(2, "next") });
+    const StartRun next = fixture.Starts().back();
+    CPPUNIT_ASSERT(next.m_name.m_task == "next");
+    CPPUNIT_ASSERT(*next.m_leaseEndsAt <=
+                   fixture.WorkerClockNow() + milliseconds(500));
+  }
+
   /** A worker that is lost after its answer delays its tasks by no more. */
   void AnsweredStartCountsTheWantedLease()
   {
