--- a/packages/daemon/settings/agentpolicyfields.cpp
+++ b/packages/daemon/settings/agentpolicyfields.cpp
@@ -86,7 +86,8 @@
                 [](Settings& aS) -> FieldBinding {
                   return Millis(aS.m_agentPolicy.m_workerLease, 10, 600000);
                 },
-                "silence after which a worker gets no work" },
+                "a worker gets no work this long after it sent its last "
+                "announcement" },
   SettingField{ "policy.report_interval_ms",
                 kAgent,
                 false,
