Tests: three files of over 500 lines in parts

Cause: entry_speed_test.cpp (506 lines), fleetsimulation.cpp (539) and httpserver_test.cpp (502) had grown over the size that a reader takes in.

Moves alone; no test, check, bound or seed is changed.

--- a/packages/core/tests/fleetsimulation.cpp
+++ b/packages/core/tests/fleetsimulation.cpp
@@ -21,86 +21,9 @@
  * deadline is after the end are not counted. */
 constexpr Duration kWarmUp = std::chrono::seconds(2);
 constexpr Duration kSampleInterval = std::chrono::milliseconds(200);
-constexpr double kFourZoneJobsPerSecond = 845;
-constexpr double kMsPerSecond = 1000;
 
 } // namespace
 
-FleetPlan
-DefaultFleetPlan()
-{
-  FleetPlan plan;
-  plan.m_entryPolicy.m_agentQueueDepth = 0;
-  plan.m_entryPolicy.m_openAttemptHeartbeat = std::chrono::milliseconds(200);
-  plan.m_entryPolicy.m_agentTimeout = std::chrono::milliseconds(450);
-  plan.m_entryPolicy.m_runsEndAfter = std::chrono::milliseconds(1250);
-  plan.m_agentPolicy.m_maxQueuedTasks = 0;
-  plan.m_agentPolicy.m_reserveDeclared = true;
-  plan.m_agentPolicy.m_workerLease = std::chrono::hours(1);
-  plan.m_agentPolicy.m_lease = std::chrono::hours(1);
-  return plan;
-}
-
-FleetPlan
-FourZonePlan(double aUse)
-{
-  FleetPlan plan = DefaultFleetPlan();
-  plan.m_entries = 8;
-  plan.m_agents = 50;
-  plan.m_zones = 4;
-  plan.m_agentMilliCores = 64000;
-  double jobs = 0;
-  double running = 0;
-  for (const JobKind& kind : kJobKinds) {
-    jobs += kind.m_perSecond;
-    running += kind.m_perSecond * kind.m_tasks * kind.m_runMs / kMsPerSecond;
-  }
-  plan.m_load = kFourZoneJobsPerSecond / jobs;
-  const double milliCores =
-    static_cast<double>(plan.m_agents) * plan.m_agentMilliCores;
-  plan.m_taskMilliCores =
-    static_cast<std::uint32_t>(aUse * milliCores / (running * plan.m_load));
-  return plan;
-}
-
-double
-FleetResult::AcceptedInWindow() const
-{
-  return 1 - static_cast<double>(m_queueFullInWindow) /
-               static_cast<double>(std::max<std::size_t>(m_offersInWindow, 1));
-}
-
-std::string
-FleetResult::Text() const
-{
-  std::string text = "jobs=" + std::to_string(m_jobs) +
-                     " in_time=" + std::to_string(m_inTime) +
-                     " of_use=" + std::to_string(m_ofUse);
-  for (std::size_t kind = 0; kind < kJobKinds.size(); ++kind) {
-    text += std::string(" ") + kJobKinds.at(kind).m_queue + "=" +
-            std::to_string(m_inTimeByKind.at(kind));
-  }
-  for (std::size_t entry = 0; entry < m_inTimeByEntry.size(); ++entry) {
-    text += " entry" + std::to_string(entry) + "=" +
-            std::to_string(m_inTimeByEntry[entry]) + "/" +
-            std::to_string(m_jobsByEntry[entry]);
-  }
-  text += " accepted_in_window=" + std::to_string(AcceptedInWindow()) + "/" +
-          std::to_string(m_offersInWindow);
-  for (const auto& [type, count] : m_messagesByType) {
-    text += " " + type + "=" + std::to_string(count);
-  }
-  for (const double inTime : m_inTimeByEntry) {
-    text += " at_entry=" + std::to_string(inTime);
-  }
-  return text + " forwarded=" + std::to_string(m_forwarded) +
-         " starts=" + std::to_string(m_starts) +
-         " offers=" + std::to_string(m_offers) +
-         " refused=" + std::to_string(m_refusedOffers) +
-         " messages=" + std::to_string(m_messages) +
-         " to_other_zones=" + std::to_string(m_offersToOtherZones);
-}
-
 FleetSimulation::FleetSimulation(FleetPlan aPlan)
   : m_plan(std::move(aPlan))
   , m_random(m_plan.m_seed)
--- a/packages/network/tests/httpserver_test.cpp
+++ b/packages/network/tests/httpserver_test.cpp
@@ -1,6 +1,5 @@
 #include "network/ihttpserver.h"
 
-#include "network/internal/clientsocket.h"
 #include "network/tests/rawserver.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -60,7 +59,6 @@
   CPPUNIT_TEST(ResponseIsUnwrittenUntilItIsRead);
   CPPUNIT_TEST(ResponderOutlivesTheServer);
   CPPUNIT_TEST(PortInUseIsAnError);
-  CPPUNIT_TEST(AddressOfAClientThatHasResetIsNoException);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -430,21 +428,6 @@
     CPPUNIT_ASSERT(second.error().m_kind == core::ErrorKind::InvalidSettings);
   }
 
-  void AddressOfAClientThatHasResetIsNoException()
-  {
-    asio::ip::tcp::acceptor acceptor(
-      m_context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    RawSocket client = Connect(m_context, acceptor.local_endpoint().port());
-    ClientSocket socket(m_context);
-    acceptor.accept(socket.lowest_layer());
-    CPPUNIT_ASSERT(socket.lowest_layer().remote_endpoint().port() != 0);
-    client.Reset();
-    socket.wait(asio::socket_base::wait_read);
-    CPPUNIT_ASSERT_EQUAL(
-      std::uint16_t{ 0 },
-      std::uint16_t{ socket.lowest_layer().remote_endpoint().port() });
-  }
-
 private:
   void Start(HttpHandler aHandler)
   {
